--- /dev/null
+++ b/src/core/strong.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <functional>
+#include <ostream>
+#include <utility>
+
+/// A value of type `Rep` that only mixes with values of the same `Tag`.
+///
+/// Use it for ids and units, so that a target id cannot be passed where a
+/// host id is expected. Costs nothing at run time.
+namespace primrosedeal
+{
+
+template <class Tag, class Rep>
+class strong
+{
+public:
+    using rep = Rep;
+
+    constexpr strong() = default;
+
+    constexpr explicit strong(Rep value) : value_(std::move(value)) {}
+
+    [[nodiscard]] constexpr auto value() const -> Rep const&
+    {
+        return value_;
+    }
+
+    friend constexpr auto operator==(strong const&, strong const&)
+        -> bool = default;
+    friend constexpr auto operator<=>(strong const&, strong const&) = default;
+
+    friend auto operator<<(std::ostream& os, strong const& it) -> std::ostream&
+    {
+        return os << it.value_;
+    }
+
+private:
+    Rep value_{};
+};
+
+} // namespace primrosedeal
+
+template <class Tag, class Rep>
+struct std::hash<primrosedeal::strong<Tag, Rep>>
+{
+    auto operator()(primrosedeal::strong<Tag, Rep> const& it) const noexcept
+        -> std::size_t
+    {
+        return std::hash<Rep>{}(it.value());
+    }
+};
--- /dev/null
+++ b/src/standins/main.cpp
@@ -0,0 +1,4 @@
+auto main() -> int
+{
+    return 0;
+}
--- /dev/null
+++ b/src/standins/token_model.cpp
@@ -0,0 +1,1 @@
+#include "core/random.hpp"
