--- a/src/core/strong.hpp
+++ b/src/core/strong.hpp
@@ -30,6 +30,8 @@
 
     friend constexpr auto operator==(strong const&, strong const&)
         -> bool = default;
+    // clang-tidy 14 takes the defaulted comparison with 0 for a pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend constexpr auto operator<=>(strong const&, strong const&) = default;
 
     friend auto operator<<(std::ostream& os, strong const& it) -> std::ostream&
