--- /dev/null
+++ b/src/generation/engine_stream.cpp
@@ -0,0 +1,190 @@
+#include "generation/engine_stream.hpp"
+
+#include "core/overloaded.hpp"
+
+#include <algorithm>
+#include <utility>
+
+// The body of a refusal is small JSON; a chunk of it may only arrive after
+// the status, so refusals are told from streams by the status alone.
+namespace primrosedeal::generation
+{
+
+namespace
+{
+
+constexpr auto status_ok = 200;
+constexpr auto status_not_found = 404;
+constexpr auto status_unavailable = 503;
+
+auto loss_of_status(int status) -> attempt_loss
+{
+    auto const refused =
+        status == status_unavailable || status == status_not_found;
+    return {retry_reason::target_error, false, refused};
+}
+
+} // namespace
+
+struct engine_stream::state : std::enable_shared_from_this<state>
+{
+    request_id request;
+    attempt_id attempt;
+    handler on_event;
+    event_splitter splitter;
+    std::unique_ptr<net::http_call> call;
+    std::string refusal;
+    int status = 0;
+    bool over = false;
+
+    void emit(any_event it)
+    {
+        if (on_event && !over)
+        {
+            auto const held = on_event;
+            held(std::move(it));
+        }
+    }
+
+    void lose(attempt_loss const& loss)
+    {
+        emit(event::attempt_lost{attempt, loss});
+        over = true;
+    }
+
+    void on_body(std::string_view bytes)
+    {
+        if (status != status_ok)
+        {
+            constexpr auto enough = std::size_t{256};
+            refusal.append(bytes);
+            refusal.resize(std::min(refusal.size(), enough));
+            return;
+        }
+        auto const self = shared_from_this();
+        auto const fits = splitter.feed(bytes, [this](std::string_view data)
+                                        { on_data(data); });
+        if (!fits)
+        {
+            lose({retry_reason::stream_corrupt, false, false});
+        }
+    }
+
+    void on_data(std::string_view data)
+    {
+        if (over)
+        {
+            return;
+        }
+        auto decoded = decode_event(data, request, attempt);
+        auto const act = overloaded{
+            [this](event::chunk& it) { emit(std::move(it)); },
+            [this](event::attempt_finished& it)
+            {
+                emit(std::move(it));
+                over = true;
+            },
+            [this](bad_event&) {
+                lose({retry_reason::stream_corrupt, false, false});
+            },
+        };
+        std::visit(act, decoded);
+    }
+
+    void on_end(int code)
+    {
+        auto const self = shared_from_this();
+        if (code != status_ok)
+        {
+            auto loss = loss_of_status(code);
+            if (refusal.find("\"leaving\"") != std::string::npos)
+            {
+                loss.cause = retry_reason::target_leaving;
+            }
+            lose(loss);
+            return;
+        }
+        lose({retry_reason::connection_reset, false, false});
+    }
+
+    void on_error(net::call_error error)
+    {
+        auto const self = shared_from_this();
+        auto const unsent = error == net::call_error::not_connected;
+        lose({unsent ? retry_reason::connection_refused
+                     : retry_reason::connection_reset,
+              unsent, false});
+    }
+};
+
+engine_stream::engine_stream(net::event_loop& loop, net::endpoint const& at,
+                             spec const& what,
+                             action::start_attempt const& attempt,
+                             handler on_event)
+    : state_(std::make_shared<state>())
+{
+    state_->request = what.request;
+    state_->attempt = attempt.attempt;
+    state_->on_event = std::move(on_event);
+    auto request = net::http_request{};
+    request.method = net::http_method::post;
+    request.path = "/generate";
+    request.headers = {{"Content-Type", "application/json"}};
+    request.body = encode_generate(what, attempt);
+    auto events = net::http_events{};
+    auto* const s = state_.get();
+    events.on_status = [s](int status)
+    {
+        s->status = status;
+    };
+    events.on_body = [s](std::string_view bytes)
+    {
+        s->on_body(bytes);
+    };
+    events.on_end = [s](int status)
+    {
+        s->on_end(status);
+    };
+    events.on_error = [s](net::call_error error)
+    {
+        s->on_error(error);
+    };
+    auto limits = net::call_limits{};
+    limits.connect_timeout = 500ms;
+    // A generation streams for minutes; its memory is bounded by reading.
+    limits.max_body_bytes = std::size_t{1} << 40U;
+    state_->call =
+        net::start_call(loop, at, request, std::move(events), limits);
+}
+
+engine_stream::~engine_stream()
+{
+    state_->over = true;
+    state_->on_event = nullptr;
+    state_->call.reset();
+}
+
+void engine_stream::pause_reading()
+{
+    state_->call->pause_reading();
+}
+
+void engine_stream::resume_reading()
+{
+    state_->call->resume_reading();
+}
+
+auto probe_engine(net::event_loop& loop, net::endpoint const& at,
+                  duration timeout, std::function<void(bool)> const& on_result)
+    -> std::unique_ptr<net::http_call>
+{
+    auto request = net::http_request{};
+    request.path = "/health";
+    return net::fetch(
+        loop, at, request, timeout,
+        [on_result](net::http_response const& it)
+        { on_result(it.status == status_ok); },
+        [on_result](net::call_error, bool) { on_result(false); });
+}
+
+} // namespace primrosedeal::generation
--- /dev/null
+++ b/src/generation/machine.cpp
@@ -0,0 +1,533 @@
+#include "generation/machine.hpp"
+
+#include <algorithm>
+#include <utility>
+
+// Losses are met in three steps. A silent target is asked by a fresh
+// connection: if it answers, only the old connection was forgotten, and the
+// generation resumes there, where its prefix is cached. Otherwise it is left
+// for another target. With `early_second_attempt_after` another target is
+// started beside the silent one and the first token decides.
+//
+// An attempt that brought at least `progress_tokens` shows that the request
+// does not kill its engines, so only failures without progress in between
+// count towards `max_engine_failures`.
+namespace primrosedeal::generation
+{
+
+namespace
+{
+
+constexpr auto progress_tokens = std::uint64_t{32};
+constexpr auto max_parallel_attempts = std::size_t{2};
+
+auto contains(std::vector<target_id> const& list, target_id const& it) -> bool
+{
+    return std::find(list.begin(), list.end(), it) != list.end();
+}
+
+} // namespace
+
+machine::machine(spec what, resume_policy policy)
+    : spec_(std::move(what)), policy_(policy), splice_(spec_.already),
+      version_(spec_.what.version)
+{
+}
+
+auto machine::start(time_point now) -> std::vector<any_action>
+{
+    now_ = now;
+    if (auto const reason = end_reached())
+    {
+        complete(*reason);
+    }
+    else
+    {
+        choose(std::nullopt, std::nullopt);
+    }
+    return std::exchange(out_, {});
+}
+
+auto machine::on_event(any_event const& it, time_point now)
+    -> std::vector<any_action>
+{
+    if (ended_)
+    {
+        return {};
+    }
+    now_ = now;
+    std::visit([this](auto const& e) { handle(e); }, it);
+    return std::exchange(out_, {});
+}
+
+auto machine::wake_at() const -> std::optional<time_point>
+{
+    if (ended_)
+    {
+        return std::nullopt;
+    }
+    auto at = std::optional<time_point>{};
+    auto const consider = [&](time_point it)
+    {
+        at = at ? std::min(*at, it) : it;
+    };
+    if (!has_output())
+    {
+        consider(spec_.deadline);
+    }
+    if (choose_at_)
+    {
+        consider(*choose_at_);
+    }
+    if (!caller_slow_)
+    {
+        for (auto const& it : attempts_)
+        {
+            consider(next_check(it));
+        }
+    }
+    return at;
+}
+
+void machine::handle(event::target_chosen const& it)
+{
+    if (!std::exchange(choosing_, false))
+    {
+        return;
+    }
+    ++attempts_made_;
+    auto fresh = attempt{};
+    fresh.id = attempt_id{attempts_made_};
+    fresh.target = it.target;
+    fresh.version = it.version;
+    fresh.prefix = splice_.next_offset();
+    fresh.last_heard = now_;
+    attempts_.push_back(fresh);
+    may_have_run_ = true;
+    out_.push_back(action::start_attempt{fresh.id, it.target, it.version,
+                                         splice_.tokens()});
+}
+
+void machine::handle(event::no_target const& it)
+{
+    if (!std::exchange(choosing_, false) || !attempts_.empty())
+    {
+        return;
+    }
+    auto const waited = loss_ ? now_ - loss_->since : duration{0};
+    if (!has_output() || waited >= policy_.resume_wait)
+    {
+        give_up(it.code, "no target can take the generation now",
+                it.retry_after);
+        return;
+    }
+    // Those that failed earlier may be back.
+    excluded_.clear();
+    choose_at_ = now_ + policy_.choose_again_after;
+}
+
+void machine::handle(event::chunk const& it)
+{
+    auto* const from = find(it.attempt);
+    if (from == nullptr)
+    {
+        out_.push_back(action::chunk_dropped{true, false});
+        return;
+    }
+    take(*from, trimmed(it));
+}
+
+void machine::handle(event::attempt_finished const& it)
+{
+    auto* const from = find(it.attempt);
+    if (from == nullptr)
+    {
+        return;
+    }
+    if (it.offset != splice_.next_offset())
+    {
+        lose(it.attempt, {retry_reason::stream_corrupt, false, false});
+        return;
+    }
+    win(*from);
+    complete(it.finish_reason);
+}
+
+void machine::handle(event::attempt_lost const& it)
+{
+    lose(it.attempt, it.loss);
+}
+
+void machine::handle(event::probe_result const& it)
+{
+    auto const asked = [&](attempt const& a)
+    {
+        return a.target == it.target && a.probe_ends;
+    };
+    auto const found = std::find_if(attempts_.begin(), attempts_.end(), asked);
+    if (found == attempts_.end())
+    {
+        return;
+    }
+    if (!it.answered)
+    {
+        lose(found->id, {retry_reason::silence, false, false});
+        return;
+    }
+    auto const lost = *found;
+    attempts_.erase(found);
+    out_.push_back(action::cancel_attempt{lost.id});
+    // A second silence at this target is its own, not the connection's.
+    excluded_.push_back(lost.target);
+    if (!loss_)
+    {
+        loss_ = open_loss{retry_reason::silence, lost.last_heard, lost.target};
+    }
+    if (attempts_.empty() && !choosing_)
+    {
+        choose(retry_reason::silence, lost.target);
+    }
+}
+
+void machine::handle(event::timer const&)
+{
+    if (!has_output() && now_ >= spec_.deadline)
+    {
+        give_up(reason::deadline_expired, "no output before the deadline",
+                std::nullopt);
+        return;
+    }
+    if (choose_at_ && now_ >= *choose_at_)
+    {
+        choose(loss_ ? std::optional{loss_->cause} : std::nullopt,
+               std::nullopt);
+    }
+    if (caller_slow_)
+    {
+        return;
+    }
+    auto ids = std::vector<attempt_id>{};
+    for (auto const& it : attempts_)
+    {
+        ids.push_back(it.id);
+    }
+    for (auto const id : ids)
+    {
+        check_silence(id);
+    }
+}
+
+void machine::handle(event::caller_slow const&)
+{
+    caller_slow_ = true;
+}
+
+void machine::handle(event::caller_ready const&)
+{
+    caller_slow_ = false;
+    for (auto& it : attempts_)
+    {
+        it.last_heard = now_;
+        it.probe_ends.reset();
+    }
+}
+
+void machine::handle(event::caller_gone const&)
+{
+    cancel_all();
+    ended_ = true;
+}
+
+void machine::choose(std::optional<retry_reason> retry,
+                     std::optional<target_id> prefer)
+{
+    choosing_ = true;
+    choose_at_.reset();
+    auto it = action::choose_target{};
+    it.exclude = excluded_;
+    if (prefer)
+    {
+        std::erase(it.exclude, *prefer);
+    }
+    it.prefer = std::move(prefer);
+    it.version = version_;
+    it.resuming = has_output() || !spec_.already.empty();
+    it.retry = retry;
+    out_.emplace_back(std::move(it));
+}
+
+void machine::check_silence(attempt_id id)
+{
+    auto* const it = find(id);
+    if (it == nullptr)
+    {
+        return;
+    }
+    if (it->probe_ends && now_ >= *it->probe_ends)
+    {
+        lose(id, {retry_reason::silence, false, false});
+        return;
+    }
+    auto const silent_for = now_ - it->last_heard;
+    auto const early = policy_.early_second_attempt_after;
+    if (early && it->heard && silent_for >= *early && !it->second_asked &&
+        !choosing_ && attempts_.size() < max_parallel_attempts)
+    {
+        it->second_asked = true;
+        if (!contains(excluded_, it->target))
+        {
+            excluded_.push_back(it->target);
+        }
+        if (!loss_)
+        {
+            loss_ = open_loss{retry_reason::early_second_attempt,
+                              it->last_heard, it->target};
+        }
+        choose(retry_reason::early_second_attempt, std::nullopt);
+    }
+    if (silent_for >= silence_limit(*it) && !it->probe_ends)
+    {
+        on_silent_target(*it);
+    }
+}
+
+void machine::on_silent_target(attempt& it)
+{
+    auto const repeated = contains(excluded_, it.target);
+    if (!policy_.probe_before_leaving || repeated)
+    {
+        lose(it.id, {retry_reason::silence, false, false});
+        return;
+    }
+    it.probe_ends = now_ + policy_.probe_timeout;
+    out_.push_back(action::probe{it.target});
+}
+
+void machine::lose(attempt_id id, attempt_loss const& loss)
+{
+    auto const found =
+        std::find_if(attempts_.begin(), attempts_.end(),
+                     [&](attempt const& it) { return it.id == id; });
+    if (found == attempts_.end())
+    {
+        return;
+    }
+    auto const lost = *found;
+    attempts_.erase(found);
+    out_.push_back(action::cancel_attempt{id});
+    out_.push_back(action::target_evidence{lost.target, loss});
+    if (!contains(excluded_, lost.target))
+    {
+        excluded_.push_back(lost.target);
+    }
+    if (!loss_)
+    {
+        auto const silent = loss.cause == retry_reason::silence;
+        loss_ =
+            open_loss{loss.cause, silent ? lost.last_heard : now_, lost.target};
+    }
+    note_failure(lost, loss);
+    if (ended_ || choosing_ || !attempts_.empty())
+    {
+        return;
+    }
+    choose(loss.cause, std::nullopt);
+}
+
+void machine::note_failure(attempt const& lost, attempt_loss const& loss)
+{
+    if (loss.unsent || loss.refused)
+    {
+        return;
+    }
+    auto const brought = splice_.next_offset() - lost.prefix;
+    failures_ = brought >= progress_tokens ? 1 : failures_ + 1;
+    if (failures_ >= policy_.max_engine_failures)
+    {
+        give_up(reason::engines_failed,
+                "several targets failed while they ran this request",
+                std::nullopt);
+    }
+}
+
+void machine::take(attempt& from, event::chunk const& it)
+{
+    switch (splice_.offer(it.offset, it.tokens, it.bytes))
+    {
+    case splice_result::accepted:
+        win(from);
+        break;
+    case splice_result::duplicate:
+        out_.push_back(action::chunk_dropped{false, true});
+        return;
+    case splice_result::gap:
+    case splice_result::mismatch:
+        lose(from.id, {retry_reason::stream_corrupt, false, false});
+        return;
+    }
+    if (auto const reason = end_reached())
+    {
+        complete(*reason);
+        return;
+    }
+    relay_ready(false);
+}
+
+/// `winner` brought what comes next: it alone goes on.
+void machine::win(attempt& winner)
+{
+    note_resumed(winner);
+    if (winner.heard)
+    {
+        silence_.observe(now_ - winner.last_heard);
+    }
+    winner.heard = true;
+    winner.last_heard = now_;
+    winner.probe_ends.reset();
+    winner.second_asked = false;
+    version_ = winner.version;
+    std::erase(excluded_, winner.target);
+    for (auto const& it : attempts_)
+    {
+        if (it.id != winner.id)
+        {
+            out_.push_back(action::cancel_attempt{it.id});
+        }
+    }
+    auto const kept = winner.id;
+    std::erase_if(attempts_, [&](attempt const& it) { return it.id != kept; });
+}
+
+void machine::note_resumed(attempt const& by)
+{
+    if (!loss_)
+    {
+        return;
+    }
+    auto const same = loss_->target == by.target;
+    auto const again = by.heard ? 0 : spec_.prompt.size() + by.prefix;
+    out_.push_back(action::resumed{loss_->cause, now_ - loss_->since,
+                                   token_count{again}, same});
+    loss_.reset();
+}
+
+void machine::relay_ready(bool last)
+{
+    auto ready = splice_.take_ready(last);
+    if (!ready.tokens.empty())
+    {
+        out_.push_back(action::relay{ready.offset, std::move(ready.tokens),
+                                     std::move(ready.text)});
+    }
+}
+
+void machine::complete(std::string const& finish_reason)
+{
+    cancel_all();
+    relay_ready(true);
+    out_.push_back(action::finish{finish_reason,
+                                  token_count{splice_.next_offset()},
+                                  splice_.digest_of_given(), std::nullopt});
+    ended_ = true;
+}
+
+void machine::give_up(reason code, std::string text,
+                      std::optional<duration> retry_after)
+{
+    cancel_all();
+    // Held tokens stay unsent, so that what the caller brings back ends on a
+    // character boundary.
+    auto const ran = may_have_run_ ? verdict::may_have_run : verdict::not_run;
+    auto const given = splice_.given_offset();
+    out_.push_back(action::finish{
+        "incomplete", token_count{given}, splice_.digest_of_given(),
+        failure{code, ran, std::move(text), retry_after}});
+    ended_ = true;
+}
+
+void machine::cancel_all()
+{
+    for (auto const& it : attempts_)
+    {
+        out_.push_back(action::cancel_attempt{it.id});
+    }
+    attempts_.clear();
+}
+
+/// `it` without what lies behind the limit or an end token.
+auto machine::trimmed(event::chunk const& it) const -> event::chunk
+{
+    auto const room = spec_.max_tokens.value() > it.offset
+                          ? spec_.max_tokens.value() - it.offset
+                          : 0;
+    auto keep = std::min<std::uint64_t>(it.tokens.size(), room);
+    for (auto i = std::size_t{0}; i < keep; ++i)
+    {
+        auto const& ends = spec_.end_tokens;
+        if (std::find(ends.begin(), ends.end(), it.tokens[i]) != ends.end())
+        {
+            keep = i + 1;
+        }
+    }
+    auto kept = it;
+    kept.tokens.resize(keep);
+    kept.bytes.resize(std::min<std::size_t>(keep, kept.bytes.size()));
+    return kept;
+}
+
+auto machine::end_reached() const -> std::optional<std::string>
+{
+    auto const& tokens = splice_.tokens();
+    auto const& ends = spec_.end_tokens;
+    if (!tokens.empty() &&
+        std::find(ends.begin(), ends.end(), tokens.back()) != ends.end())
+    {
+        return "stop";
+    }
+    if (tokens.size() >= spec_.max_tokens.value())
+    {
+        return "length";
+    }
+    return std::nullopt;
+}
+
+auto machine::has_output() const -> bool
+{
+    return splice_.next_offset() > spec_.already.size();
+}
+
+auto machine::silence_limit(attempt const& it) const -> duration
+{
+    if (it.heard)
+    {
+        return silence_.threshold(policy_);
+    }
+    return has_output() ? policy_.resume_first_token_ceiling
+                        : policy_.first_token_ceiling;
+}
+
+auto machine::next_check(attempt const& it) const -> time_point
+{
+    if (it.probe_ends)
+    {
+        return *it.probe_ends;
+    }
+    auto at = it.last_heard + silence_limit(it);
+    auto const early = policy_.early_second_attempt_after;
+    if (early && it.heard && !it.second_asked &&
+        attempts_.size() < max_parallel_attempts)
+    {
+        at = std::min(at, it.last_heard + *early);
+    }
+    return at;
+}
+
+auto machine::find(attempt_id id) -> attempt*
+{
+    auto const found =
+        std::find_if(attempts_.begin(), attempts_.end(),
+                     [&](attempt const& it) { return it.id == id; });
+    return found == attempts_.end() ? nullptr : &*found;
+}
+
+} // namespace primrosedeal::generation
--- /dev/null
+++ b/src/generation/session.hpp
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "generation/engine_stream.hpp"
+#include "generation/machine.hpp"
+#include "net/event_loop.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <variant>
+
+/// A `machine` joined to sockets and timers on one loop.
+namespace primrosedeal::generation
+{
+
+/// A target that the router chose, and where it is.
+struct chosen
+{
+    event::target_chosen choice;
+    net::endpoint at;
+};
+
+/// What a session needs from its process. All run on the session's loop.
+struct services
+{
+    std::function<std::variant<chosen, event::no_target>(
+        spec const&, action::choose_target const&)>
+        choose;
+    /// Every started attempt is ended exactly once.
+    std::function<void(target_id const&, spec const&)> attempt_ended;
+    std::function<void(target_id const&, attempt_loss const&)> evidence;
+    std::function<void(action::resumed const&)> resumed;
+    std::function<void(action::chunk_dropped const&)> dropped;
+};
+
+/// Where the output goes.
+struct sink
+{
+    std::function<void(action::relay const&)> relay;
+    /// Last call; the session may be destroyed soon after, not inside.
+    std::function<void(action::finish const&)> finish;
+};
+
+class session
+{
+public:
+    session(net::event_loop& loop, spec what, resume_policy policy,
+            services const& process, sink to);
+    session(session const&) = delete;
+    auto operator=(session const&) -> session& = delete;
+    ~session();
+
+    void start();
+    void caller_slow();
+    void caller_ready();
+    void caller_gone();
+
+    [[nodiscard]] auto decisions() const -> machine const&
+    {
+        return machine_;
+    }
+
+private:
+    struct live_attempt
+    {
+        target_id target;
+        std::unique_ptr<engine_stream> stream;
+    };
+
+    void feed(any_event const& it);
+    void perform(std::vector<any_action> const& actions);
+    void perform_one(action::choose_target const& it);
+    void perform_one(action::start_attempt const& it);
+    void perform_one(action::cancel_attempt const& it);
+    void perform_one(action::relay const& it);
+    void perform_one(action::probe const& it);
+    void perform_one(action::finish const& it);
+    void perform_one(action::target_evidence const& it);
+    void perform_one(action::resumed const& it);
+    void perform_one(action::chunk_dropped const& it);
+    void arm_timer();
+    void end_attempt(attempt_id id);
+
+    net::event_loop& loop_;
+    machine machine_;
+    services const& process_;
+    sink sink_;
+    std::map<attempt_id, live_attempt> attempts_;
+    std::map<target_id, net::endpoint> addresses_;
+    std::unique_ptr<net::http_call> probe_;
+    net::timer timer_;
+    time_point timer_at_{};
+    bool reading_paused_ = false;
+};
+
+} // namespace primrosedeal::generation
