--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -73,7 +73,6 @@
         }
         add_headers(raw_, it.headers);
         evbuffer_add(raw_->buffer_out, it.body.data(), it.body.size());
-        --open_;
         auto* const raw = raw_;
         evhtp_send_reply(raw, static_cast<evhtp_res>(it.status));
         evhtp_request_resume(raw);
@@ -108,7 +107,6 @@
         {
             return;
         }
-        --open_;
         auto* const raw = raw_;
         evhtp_send_reply_chunk_end(raw);
         evhtp_request_resume(raw);
@@ -149,10 +147,13 @@
     /// The request is gone: answered and sent, or its connection broke.
     void detach()
     {
-        raw_ = nullptr;
+        if (std::exchange(raw_, nullptr) == nullptr)
+        {
+            return;
+        }
+        --open_;
         if (!std::exchange(answered_, true))
         {
-            --open_;
             if (on_close_)
             {
                 std::exchange(on_close_, nullptr)();
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -86,7 +86,7 @@
     /// Takes no new connection; those that are open go on.
     void stop_listening();
 
-    /// Requests whose answer is not complete.
+    /// Requests whose answer is not yet handed to the network as a whole.
     [[nodiscard]] auto open_requests() const -> std::size_t;
 
 private:
