Let the request, not its handler, keep the open count

Cause: libevhtp keeps an answered request until the connection's next one, so the count never fell; the handler's handle is now apart from the request's state.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -54,14 +54,6 @@
         ++open_;
     }
 
-    ~request_responder() override
-    {
-        if (raw_ != nullptr && !answered_)
-        {
-            reply({500, {}, ""});
-        }
-    }
-
     request_responder(request_responder const&) = delete;
     auto operator=(request_responder const&) -> request_responder& = delete;
 
@@ -151,7 +143,7 @@
         {
             return;
         }
-        --open_;
+        close_count();
         if (!std::exchange(answered_, true))
         {
             if (on_close_)
@@ -175,28 +167,63 @@
 
     void drained()
     {
-        if (on_drain_ && !answered_)
+        if (answered_)
+        {
+            close_count();
+        }
+        else if (on_drain_)
         {
             auto const call = on_drain_;
             call();
         }
     }
 
+    /// The handler let go of the responder.
+    void released()
+    {
+        on_close_ = nullptr;
+        on_drain_ = nullptr;
+        if (!answered_)
+        {
+            constexpr auto internal_error = 500;
+            reply({internal_error, {}, ""});
+        }
+    }
+
 private:
+    void close_count()
+    {
+        if (std::exchange(counted_, false))
+        {
+            --open_;
+        }
+    }
+
     event_loop& loop_;
     evhtp_request_t* raw_;
     std::size_t& open_;
     std::function<void()> on_close_;
     std::function<void()> on_drain_;
     bool answered_ = false;
+    bool counted_ = true;
 };
 
-/// Held by libevhtp hooks; keeps the responder findable, not alive.
+/// Held by libevhtp's hooks until the request is freed.
 struct hook_state
 {
-    std::weak_ptr<request_responder> target;
+    std::shared_ptr<request_responder> target;
 };
 
+/// What a handler holds; the last one to let go ends an unanswered request.
+auto handle_of(std::shared_ptr<request_responder> const& it)
+    -> std::shared_ptr<responder>
+{
+    return {it.get(), [it](responder*)
+            {
+                it->released();
+            }};
+}
+
 /// libevhtp takes hooks of every shape through one untyped pointer.
 template <class Hook>
 auto as_hook(Hook it) -> evhtp_hook
@@ -271,7 +298,7 @@
     }
     auto* const state =
         static_cast<hook_state*>(current->hooks->on_request_fini_arg);
-    return state == nullptr ? nullptr : state->target.lock();
+    return state == nullptr ? nullptr : state->target;
 }
 
 } // namespace
@@ -307,8 +334,9 @@
         evhtp_request_pause(request);
         // libevhtp breaks the connection if a paused request is answered
         // inside its own callback, so the handler runs right after it.
-        loop->post([this, request = std::move(it), answer]() mutable
-                   { on_request(std::move(request), answer); });
+        loop->post([this, request = std::move(it),
+                    handle = handle_of(answer)]() mutable
+                   { on_request(std::move(request), handle); });
     }
 
     static void watch(evhtp_request_t* request,
@@ -319,10 +347,7 @@
         {
             auto const held =
                 std::unique_ptr<hook_state>{static_cast<hook_state*>(arg)};
-            if (auto const it = held->target.lock())
-            {
-                it->detach();
-            }
+            held->target->detach();
             return EVHTP_RES_OK;
         };
         evhtp_request_set_hook(request, evhtp_hook_on_request_fini,
