--- a/src/standins/main.cpp
+++ b/src/standins/main.cpp
@@ -1,13 +1,20 @@
 #include "net/event_loop.hpp"
 #include "standins/engine_standin.hpp"
+#include "standins/faulty_server.hpp"
+#include "standins/key_value_standin.hpp"
+#include "standins/small_services.hpp"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
+#include <absl/strings/str_split.h>
+#include <nlohmann/json.hpp>
 
 #include <csignal>
+#include <functional>
 #include <iostream>
 #include <memory>
+#include <optional>
 #include <vector>
 
 // Many stand-ins in one process, one loop. Ports are printed one a line, as
@@ -29,6 +36,18 @@
 ABSL_FLAG(bool, checks_fencing, true,
           "whether engines refuse orders with an old fencing number");
 
+ABSL_FLAG(std::vector<std::string>, domains, {"luzon-a"},
+          "failure domains; engines and services are dealt out in turn");
+ABSL_FLAG(std::vector<std::string>, services, {},
+          "plain services, as order=2 for two replicas");
+ABSL_FLAG(std::vector<std::string>, entry_hosts, {},
+          "entry hosts for the host list, as ID=IP:PORT@DOMAIN");
+ABSL_FLAG(bool, key_value, false, "run a key-value service");
+ABSL_FLAG(bool, host_list, false, "run a host list of what runs here");
+ABSL_FLAG(int, host_list_lag_ms, 1000, "lag of the host list");
+ABSL_FLAG(double, weight_store_rate, 0,
+          "run a weight store of so many loads a second; 0 runs none");
+
 namespace
 {
 
@@ -76,19 +95,146 @@
               << ':' << port << '\n';
 }
 
+/// All stand-ins of this process.
+class collection
+{
+public:
+    explicit collection(net::event_loop& loop) : loop_(loop) {}
+
+    void add_engines()
+    {
+        auto const settings = engine_settings_from_flags();
+        for (auto i = 0; i < absl::GetFlag(FLAGS_engines); ++i)
+        {
+            auto const at = ports_.next();
+            auto it =
+                std::make_unique<standins::engine_standin>(loop_, settings);
+            auto const port = it->listen(at);
+            print_port("engine", i, port);
+            auto row = target_row(absl::GetFlag(FLAGS_model), i, port);
+            row["model"] = absl::GetFlag(FLAGS_model);
+            row["version"] = absl::GetFlag(FLAGS_version);
+            row["slots"] = settings.slots;
+            targets_.push_back(std::move(row));
+            engines_.push_back(std::move(it));
+        }
+    }
+
+    void add_services()
+    {
+        for (auto const& flag : absl::GetFlag(FLAGS_services))
+        {
+            auto const parts =
+                std::pair<std::string, std::string>{absl::StrSplit(flag, '=')};
+            for (auto i = 0; i < std::stoi(parts.second); ++i)
+            {
+                add_service(parts.first, i);
+            }
+        }
+    }
+
+    void add_platform()
+    {
+        if (absl::GetFlag(FLAGS_key_value))
+        {
+            key_value_ = std::make_unique<standins::key_value_standin>(loop_);
+            print_port("key_value", 0, key_value_->listen(ports_.next()));
+        }
+        if (absl::GetFlag(FLAGS_weight_store_rate) > 0)
+        {
+            auto const state = std::make_shared<standins::weight_store>(
+                absl::GetFlag(FLAGS_weight_store_rate));
+            add_server("weight_store", 0,
+                       [state](net::server_request const& it)
+                       { return state->answer(it, net::event_loop::now()); });
+        }
+        if (absl::GetFlag(FLAGS_host_list))
+        {
+            auto const state = std::make_shared<standins::host_list>(
+                std::chrono::milliseconds{
+                    absl::GetFlag(FLAGS_host_list_lag_ms)},
+                hosts_text());
+            add_server("host_list", 0,
+                       [state](net::server_request const& it)
+                       { return state->answer(it, net::event_loop::now()); });
+        }
+    }
+
+private:
+    using simple_handler =
+        std::function<net::http_response(net::server_request const&)>;
+
+    auto add_server(std::string const& kind, int index,
+                    simple_handler const& handle) -> std::uint16_t
+    {
+        auto it = std::make_unique<standins::faulty_server>(
+            loop_, [handle](net::server_request const& request,
+                            std::shared_ptr<net::responder> const&)
+            { return std::optional{handle(request)}; });
+        auto const port = it->listen(ports_.next());
+        print_port(kind, index, port);
+        servers_.push_back(std::move(it));
+        return port;
+    }
+
+    void add_service(std::string const& name, int index)
+    {
+        auto const state = std::make_shared<standins::plain_service>();
+        auto const port = add_server(name, index,
+                                     [state](net::server_request const& it)
+                                     { return state->answer(it); });
+        targets_.push_back(target_row(name, index, port));
+    }
+
+    static auto target_row(std::string const& service, int index,
+                           std::uint16_t port) -> nlohmann::json
+    {
+        auto const domains = absl::GetFlag(FLAGS_domains);
+        auto const place = static_cast<std::size_t>(index) % domains.size();
+        return {{"id", service + "-" + std::to_string(index)},
+                {"service", service},
+                {"address",
+                 absl::GetFlag(FLAGS_address) + ":" + std::to_string(port)},
+                {"domain", domains[place]},
+                {"state", "live"},
+                {"incarnation", 1},
+                {"adapters", nlohmann::json::array()}};
+    }
+
+    auto hosts_text() const -> std::string
+    {
+        auto hosts = nlohmann::json::array();
+        for (auto const& flag : absl::GetFlag(FLAGS_entry_hosts))
+        {
+            auto const id_rest =
+                std::pair<std::string, std::string>{absl::StrSplit(flag, '=')};
+            auto const place = std::pair<std::string, std::string>{
+                absl::StrSplit(id_rest.second, '@')};
+            hosts.push_back({{"id", id_rest.first},
+                             {"address", place.first},
+                             {"domain", place.second}});
+        }
+        return nlohmann::json{
+            {"version", 1}, {"targets", targets_}, {"entry_hosts", hosts}}
+            .dump();
+    }
+
+    net::event_loop& loop_;
+    ports ports_;
+    nlohmann::json targets_ = nlohmann::json::array();
+    std::vector<std::unique_ptr<standins::engine_standin>> engines_;
+    std::vector<std::unique_ptr<standins::faulty_server>> servers_;
+    std::unique_ptr<standins::key_value_standin> key_value_;
+};
+
 void run()
 {
     net::initialise_process();
     auto loop = net::event_loop{};
-    auto free_ports = ports{};
-    auto engines = std::vector<std::unique_ptr<standins::engine_standin>>{};
-    for (auto i = 0; i < absl::GetFlag(FLAGS_engines); ++i)
-    {
-        auto it = std::make_unique<standins::engine_standin>(
-            loop, engine_settings_from_flags());
-        print_port("engine", i, it->listen(free_ports.next()));
-        engines.push_back(std::move(it));
-    }
+    auto all = collection{loop};
+    all.add_engines();
+    all.add_services();
+    all.add_platform();
     std::cout << "ready" << std::endl;
     auto const on_term = net::signal_watch{loop, SIGTERM,
                                            [&]
