Gossip among entry hosts: records, links, probes, deaths

A silence has to be seen by two hosts before its host is declared dead, so a cut between two hosts declares nobody. A host held for dead takes a new incarnation.

Ruled out: random probes as in plain SWIM (connections to everybody at 360 hosts) and bounded random retransmission (a stream loses nothing until it breaks, and the digest covers that).

Seen red first: one witness enough, no indirect probes, no refutation, lost hosts not tried, digests ignored, no budget, older versions accepted, a key of any length, age not counted.

--- /dev/null
+++ b/src/membership/gossip_links.cpp
@@ -0,0 +1,429 @@
+#include "membership/gossip.hpp"
+#include "membership/neighbours.hpp"
+
+#include <algorithm>
+#include <utility>
+
+// Links, probes and what goes out, on each tick. Records wait in a set of
+// keys for each link and urgency, so a record that changes while it waits is
+// sent once, in its newest version.
+namespace primrosedeal::membership
+{
+
+namespace
+{
+
+constexpr auto choice_period = duration{500ms};
+constexpr auto open_period = duration{1s};
+constexpr auto contact_period = duration{5s};
+constexpr auto digest_period = duration{10s};
+constexpr auto errand_timeout = duration{1s};
+constexpr auto unwanted_timeout = duration{10s};
+/// A longer gap between ticks means that this process was paused.
+constexpr auto pause_gap = duration{2s};
+constexpr auto flush_periods =
+    std::array<duration, urgency_count>{duration{0}, 500ms, 1s};
+
+constexpr auto helpers_asked = std::size_t{3};
+constexpr auto max_errands = std::size_t{64};
+constexpr auto max_batch_bytes = std::size_t{4096};
+/// Framing of HTTP/2 and TCP/IP that a message costs besides itself.
+constexpr auto message_overhead = std::size_t{80};
+constexpr auto digest_bytes = digest_buckets * sizeof(std::uint32_t);
+
+/// A period with full jitter around it, so that hosts don't act in step.
+auto jittered(duration period, random_source& random) -> duration
+{
+    auto const n = static_cast<std::uint64_t>(period.count());
+    return period / 2 + duration{static_cast<duration::rep>(random.below(n))};
+}
+
+} // namespace
+
+void gossip::take(link_up const& it)
+{
+    if (it.peer == self_.id)
+    {
+        out_.emplace_back(close_link{it.peer});
+        return;
+    }
+    auto& link = links_[it.peer];
+    link.up = true;
+    link.dialled = it.dialled;
+    link.unwanted_since = now_;
+    link.pending = {};
+    heard(link.probing, now_);
+    auto const urgent = static_cast<std::size_t>(urgency::urgent);
+    link.pending.at(urgent).insert({topic::member, self_.id.value()});
+    if (it.dialled)
+    {
+        auto hello = message{message_kind::digest, self_.start};
+        hello.summary = store_.summary();
+        send_to(it.peer, std::move(hello));
+    }
+}
+
+void gossip::take(link_down const& it)
+{
+    auto const found = links_.find(it.peer);
+    if (found == links_.end())
+    {
+        return;
+    }
+    found->second.up = false;
+    found->second.pending = {};
+    if (!found->second.wanted)
+    {
+        links_.erase(found);
+    }
+}
+
+void gossip::take(tick const&)
+{
+    if (now_ - last_tick_ > pause_gap)
+    {
+        for (auto& [peer, link] : links_)
+        {
+            heard(link.probing, now_);
+        }
+    }
+    auto const gap = std::min<duration>(now_ - last_tick_, 1s);
+    auto const rate = static_cast<double>(settings_.bytes_per_second);
+    allowance_ = std::min(allowance_ + to_seconds(gap) * rate, rate);
+    last_tick_ = now_;
+    for (auto const& key : store_.expire(now_))
+    {
+        if (key.topic == topic::member)
+        {
+            members_.erase(host_id{key.name});
+            links_outdated_ = true;
+        }
+    }
+    choose_links();
+    for (auto& [peer, link] : links_)
+    {
+        if (link.wanted)
+        {
+            probe_link(peer, link);
+        }
+    }
+    run_errands();
+    contact_lost_hosts();
+    close_unwanted();
+    exchange_digests();
+    flush();
+}
+
+void gossip::choose_links()
+{
+    if (!links_outdated_ || now_ < next_choice_)
+    {
+        return;
+    }
+    links_outdated_ = false;
+    next_choice_ = now_ + choice_period;
+    auto others = std::vector<member>{};
+    for (auto const& [id, it] : members_)
+    {
+        if (it.state != host_state::dead)
+        {
+            others.push_back(it);
+        }
+    }
+    auto const chosen = neighbours_of(self_, others);
+    for (auto const& peer : chosen)
+    {
+        auto& link = links_[peer];
+        if (!std::exchange(link.wanted, true))
+        {
+            heard(link.probing, now_);
+        }
+    }
+    for (auto& [peer, link] : links_)
+    {
+        if (!chosen.contains(peer) && std::exchange(link.wanted, false))
+        {
+            link.unwanted_since = now_;
+        }
+    }
+    std::erase_if(links_, [](auto const& it)
+                  { return !it.second.wanted && !it.second.up; });
+}
+
+void gossip::probe_link(host_id const& peer, peer_link& it)
+{
+    if (!it.up && now_ >= it.next_open)
+    {
+        open(peer, it);
+    }
+    auto const step =
+        advance(it.probing, settings_.probes, is_alone(peer), now_);
+    carry_out(peer, it, step);
+}
+
+void gossip::carry_out(host_id const& peer, peer_link& it, probe_step step)
+{
+    switch (step)
+    {
+    case probe_step::nothing:
+        break;
+    case probe_step::ping:
+        send_to(peer, {message_kind::ping, self_.start, ++last_number_});
+        break;
+    case probe_step::ask_helpers:
+        if (it.up)
+        {
+            out_.emplace_back(replace_link{peer, members_.at(peer).address});
+        }
+        ask_helpers(peer, it);
+        break;
+    case probe_step::suspect:
+        declare(peer, host_state::suspect);
+        break;
+    case probe_step::declare_dead:
+        declare(peer, host_state::dead);
+        break;
+    }
+}
+
+void gossip::ask_helpers(host_id const& peer, peer_link& it)
+{
+    it.probing.number = ++last_number_;
+    auto asked = std::size_t{0};
+    for (auto const& helper : shuffled(up_links()))
+    {
+        auto const known = members_.find(helper);
+        if (helper == peer || known == members_.end() ||
+            known->second.state != host_state::alive)
+        {
+            continue;
+        }
+        send_to(helper, {message_kind::probe_request, self_.start,
+                         it.probing.number, peer});
+        if (++asked == helpers_asked)
+        {
+            return;
+        }
+    }
+}
+
+void gossip::start_errand(received const& it)
+{
+    auto const& subject = it.it.subject;
+    auto const known = members_.find(subject);
+    if (known == members_.end() || errands_.size() >= max_errands)
+    {
+        return;
+    }
+    errands_.push_back(
+        {subject, it.from, it.it.number, now_ + errand_timeout, false});
+    auto const found = links_.find(subject);
+    if (found == links_.end() || !found->second.up)
+    {
+        out_.emplace_back(open_link{subject, known->second.address});
+    }
+}
+
+void gossip::run_errands()
+{
+    for (auto& it : errands_)
+    {
+        auto const found = links_.find(it.subject);
+        if (!it.pinged && found != links_.end() && found->second.up)
+        {
+            it.pinged = true;
+            send_to(it.subject,
+                    {message_kind::ping, self_.start, ++last_number_});
+        }
+        if (now_ >= it.deadline)
+        {
+            send_to(it.requester, {message_kind::probe_unanswered, self_.start,
+                                   it.number, it.subject});
+        }
+    }
+    std::erase_if(errands_, [this](probe_errand const& it)
+                  { return now_ >= it.deadline; });
+}
+
+/// Hosts held for dead and seeds are tried at a low rate, so that a cut
+/// heals by itself; faster while this host has no link at all.
+void gossip::contact_lost_hosts()
+{
+    if (now_ < next_contact_)
+    {
+        return;
+    }
+    auto const period = linked() == 0 ? open_period : contact_period;
+    next_contact_ = now_ + jittered(period, *random_);
+    auto lost = std::vector<open_link>{};
+    for (auto const& [id, it] : members_)
+    {
+        if (it.state == host_state::dead)
+        {
+            lost.push_back({id, it.address});
+        }
+    }
+    for (auto const& seed : settings_.seeds)
+    {
+        if (seed != self_.address)
+        {
+            lost.push_back({host_id{}, seed});
+        }
+    }
+    if (!lost.empty())
+    {
+        out_.emplace_back(lost[random_->below(lost.size())]);
+    }
+}
+
+void gossip::close_unwanted()
+{
+    for (auto const& [peer, it] : links_)
+    {
+        if (it.up && it.dialled && !it.wanted &&
+            now_ - it.unwanted_since >= unwanted_timeout)
+        {
+            out_.emplace_back(close_link{peer});
+        }
+    }
+}
+
+void gossip::exchange_digests()
+{
+    if (now_ < next_digest_)
+    {
+        return;
+    }
+    next_digest_ = now_ + jittered(digest_period, *random_);
+    auto const links = up_links();
+    if (links.empty())
+    {
+        return;
+    }
+    auto it = message{message_kind::digest, self_.start};
+    it.summary = store_.summary();
+    send_to(links[random_->below(links.size())], std::move(it));
+}
+
+/// All links' urgent records go before any link's normal ones, and so on.
+void gossip::flush()
+{
+    auto batches = std::map<host_id, message>{};
+    auto const links = shuffled(up_links());
+    for (auto level = std::size_t{0}; level < urgency_count; ++level)
+    {
+        if (now_ < next_flush_.at(level))
+        {
+            continue;
+        }
+        auto drained = true;
+        for (auto const& peer : links)
+        {
+            auto& pending = links_.at(peer).pending.at(level);
+            if (!pending.empty())
+            {
+                drained =
+                    fill(batches[peer], pending, max_batch_bytes) && drained;
+            }
+        }
+        counters_.budget_waits += drained ? 0 : 1;
+        if (drained)
+        {
+            next_flush_.at(level) = now_ + flush_periods.at(level);
+        }
+    }
+    for (auto& [peer, batch] : batches)
+    {
+        if (!batch.records.empty())
+        {
+            batch.start = self_.start;
+            send_to(peer, std::move(batch));
+        }
+    }
+}
+
+/// False if the budget or the message was full before `pending` was empty.
+auto gossip::fill(message& out, std::set<record_key>& pending,
+                  std::size_t limit) -> bool
+{
+    auto used = std::size_t{0};
+    for (auto const& it : out.records)
+    {
+        used += encoded_bytes(it);
+    }
+    while (!pending.empty())
+    {
+        if (allowance_ <= 0 || used >= limit)
+        {
+            return false;
+        }
+        auto const held = store_.find(*pending.begin(), now_);
+        pending.erase(pending.begin());
+        if (held)
+        {
+            auto const n = encoded_bytes(*held);
+            used += n;
+            allowance_ -= static_cast<double>(n);
+            out.records.push_back(*held);
+        }
+    }
+    return true;
+}
+
+/// Probes and their answers are sent whatever the budget has left, but are
+/// taken from it. Records were taken from it by `fill`.
+void gossip::send_to(host_id const& peer, message it)
+{
+    auto const found = links_.find(peer);
+    if (found == links_.end() || !found->second.up)
+    {
+        return;
+    }
+    auto const n = message_overhead + (it.summary ? digest_bytes : 0);
+    allowance_ -= static_cast<double>(n);
+    out_.emplace_back(send{peer, std::move(it)});
+}
+
+void gossip::open(host_id const& peer, peer_link& it)
+{
+    it.next_open = now_ + jittered(open_period, *random_);
+    out_.emplace_back(open_link{peer, members_.at(peer).address});
+}
+
+auto gossip::is_alone(host_id const& except) const -> bool
+{
+    return std::none_of(members_.begin(), members_.end(),
+                        [&](auto const& it) {
+                            return it.first != except &&
+                                   it.second.state != host_state::dead;
+                        });
+}
+
+auto gossip::up_links() const -> std::vector<host_id>
+{
+    auto up = std::vector<host_id>{};
+    for (auto const& [peer, it] : links_)
+    {
+        if (it.up)
+        {
+            up.push_back(peer);
+        }
+    }
+    return up;
+}
+
+auto gossip::linked() const -> std::size_t
+{
+    return up_links().size();
+}
+
+auto gossip::shuffled(std::vector<host_id> all) -> std::vector<host_id>
+{
+    for (auto n = all.size(); n > 1; --n)
+    {
+        std::swap(all[n - 1], all[random_->below(n)]);
+    }
+    return all;
+}
+
+} // namespace primrosedeal::membership
