--- /dev/null
+++ b/src/order/order_dispatch.cpp
@@ -0,0 +1,143 @@
+#include "order/order_book.hpp"
+
+#include <algorithm>
+
+// The verdict follows the evidence alone. While not a byte has left, the
+// order may go to another target or end as `not_run`. From `permit_send` on
+// only a `not_connected` proves that nothing left; everything else ends the
+// order for good.
+
+namespace primrosedeal::order
+{
+
+auto order_book::permit_send(call_key const& key, attempt_id attempt,
+                             time_point now, actions& then) -> bool
+{
+    now_ = now;
+    out_.clear();
+    then.clear();
+    auto const it = pending_.find(key);
+    if (it == pending_.end())
+    {
+        return false;
+    }
+    auto* const phase = std::get_if<dispatching>(&it->second.phase);
+    if (phase == nullptr || phase->attempt != attempt || phase->permitted)
+    {
+        return false;
+    }
+    if (now >= it->second.send_before)
+    {
+        close_unsent(it, reason::deadline_expired);
+        then = std::exchange(out_, {});
+        return false;
+    }
+    phase->permitted = true;
+    return true;
+}
+
+void order_book::send_dispatch(pending_map::iterator it)
+{
+    auto const& phase = std::get<dispatching>(it->second.phase);
+    out_.emplace_back(dispatch{it->first, phase.attempt, it->second.call,
+                               phase.tried, it->second.send_before});
+}
+
+void order_book::on(dispatch_outcome const& it)
+{
+    auto const found = pending_.find(it.key);
+    if (found == pending_.end())
+    {
+        return;
+    }
+    auto const* const phase = std::get_if<dispatching>(&found->second.phase);
+    if (phase != nullptr && phase->attempt == it.attempt)
+    {
+        on_outcome(found, it.outcome);
+    }
+}
+
+void order_book::on_outcome(pending_map::iterator it,
+                            outcome_of_dispatch const& what)
+{
+    if (auto const* const failed = std::get_if<not_connected>(&what))
+    {
+        try_another(it, failed->target);
+        return;
+    }
+    auto const sent = std::get<dispatching>(it->second.phase).permitted;
+    if (std::holds_alternative<no_target>(what) && !sent)
+    {
+        close_unsent(it, reason::no_target);
+        return;
+    }
+    auto result = reply{};
+    if (auto const* const answered = std::get_if<target_answer>(&what))
+    {
+        result.ran = verdict::ran;
+        result.status = answered->status;
+        result.body = answered->body;
+    }
+    else
+    {
+        result.code = reason::target_failed;
+    }
+    finish(it, result);
+}
+
+void order_book::try_another(pending_map::iterator it, target_id const& failed)
+{
+    auto& phase = std::get<dispatching>(it->second.phase);
+    if (now_ >= it->second.send_before)
+    {
+        close_unsent(it, reason::deadline_expired);
+        return;
+    }
+    phase.tried.push_back(failed);
+    if (phase.tried.size() >= limits_.max_attempts)
+    {
+        close_unsent(it, reason::target_failed);
+        return;
+    }
+    phase.attempt = attempt_id{phase.attempt.value() + 1};
+    phase.permitted = false;
+    send_dispatch(it);
+}
+
+void order_book::close_unsent(pending_map::iterator it, reason why)
+{
+    auto const* const phase = std::get_if<dispatching>(&it->second.phase);
+    if (phase == nullptr)
+    {
+        give_up_claim(it, why);
+        return;
+    }
+    if (phase->nonce)
+    {
+        // Others who find the claim may learn that it was never dispatched.
+        give_up(it->first, {*phase->nonce, true, false});
+    }
+    auto what = reply{};
+    what.ran = verdict::not_run;
+    what.code = why;
+    finish(it, what);
+}
+
+void order_book::finish(pending_map::iterator it, reply const& what)
+{
+    auto const asks = it->second.asks;
+    outcomes_.keep(it->first, {it->second.fingerprint, what});
+    erase(it);
+    for (auto const ask : asks)
+    {
+        end_ask(ask, what);
+    }
+}
+
+void order_book::erase(pending_map::iterator it)
+{
+    pending_bytes_ -= it->second.call->body.size();
+    pending_.erase(it);
+}
+
+} // namespace primrosedeal::order
