--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -3,7 +3,8 @@
 #include <algorithm>
 #include <vector>
 
-// Takes any eligible target at random.
+// Two eligible targets are drawn and the one with less expected load for its
+// slots is taken: late reports cannot send every host to the same target.
 
 namespace primrosedeal::routing
 {
@@ -71,7 +72,7 @@
 }
 
 auto router::choose(work const& item, std::span<candidate const> targets,
-                    time_point /*now*/, random_source& random) -> outcome
+                    time_point now, random_source& random) -> outcome
 {
     auto all = eligible(item, targets, target_state::live);
     if (all.empty())
@@ -82,7 +83,13 @@
     {
         return reason::no_target;
     }
-    auto const& it = *all[random.below(all.size())];
+    auto const fullness = [&](candidate const& it)
+    {
+        return load_.expected(it.id, now) / std::max(it.slots, 1U);
+    };
+    auto const& a = *all[random.below(all.size())];
+    auto const& b = *all[random.below(all.size())];
+    auto const& it = fullness(b) < fullness(a) ? b : a;
     return choice{it.id, choice_cause::spread, it.domain != item.own_domain};
 }
 
