--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -1,10 +1,13 @@
 #include "routing/router.hpp"
 
+#include "routing/affinity.hpp"
+
 #include <algorithm>
 #include <vector>
 
-// Two eligible targets are drawn and the one with less expected load for its
-// slots is taken: late reports cannot send every host to the same target.
+// Consistent hashing with bounded loads: of the targets that are not above
+// the bound, the one with the highest rank for the prefix is taken. Where the
+// prompt has no whole block, two are drawn and the less full one is taken.
 
 namespace primrosedeal::routing
 {
@@ -12,6 +15,9 @@
 namespace
 {
 
+/// Below this share of its slots a target is never too full.
+constexpr auto free_fullness = 0.1;
+
 auto excluded(target_id const& target, work const& item) -> bool
 {
     return std::ranges::find(item.excluded, target) != item.excluded.end();
@@ -71,6 +77,42 @@
 {
 }
 
+auto router::fullness(candidate const& it, time_point now) const -> double
+{
+    return load_.expected(it.id, now) / std::max(it.slots, 1U);
+}
+
+auto router::preferred_by_prefix(work const& item,
+                                 std::vector<candidate const*> const& all,
+                                 time_point now) const -> candidate const*
+{
+    if (item.blocks.empty())
+    {
+        return nullptr;
+    }
+    auto sum = 0.0;
+    for (auto const* it : all)
+    {
+        sum += fullness(*it, now);
+    }
+    auto const mean = sum / static_cast<double>(all.size());
+    auto const bound = settings_.affinity_bound * mean + free_fullness;
+    auto const seed =
+        rank_seed(item, item.blocks[key_depth(item.blocks.size()) - 1]);
+    candidate const* best = nullptr;
+    auto highest = std::uint64_t{0};
+    for (auto const* it : all)
+    {
+        auto const its = rank(seed, it->id);
+        if (its >= highest && fullness(*it, now) <= bound)
+        {
+            best = it;
+            highest = its;
+        }
+    }
+    return best;
+}
+
 auto router::choose(work const& item, std::span<candidate const> targets,
                     time_point now, random_source& random) -> outcome
 {
@@ -83,13 +125,14 @@
     {
         return reason::no_target;
     }
-    auto const fullness = [&](candidate const& it)
+    if (auto const* it = preferred_by_prefix(item, all, now))
     {
-        return load_.expected(it.id, now) / std::max(it.slots, 1U);
-    };
+        return choice{it->id, choice_cause::affinity,
+                      it->domain != item.own_domain};
+    }
     auto const& a = *all[random.below(all.size())];
     auto const& b = *all[random.below(all.size())];
-    auto const& it = fullness(b) < fullness(a) ? b : a;
+    auto const& it = fullness(b, now) < fullness(a, now) ? b : a;
     return choice{it.id, choice_cause::spread, it.domain != item.own_domain};
 }
 
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -8,6 +8,7 @@
 #include <span>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 /// Chooses the target of a piece of work.
 ///
@@ -19,6 +20,8 @@
 struct router_settings
 {
     load_settings load;
+    /// A target is passed over above this multiple of the mean load.
+    double affinity_bound = 1.25;
 };
 
 /// Why a target was chosen, for a counter.
@@ -63,6 +66,13 @@
     }
 
 private:
+    [[nodiscard]] auto fullness(candidate const& it, time_point now) const
+        -> double;
+    [[nodiscard]] auto
+    preferred_by_prefix(work const& item,
+                        std::vector<candidate const*> const& all,
+                        time_point now) const -> candidate const*;
+
     router_settings settings_;
     load_view load_;
 };
