--- a/bench/routing_policies.cpp
+++ b/bench/routing_policies.cpp
@@ -157,6 +157,18 @@
             each.reported(all.targets()[target].id, report);
         }
     };
+    it.cached = [=, &all](std::uint32_t target, cache_batch const& batch)
+    {
+        auto events = std::vector<routing::cache_event>{};
+        for (auto const& each : batch.changes)
+        {
+            events.push_back({each.stored, each.block});
+        }
+        for (auto& each : state->routers)
+        {
+            each.cache_events(all.targets()[target].id, events, batch.gap);
+        }
+    };
     return it;
 }
 
--- a/src/routing/router_test.cpp
+++ b/src/routing/router_test.cpp
@@ -1,6 +1,10 @@
 #include "routing/router.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <set>
 
 using namespace primrosedeal;
 using namespace primrosedeal::routing;
@@ -94,4 +98,149 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(keeps_prefixes_together)
+
+BOOST_AUTO_TEST_CASE(on_the_same_target_from_every_host)
+{
+    auto settings = router_settings{};
+    settings.local_copy_chance = 0;
+    auto random = random_source{1};
+    auto const targets = fleet(24);
+    auto taken = std::set<std::string>{};
+    for (auto key = block_hash{1}; key < 50; ++key)
+    {
+        auto const blocks = std::vector<block_hash>(200, key);
+        auto item = fitting();
+        item.blocks = blocks;
+        auto a = router{settings};
+        auto b = router{settings};
+        auto const first = chosen(a.choose(item, targets, start, random));
+        BOOST_TEST(first == chosen(b.choose(item, targets, start, random)));
+        a.reported(target_id{first}, {4, 20, start});
+        b.reported(target_id{first}, {4, 20, start});
+        auto const next = chosen(a.choose(item, targets, start, random));
+        BOOST_TEST(next == chosen(b.choose(item, targets, start, random)));
+        taken.insert(first);
+    }
+    BOOST_TEST(taken.size() > 12U);
+}
+
+BOOST_AUTO_TEST_CASE(in_the_own_domain_where_crossing_saves_too_little)
+{
+    auto settings = router_settings{};
+    settings.crossing_cost = 10s;
+    auto const it = router{settings};
+    auto random = random_source{1};
+    auto const targets = fleet(24);
+    for (auto key = block_hash{1}; key < 50; ++key)
+    {
+        auto const blocks = std::vector<block_hash>(200, key);
+        auto item = fitting();
+        item.blocks = blocks;
+        auto const made = it.choose(item, targets, start, random);
+        BOOST_TEST(!std::get<choice>(made).crossing);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(but_passes_over_a_target_above_the_bound)
+{
+    auto it = router{{}};
+    auto random = random_source{1};
+    auto const targets = fleet(24);
+    auto const blocks = std::vector<block_hash>(200, 9);
+    auto item = fitting();
+    item.blocks = blocks;
+    auto const first = chosen(it.choose(item, targets, start, random));
+    it.reported(target_id{first}, {4, 20, start});
+    BOOST_TEST(chosen(it.choose(item, targets, start, random)) != first);
+}
+
+BOOST_AUTO_TEST_CASE(where_the_caller_says_it_is_warm_and_it_may)
+{
+    auto it = router{{}};
+    auto random = random_source{1};
+    auto targets = fleet(24);
+    auto item = fitting();
+    item.preferred = target_id{"t17"};
+    BOOST_TEST(chosen(it.choose(item, targets, start, random)) == "t17");
+    targets[17].state = target_state::leaving;
+    BOOST_TEST(chosen(it.choose(item, targets, start, random)) != "t17");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(when_every_target_is_full)
+
+BOOST_AUTO_TEST_CASE(refuses_lower_priorities_first_and_never_a_resume)
+{
+    auto it = router{{}};
+    auto random = random_source{1};
+    auto const targets = fleet(2);
+    auto item = fitting();
+    auto const refused_at = [&](std::uint32_t waiting, int priority)
+    {
+        it.reported(target_id{"t0"}, {4, waiting, start});
+        it.reported(target_id{"t1"}, {4, waiting, start});
+        item.priority = priority;
+        return chosen(it.choose(item, targets, start, random)) == "overloaded";
+    };
+    BOOST_TEST(refused_at(0, -1));
+    BOOST_TEST(!refused_at(0, 0));
+    BOOST_TEST(refused_at(1, 0));
+    BOOST_TEST(!refused_at(1, 1));
+    BOOST_TEST(refused_at(2, 1));
+    item.resume = true;
+    BOOST_TEST(!refused_at(50, -1));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(at_random)
+
+BOOST_AUTO_TEST_CASE(takes_an_eligible_target_or_says_why_not)
+{
+    BOOST_TEST(rc::check(
+        "chosen targets are eligible",
+        [](std::uint64_t seed, std::vector<std::uint8_t> const& kinds)
+        {
+            auto random = random_source{seed};
+            auto it = router{{}};
+            auto targets = fleet(kinds.size());
+            auto blocks = std::vector<block_hash>{};
+            for (auto n = std::size_t{0}; n < kinds.size(); ++n)
+            {
+                targets[n].state = static_cast<target_state>(kinds[n] % 4);
+                targets[n].models[0].version =
+                    model_version{kinds[n] % 3 == 0 ? "2" : "1"};
+                it.reported(targets[n].id, {kinds[n] % 8U, 0, start});
+                blocks.push_back(kinds[n]);
+            }
+            auto item = fitting();
+            item.blocks = blocks;
+            auto const count = [&](target_state state)
+            {
+                return std::ranges::count_if(
+                    targets, [&](candidate const& each)
+                    { return each.state == state && serves(each, item); });
+            };
+            auto const made = it.choose(item, targets, start, random);
+            auto const usable = count(target_state::live) != 0
+                                    ? target_state::live
+                                    : target_state::suspect;
+            if (count(usable) == 0)
+            {
+                RC_ASSERT(std::get<reason>(made) == reason::no_target);
+            }
+            else if (auto const* yes = std::get_if<choice>(&made))
+            {
+                auto const found =
+                    std::ranges::find(targets, yes->target, &candidate::id);
+                RC_ASSERT(found->state == usable);
+                RC_ASSERT(serves(*found, item));
+            }
+        }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
