--- a/bench/statistics.hpp
+++ b/bench/statistics.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cmath>
 #include <cstddef>
 #include <vector>
 
@@ -16,7 +17,7 @@
     }
     std::ranges::sort(values);
     auto const last = static_cast<double>(values.size() - 1);
-    return values[static_cast<std::size_t>(p * last + 0.5)];
+    return values[static_cast<std::size_t>(std::lround(p * last))];
 }
 
 } // namespace primrosedeal::bench
--- a/src/routing/prefix_hints_test.cpp
+++ b/src/routing/prefix_hints_test.cpp
@@ -112,7 +112,8 @@
             for (auto const step : steps)
             {
                 auto const& target = step % 2 == 0 ? a : b;
-                auto const blocks = prompt(step % 5, 8 * (1 + step % 3));
+                auto const blocks =
+                    prompt(step % 5, std::size_t{8} * (1 + step % 3));
                 auto const last = blocks.back();
                 if (step < 150)
                 {
