--- a/src/configuration/field.cpp
+++ b/src/configuration/field.cpp
@@ -1,5 +1,7 @@
 #include "configuration/field.hpp"
 
+#include "core/overloaded.hpp"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -172,14 +174,6 @@
     return ec == std::errc{} ? std::string{buf.data(), end} : std::string{};
 }
 
-template <class... Fs>
-struct overloaded : Fs...
-{
-    using Fs::operator()...;
-};
-template <class... Fs>
-overloaded(Fs...) -> overloaded<Fs...>;
-
 auto parse_of(duration_field const& it, std::string_view text)
     -> std::optional<field_value>
 {
--- a/src/platform/guarded_write.hpp
+++ b/src/platform/guarded_write.hpp
@@ -54,9 +54,12 @@
 {
 public:
     /// `expected` is the revision that the write requires of the key.
+    /// `sent_before`: an earlier process may have sent the same write, so
+    /// that it may still arrive though this one sends nothing.
     guarded_write(store_revision expected, unsigned max_tries,
-                  backoff_settings backoff)
-        : expected_(expected), max_tries_(max_tries), backoff_(backoff)
+                  backoff_settings backoff, bool sent_before = false)
+        : expected_(expected), max_tries_(max_tries), backoff_(backoff),
+          may_have_left_(sent_before)
     {
     }
 
@@ -87,7 +90,7 @@
     unsigned max_tries_;
     backoff_settings backoff_;
     unsigned tries_ = 0;
-    bool may_have_left_ = false;
+    bool may_have_left_;
 };
 
 } // namespace primrosedeal::platform
