--- a/src/membership/gossip_links.cpp
+++ b/src/membership/gossip_links.cpp
@@ -17,7 +17,6 @@
 constexpr auto open_period = duration{1s};
 constexpr auto contact_period = duration{5s};
 constexpr auto digest_period = duration{10s};
-constexpr auto errand_timeout = duration{1s};
 constexpr auto unwanted_timeout = duration{10s};
 /// A longer gap between ticks means that this process was paused.
 constexpr auto pause_gap = duration{2s};
@@ -215,8 +214,8 @@
     {
         return;
     }
-    errands_.push_back(
-        {subject, it.from, it.it.number, now_ + errand_timeout, false});
+    errands_.push_back({subject, it.from, it.it.number,
+                        now_ + settings_.probes.errand_timeout, false});
     auto const found = links_.find(subject);
     if (found == links_.end() || !found->second.up)
     {
--- a/src/membership/gossip_test.cpp
+++ b/src/membership/gossip_test.cpp
@@ -217,6 +217,25 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(connections_gone_silent, fixture)
+
+BOOST_AUTO_TEST_CASE(are_replaced_and_nobody_is_declared_dead)
+{
+    start_all();
+    fleet.silence_links();
+    fleet.send_event(2, publish{mark("t1", 1)});
+    fleet.run_for(4s);
+    for (auto n = std::size_t{0}; n < fleet.size(); ++n)
+    {
+        BOOST_TEST(delivered[n].size() == 1U);
+    }
+    fleet.run_for(30s);
+    BOOST_TEST(deaths() == 0U);
+    BOOST_TEST(count_seen("alive") == 8U * 7U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(a_record, fixture)
 
 BOOST_AUTO_TEST_CASE(that_is_urgent_reaches_every_host_within_a_second)
--- a/src/membership/prober.hpp
+++ b/src/membership/prober.hpp
@@ -14,7 +14,10 @@
     /// A neighbour that was silent this long is pinged.
     duration probe_after = 1s;
     duration direct_timeout = 1s;
+    /// For the answers of other hosts; longer than `errand_timeout`.
     duration indirect_timeout = 1500ms;
+    /// For a probe on another host's behalf.
+    duration errand_timeout = 1s;
     /// From a confirmed silence until the neighbour is declared dead.
     duration suspicion = 4s;
     /// The same where no other host could confirm the silence.
--- a/src/membership/virtual_fleet.hpp
+++ b/src/membership/virtual_fleet.hpp
@@ -108,6 +108,16 @@
         }
     }
 
+    /// Something between the two ends loses track of the connections that
+    /// are open now; new ones work.
+    void silence_links()
+    {
+        for (auto& [ends, it] : links_)
+        {
+            it.silent = true;
+        }
+    }
+
     void send_event(std::size_t n, event const& it)
     {
         auto& to = hosts_[n];
@@ -202,6 +212,7 @@
     struct connection
     {
         std::uint64_t number = 0;
+        bool silent = false;
     };
 
     static constexpr auto first_port = std::uint16_t{1000};
@@ -357,7 +368,7 @@
         auto bytes = encode(it.it);
         hosts_[from].bytes_sent += bytes.size() + framing_bytes;
         ++hosts_[from].messages_sent;
-        if (is_cut(from, to) || random_.unit() < loss)
+        if (is_cut(from, to) || link->second.silent || random_.unit() < loss)
         {
             return;
         }
