--- a/src/configuration/edit.hpp
+++ b/src/configuration/edit.hpp
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <optional>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <variant>
@@ -58,6 +59,8 @@
     document content;
     platform::store_revision modified;
     unsigned format = stored_format;
+    /// Parts that the service holds, so that they need not be put again.
+    std::set<part_name> parts{};
 };
 
 /// Read the accepted document; answer by `on_document` or `on_read_failure`.
