--- a/src/model_order/model_state.cpp
+++ b/src/model_order/model_state.cpp
@@ -114,7 +114,7 @@
         {
             continue;
         }
-        if (auto const order = order_for(want, seen))
+        if (auto order = order_for(want, seen))
         {
             return order;
         }
--- a/src/model_order/orderer.cpp
+++ b/src/model_order/orderer.cpp
@@ -286,7 +286,7 @@
     {
         return it.unfinished;
     }
-    if (auto const order = confirming_order(it))
+    if (auto order = confirming_order(it))
     {
         return order;
     }
--- a/src/order/order_test.cpp
+++ b/src/order/order_test.cpp
@@ -423,6 +423,31 @@
                reason::platform_unavailable);
 }
 
+BOOST_AUTO_TEST_CASE(a_copy_that_joins_such_a_claim_is_no_first_ask)
+{
+    auto limits = book_limits{};
+    limits.outcomes.max_outcomes = 0;
+    limits.max_claim_calls = 1;
+    auto it = desk{limits};
+    auto const write = only<write_claim>(it.ask(chosen()));
+    it.tell(claim_answered{chosen(), write.record.nonce, write.record});
+    BOOST_TEST(it.permit(chosen()));
+    it.outcome(chosen(), target_answer{200, "carved"});
+    auto const again = only<write_claim>(it.ask(chosen()));
+    BOOST_TEST(it.ask(chosen()).empty());
+    auto const then = it.tell(claim_lost{chosen(), again.record.nonce});
+    auto answers = 0;
+    for (auto const& each : then)
+    {
+        if (auto const* const told = std::get_if<answer>(&each))
+        {
+            ++answers;
+            BOOST_TEST((told->what.ran == verdict::may_have_run));
+        }
+    }
+    BOOST_TEST(answers == 2);
+}
+
 BOOST_AUTO_TEST_CASE(the_filter_forgets_nothing_and_seldom_errs)
 {
     auto filter = key_filter{10'000};
