Let a large fleet find itself from two seeds

Cause: all newcomers knew only the seeds and probed them; answers and digests used up the seeds' budget, so no record left any more, and every host went on dialling the seeds for good.

Change: records keep half of the budget, small batches begin at a random record, seeds known alive aren't dialled, tries become rarer with more hosts, unwanted links close after 3 s.

The new test is red without the first two changes.

--- a/src/membership/gossip.hpp
+++ b/src/membership/gossip.hpp
@@ -203,6 +203,7 @@
     void spread(record const& it, host_id const& except);
     void declare(host_id const& peer, host_state state);
 
+    void refill();
     void choose_links();
     void probe_link(host_id const& peer, peer_link& it);
     void carry_out(host_id const& peer, peer_link& it, probe_step step);
@@ -216,7 +217,10 @@
     void flush();
     auto fill(message& out, std::set<record_key>& pending, std::size_t limit)
         -> bool;
+    auto start_of(std::set<record_key> const& pending)
+        -> std::set<record_key>::const_iterator;
     void send_to(host_id const& peer, message it);
+    [[nodiscard]] auto is_known(net::endpoint const& address) const -> bool;
     void open(host_id const& peer, peer_link& it);
     [[nodiscard]] auto is_alone(host_id const& except) const -> bool;
     [[nodiscard]] auto up_links() const -> std::vector<host_id>;
@@ -234,6 +238,8 @@
     time_point next_digest_{};
     time_point last_tick_{};
     double allowance_ = 0;
+    /// Sent since the last tick, besides records.
+    double control_bytes_ = 0;
     std::uint64_t last_number_ = 0;
     bool links_outdated_ = true;
     bool left_ = false;
--- a/src/membership/gossip_links.cpp
+++ b/src/membership/gossip_links.cpp
@@ -16,8 +16,10 @@
 constexpr auto choice_period = duration{500ms};
 constexpr auto open_period = duration{1s};
 constexpr auto contact_period = duration{5s};
+/// All hosts together try a lost one about every `contact_spread`.
+constexpr auto contact_spread = duration{250ms};
 constexpr auto digest_period = duration{10s};
-constexpr auto unwanted_timeout = duration{10s};
+constexpr auto unwanted_timeout = duration{3s};
 /// A longer gap between ticks means that this process was paused.
 constexpr auto pause_gap = duration{2s};
 constexpr auto flush_periods =
@@ -25,7 +27,9 @@
 
 constexpr auto helpers_asked = std::size_t{3};
 constexpr auto max_errands = std::size_t{64};
-constexpr auto max_batch_bytes = std::size_t{4096};
+constexpr auto max_batch_bytes = std::size_t{1024};
+/// Up to this many waiting records, the first to go is chosen at random.
+constexpr auto max_random_start = std::size_t{1024};
 /// Framing of HTTP/2 and TCP/IP that a message costs besides itself.
 constexpr auto message_overhead = std::size_t{80};
 constexpr auto digest_bytes = digest_buckets * sizeof(std::uint32_t);
@@ -86,9 +90,7 @@
             heard(link.probing, now_);
         }
     }
-    auto const gap = std::min<duration>(now_ - last_tick_, 1s);
-    auto const rate = static_cast<double>(settings_.bytes_per_second);
-    allowance_ = std::min(allowance_ + to_seconds(gap) * rate, rate);
+    refill();
     last_tick_ = now_;
     for (auto const& key : store_.expire(now_))
     {
@@ -113,6 +115,18 @@
     flush();
 }
 
+/// Probes and digests are taken from the budget, but records keep half of it:
+/// a host that many others dial at once must still tell them something.
+void gossip::refill()
+{
+    auto const gap = std::min<duration>(now_ - last_tick_, 1s);
+    auto const whole = static_cast<double>(settings_.bytes_per_second);
+    auto const earned = to_seconds(gap) * whole;
+    auto const left = std::max(earned - control_bytes_, earned / 2);
+    control_bytes_ = 0;
+    allowance_ = std::min(allowance_ + left, whole);
+}
+
 void gossip::choose_links()
 {
     if (!links_outdated_ || now_ < next_choice_)
@@ -252,7 +266,10 @@
     {
         return;
     }
-    auto const period = linked() == 0 ? open_period : contact_period;
+    auto const hosts = static_cast<duration::rep>(members_.size());
+    auto const period = linked() == 0
+                            ? open_period
+                            : std::max(contact_period, hosts * contact_spread);
     next_contact_ = now_ + jittered(period, *random_);
     auto lost = std::vector<open_link>{};
     for (auto const& [id, it] : members_)
@@ -264,7 +281,7 @@
     }
     for (auto const& seed : settings_.seeds)
     {
-        if (seed != self_.address)
+        if (seed != self_.address && (linked() == 0 || !is_known(seed)))
         {
             lost.push_back({host_id{}, seed});
         }
@@ -275,6 +292,16 @@
     }
 }
 
+auto gossip::is_known(net::endpoint const& address) const -> bool
+{
+    return std::any_of(members_.begin(), members_.end(),
+                       [&](auto const& it)
+                       {
+                           return it.second.address == address &&
+                                  it.second.state != host_state::dead;
+                       });
+}
+
 void gossip::close_unwanted()
 {
     for (auto const& [peer, it] : links_)
@@ -341,6 +368,16 @@
     }
 }
 
+/// Any record may be the first: hosts that join learn of different hosts and
+/// so don't all turn to the same ones.
+auto gossip::start_of(std::set<record_key> const& pending)
+    -> std::set<record_key>::const_iterator
+{
+    auto const n = pending.size();
+    auto const skipped = n > max_random_start ? 0 : random_->below(n);
+    return std::next(pending.begin(), static_cast<std::ptrdiff_t>(skipped));
+}
+
 /// False if the budget or the message was full before `pending` was empty.
 auto gossip::fill(message& out, std::set<record_key>& pending,
                   std::size_t limit) -> bool
@@ -356,8 +393,9 @@
         {
             return false;
         }
-        auto const held = store_.find(*pending.begin(), now_);
-        pending.erase(pending.begin());
+        auto const at = start_of(pending);
+        auto const held = store_.find(*at, now_);
+        pending.erase(at);
         if (held)
         {
             auto const n = encoded_bytes(*held);
@@ -370,7 +408,7 @@
 }
 
 /// Probes and their answers are sent whatever the budget has left, but are
-/// taken from it. Records were taken from it by `fill`.
+/// counted against it. Records were taken from it by `fill`.
 void gossip::send_to(host_id const& peer, message it)
 {
     auto const found = links_.find(peer);
@@ -379,7 +417,7 @@
         return;
     }
     auto const n = message_overhead + (it.summary ? digest_bytes : 0);
-    allowance_ -= static_cast<double>(n);
+    control_bytes_ += static_cast<double>(n);
     out_.emplace_back(send{peer, std::move(it)});
 }
 
--- a/src/membership/gossip_test.cpp
+++ b/src/membership/gossip_test.cpp
@@ -171,6 +171,32 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_large_fleet)
+
+BOOST_AUTO_TEST_CASE(that_starts_all_at_once_finds_itself_from_two_seeds)
+{
+    auto fleet = virtual_fleet{128, 8, fleet_seed};
+    for (auto n = std::size_t{0}; n < fleet.size(); ++n)
+    {
+        fleet.start(n);
+    }
+    fleet.run_for(30s);
+    auto most_links = std::size_t{0};
+    for (auto n = std::size_t{0}; n < fleet.size(); ++n)
+    {
+        auto const& it = *fleet.at(n).decisions;
+        auto const members = it.members();
+        BOOST_TEST(members.size() == fleet.size());
+        BOOST_TEST(std::all_of(members.begin(), members.end(),
+                               [](member const& known)
+                               { return known.state == host_state::alive; }));
+        most_links = std::max(most_links, it.linked());
+    }
+    BOOST_TEST(most_links <= 10U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(a_cut, fixture)
 
 BOOST_AUTO_TEST_CASE(between_two_hosts_declares_nobody_dead)
