Entry hosts know each other: gossip joined with targets and configuration

Leaving marks, configuration announcements and usage digests go over gossip; documents are fetched from the announcing host over the proven connection.

--- a/src/serve/configuration_watch.cpp
+++ b/src/serve/configuration_watch.cpp
@@ -3,12 +3,10 @@
 #include "configuration/stored_form.hpp"
 #include "log/log.hpp"
 
-#include <nlohmann/json.hpp>
-
 #include <utility>
 
-// Peers pass documents on over plain HTTP, not over gossip: they are large
-// and rare, and the gossip streams keep their byte budget for themselves.
+// Gossip says who has which revision; the document itself is fetched from
+// that host by a call of its own, so the gossip keeps its byte budget.
 namespace primrosedeal::serve
 {
 
@@ -16,8 +14,6 @@
 {
 
 constexpr auto tick_period = duration{100ms};
-constexpr auto peer_timeout = duration{3s};
-constexpr auto status_ok = 200;
 
 auto now() -> time_point
 {
@@ -26,51 +22,19 @@
 
 } // namespace
 
-auto write_announcement(revision_announcement const& it) -> std::string
-{
-    auto const body = nlohmann::json{{"host", it.host.value()},
-                                     {"revision", it.number.value()},
-                                     {"at", net::to_string(it.at)}};
-    auto const bytes = nlohmann::json::to_cbor(body);
-    return {bytes.begin(), bytes.end()};
-}
-
-auto read_announcement(std::string const& text)
-    -> std::optional<revision_announcement>
-{
-    try
-    {
-        auto const body = nlohmann::json::from_cbor(text);
-        auto const at = net::parse_endpoint(body.at("at").get<std::string>());
-        if (!at)
-        {
-            return std::nullopt;
-        }
-        return revision_announcement{
-            host_id{body.at("host").get<std::string>()},
-            revision{body.at("revision").get<std::uint64_t>()}, *at};
-    }
-    catch (nlohmann::json::exception const&)
-    {
-        return std::nullopt;
-    }
-}
-
 configuration_watch::configuration_watch(net::event_loop& loop,
                                          platform::key_value_service& store,
-                                         host_id self, std::string peer_secret,
-                                         std::uint64_t seed,
+                                         host_id self, std::uint64_t seed,
                                          configuration_watch_outputs outputs)
-    : loop_(loop), store_(store), peer_secret_(std::move(peer_secret)),
-      outputs_(std::move(outputs)), follower_(std::move(self), {}, now(), seed)
+    : loop_(loop), store_(store), outputs_(std::move(outputs)),
+      follower_(std::move(self), {}, now(), seed)
 {
     tick_ = loop_.after(0s, [this] { tick(); });
 }
 
-void configuration_watch::on_announcement(revision_announcement const& it)
+void configuration_watch::on_announcement(host_id const& peer, revision number)
 {
-    peer_addresses_[it.host] = it.at;
-    perform(follower_.on_peer_revision(it.host, it.number, now()));
+    perform(follower_.on_peer_revision(peer, number, now()));
 }
 
 auto configuration_watch::answer_peer(std::string const& request) const
@@ -207,32 +171,20 @@
 
 void configuration_watch::perform_one(configuration::ask_peer_step const& it)
 {
-    auto const found = peer_addresses_.find(it.peer);
-    if (found == peer_addresses_.end())
-    {
-        follower_.on_peer_failure(it.peer, now());
-        return;
-    }
-    auto request = net::http_request{};
-    request.method = net::http_method::post;
-    request.path = "/peer/configuration";
-    request.headers = {{"Authorization", "Bearer " + peer_secret_}};
-    request.body = configuration::write_peer_request(it.request);
     auto const peer = it.peer;
-    peer_call_ = net::fetch(
-        loop_, found->second, request, peer_timeout,
-        [this, peer](net::http_response const& answer)
-        {
-            auto const parsed = configuration::read_peer_answer(answer.body);
-            if (answer.status != status_ok || !parsed)
-            {
-                follower_.on_peer_failure(peer, now());
-                return;
-            }
-            perform(follower_.on_peer_answer(*parsed, now()));
-        },
-        [this, peer](net::call_error, bool)
-        { follower_.on_peer_failure(peer, now()); });
+    outputs_.fetch(peer, configuration::write_peer_request(it.request),
+                   [this, peer](std::optional<std::string> const& body)
+                   {
+                       auto const parsed =
+                           body ? configuration::read_peer_answer(*body)
+                                : std::nullopt;
+                       if (!parsed)
+                       {
+                           follower_.on_peer_failure(peer, now());
+                           return;
+                       }
+                       perform(follower_.on_peer_answer(*parsed, now()));
+                   });
 }
 
 void configuration_watch::perform_one(configuration::adopted_step const& it)
--- a/src/serve/configuration_watch.hpp
+++ b/src/serve/configuration_watch.hpp
@@ -3,13 +3,12 @@
 #include "configuration/follower.hpp"
 #include "configuration/peer_form.hpp"
 #include "net/event_loop.hpp"
-#include "net/http_client.hpp"
 #include "platform/etcd_client.hpp"
 #include "serve/messages.hpp"
 
 #include <functional>
-#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,25 +17,16 @@
 namespace primrosedeal::serve
 {
 
-/// Says that `host` has `number` and serves it to peers at `at`.
-struct revision_announcement
-{
-    host_id host;
-    revision number;
-    net::endpoint at;
-};
-
-/// Gossip payload; nothing if `text` is not an announcement.
-auto write_announcement(revision_announcement const& it) -> std::string;
-auto read_announcement(std::string const& text)
-    -> std::optional<revision_announcement>;
-
 struct configuration_watch_outputs
 {
     std::function<void(configuration_changed)> adopted;
     /// Only from hosts that hold the watch, so that announcements do not grow
     /// with the hosts.
     std::function<void(revision)> announce;
+    /// Sends a peer's request and gives back its answer; nothing if it failed.
+    std::function<void(host_id const&, std::string request,
+                       std::function<void(std::optional<std::string>)>)>
+        fetch;
     /// Live hosts of the own failure domain.
     std::function<std::vector<host_id>()> domain_hosts;
 };
@@ -46,10 +36,11 @@
 public:
     configuration_watch(net::event_loop& loop,
                         platform::key_value_service& store, host_id self,
-                        std::string peer_secret, std::uint64_t seed,
+                        std::uint64_t seed,
                         configuration_watch_outputs outputs);
 
-    void on_announcement(revision_announcement const& it);
+    /// `peer` says that it has `number`.
+    void on_announcement(host_id const& peer, revision number);
 
     /// The body for a peer's request; nothing if there is none to give.
     [[nodiscard]] auto answer_peer(std::string const& request) const
@@ -76,12 +67,9 @@
 
     net::event_loop& loop_;
     platform::key_value_service& store_;
-    std::string peer_secret_;
     configuration_watch_outputs outputs_;
     configuration::follower follower_;
-    std::map<host_id, net::endpoint> peer_addresses_;
     std::unique_ptr<platform::watch> watch_;
-    std::unique_ptr<net::http_call> peer_call_;
     net::timer tick_;
 };
 
--- a/src/serve/control_plane.hpp
+++ b/src/serve/control_plane.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "membership/task.hpp"
 #include "metrics/metrics.hpp"
 #include "net/event_loop.hpp"
 #include "platform/etcd_client.hpp"
@@ -54,6 +55,14 @@
     void take(drained const& it);
 
     void on_list(platform::host_list const& it);
+    void on_member(membership::member const& it);
+    void on_item(membership::record const& it, host_id const& from);
+    void publish(membership::topic topic, std::string const& name,
+                 std::uint64_t sequence, membership::urgency urgency,
+                 std::string payload, std::chrono::seconds lifetime);
+    [[nodiscard]] auto task_settings_of(std::uint64_t seed) const
+        -> membership::task_settings;
+    [[nodiscard]] auto domain_hosts() const -> std::vector<host_id>;
     [[nodiscard]] auto count_targets(target::target_state state) const
         -> std::size_t;
     [[nodiscard]] auto status() const -> std::string;
@@ -67,9 +76,11 @@
     std::function<void()> on_drained_;
     platform::etcd_client store_;
     claim_store claims_;
+    membership::membership_task members_;
     target_watch targets_;
     configuration_watch configuration_;
     operators_port operators_;
+    std::uint64_t usage_sequence_ = 0;
     bool draining_ = false;
 };
 
--- a/src/serve/serve.cpp
+++ b/src/serve/serve.cpp
@@ -7,6 +7,7 @@
 #include "serve/control_plane.hpp"
 #include "serve/data_plane.hpp"
 
+#include <chrono>
 #include <csignal>
 #include <memory>
 #include <random>
@@ -31,8 +32,11 @@
 /// Grows from start to start of a host, also when its disk is empty.
 auto incarnation_now() -> incarnation
 {
-    auto const since_epoch = net::event_loop::wall_now().time_since_epoch();
-    return incarnation{static_cast<std::uint64_t>(since_epoch.count())};
+    auto const since_epoch =
+        std::chrono::system_clock::now().time_since_epoch();
+    auto const ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch);
+    return incarnation{static_cast<std::uint64_t>(ms.count())};
 }
 
 struct host
--- a/src/serve/serving_fixture.hpp
+++ b/src/serve/serving_fixture.hpp
@@ -169,6 +169,8 @@
         it.host = host_id{"h" + std::to_string(number)};
         it.domain = domain_id{"a"};
         it.listen_callers = {"127.0.0.1", 0};
+        it.listen_peers = {"127.0.0.1", 0};
+        it.peer_secret = "peers";
         it.max_body_bytes = std::size_t{1} << 20U;
         it.max_header_bytes = std::size_t{8} << 10U;
         it.max_open_requests = 100;
