Load: flags for a command of its own; look-ups count as a promise

The host now breaks after the half is out and counts what is brought back. The key-value stand-in can hold a configuration as accepted from the start.

--- a/src/load/driver_test.cpp
+++ b/src/load/driver_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
+#include <atomic>
 #include <thread>
 
 namespace primrosedeal::load
@@ -24,7 +25,7 @@
         : server_(loop_, {},
                   [this](net::server_request const& it,
                          std::shared_ptr<net::responder> const& to)
-                  { answer(it, *to); })
+                  { answer(it, to); })
     {
         at.port = server_.listen(at);
         thread_ = std::thread{[this]
@@ -46,6 +47,7 @@
     /// Set before the run: answers to break, and tokens to skip in each.
     int break_first = 0;
     std::size_t skip = 0;
+    std::atomic<std::size_t> brought_back = 0;
 
 private:
     static auto event(std::size_t offset, std::span<token_id const> tokens,
@@ -62,11 +64,13 @@
                "\n\n";
     }
 
-    void answer(net::server_request const& it, net::responder& to)
+    void answer(net::server_request const& it,
+                std::shared_ptr<net::responder> const& held)
     {
+        auto& to = *held;
         if (it.path == "/v1/completions")
         {
-            complete(json::parse(it.body), to);
+            complete(json::parse(it.body), held);
         }
         else if (it.path.ends_with("/tickets"))
         {
@@ -83,8 +87,9 @@
         }
     }
 
-    void complete(json const& body, net::responder& to)
+    void complete(json const& body, std::shared_ptr<net::responder> const& held)
     {
+        auto& to = *held;
         auto request = standins::generation_request{};
         request.model = model_id{body["model"].get<std::string>()};
         request.version = model_version{body["version"].get<std::string>()};
@@ -96,6 +101,7 @@
         }
         auto const whole = standins::reference_answer(request);
         auto const had = body.value("resume_tokens", json::array()).size();
+        brought_back += had;
         to.start_stream(200, {});
         auto const rest = std::span{whole.tokens}.subspan(had);
         auto const half = rest.size() / 2;
@@ -103,7 +109,8 @@
         {
             --break_first;
             to.send(event(had, rest.first(half), text_of(whole, had, half)));
-            to.abort();
+            // After the half has reached the caller.
+            breaks_.push_back(loop_.after(20ms, [held] { held->abort(); }));
             return;
         }
         to.send(event(had + skip, rest.subspan(skip),
@@ -135,6 +142,7 @@
 
     net::event_loop loop_;
     std::uint64_t executions_ = 0;
+    std::vector<net::timer> breaks_;
     net::http_server server_;
     std::thread thread_;
 };
@@ -182,6 +190,7 @@
     BOOST_TEST(totals_of(it).complete == 10U);
     BOOST_TEST(totals_of(it).reconnects == 6U);
     BOOST_TEST(totals_of(it).tokens == 100U);
+    BOOST_TEST(first.brought_back + second.brought_back >= 30U);
 }
 
 BOOST_AUTO_TEST_CASE(sees_tokens_that_are_missing)
--- a/src/load/load_test.cpp
+++ b/src/load/load_test.cpp
@@ -215,6 +215,9 @@
     answer.complete = true;
     it.generations = {answer};
     BOOST_TEST(kept({true, 1, 0}));
+    it.lookups = {{0, {}, call_outcome::not_run, {}, 0, ""}};
+    BOOST_TEST(!kept({true, 1, 0}));
+    it.lookups.clear();
     it.generations[0].faults.mixed = 1;
     BOOST_TEST(!kept({true, 1, 0}));
 }
--- a/src/load/report.cpp
+++ b/src/load/report.cpp
@@ -138,7 +138,7 @@
                         (it.executions.known && it.executions.repeated == 0 &&
                          ran >= totals.orders_ran &&
                          ran <= totals.orders_ran + totals.orders_unknown);
-    return answers && orders;
+    return answers && orders && totals.lookups_ran == it.lookups.size();
 }
 
 auto to_text(load_report const& it) -> std::string
--- a/src/load/report.hpp
+++ b/src/load/report.hpp
@@ -98,7 +98,7 @@
 auto totals_of(load_report const& it) -> load_totals;
 
 /// Whether every promise held: each answer complete, no order run twice, as
-/// many executions as the verdicts allow.
+/// many executions as the verdicts allow, each look-up answered.
 auto promises_kept(load_report const& it) -> bool;
 
 auto to_text(load_report const& it) -> std::string;
--- a/src/standins/key_value_standin.cpp
+++ b/src/standins/key_value_standin.cpp
@@ -45,6 +45,12 @@
     server_.set_fault(it);
 }
 
+void key_value_standin::put(std::string key, std::string value)
+{
+    store_.put({std::move(key), std::move(value), {}}, net::event_loop::now());
+    deliver();
+}
+
 auto key_value_standin::answer(net::server_request const& it,
                                std::shared_ptr<net::responder> const& to)
     -> std::optional<net::http_response>
--- a/src/standins/key_value_standin.hpp
+++ b/src/standins/key_value_standin.hpp
@@ -23,6 +23,9 @@
     auto listen(net::endpoint const& at) -> std::uint16_t;
     void set_fault(fault_order it);
 
+    /// Writes a key as if a call had, without counting one.
+    void put(std::string key, std::string value);
+
     [[nodiscard]] auto calls() const
         -> std::map<std::string, std::uint64_t> const&
     {
--- a/src/standins/main.cpp
+++ b/src/standins/main.cpp
@@ -1,3 +1,5 @@
+#include "configuration/stored_form.hpp"
+#include "configuration/yaml.hpp"
 #include "net/event_loop.hpp"
 #include "standins/engine_standin.hpp"
 #include "standins/faulty_server.hpp"
@@ -11,10 +13,12 @@
 #include <nlohmann/json.hpp>
 
 #include <csignal>
+#include <fstream>
 #include <functional>
 #include <iostream>
 #include <memory>
 #include <optional>
+#include <sstream>
 #include <vector>
 
 // Many stand-ins in one process, one loop. Ports are printed one a line, as
@@ -43,6 +47,8 @@
 ABSL_FLAG(std::vector<std::string>, entry_hosts, {},
           "entry hosts for the host list, as ID=IP:PORT@DOMAIN");
 ABSL_FLAG(bool, key_value, false, "run a key-value service");
+ABSL_FLAG(std::string, configuration, "",
+          "YAML file that the key-value service holds as accepted");
 ABSL_FLAG(bool, host_list, false, "run a host list of what runs here");
 ABSL_FLAG(int, host_list_lag_ms, 1000, "lag of the host list");
 ABSL_FLAG(double, weight_store_rate, 0,
@@ -139,6 +145,7 @@
         {
             key_value_ = std::make_unique<standins::key_value_standin>(loop_);
             print_port("key_value", 0, key_value_->listen(ports_.next()));
+            accept_configuration(absl::GetFlag(FLAGS_configuration));
         }
         if (absl::GetFlag(FLAGS_weight_store_rate) > 0)
         {
@@ -177,6 +184,25 @@
         return port;
     }
 
+    void accept_configuration(std::string const& file)
+    {
+        if (file.empty())
+        {
+            return;
+        }
+        auto in = std::ifstream{file};
+        auto text = std::stringstream{};
+        text << in.rdbuf();
+        auto document = configuration::read_yaml(text.str(), file);
+        document.number = revision{1};
+        auto const stored = configuration::encode(document);
+        for (auto const& [name, part] : stored.parts)
+        {
+            key_value_->put(configuration::part_key(name), part);
+        }
+        key_value_->put(configuration::head_key, stored.head);
+    }
+
     void add_service(std::string const& name, int index)
     {
         auto const state = std::make_shared<standins::plain_service>();
