--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -11,9 +11,23 @@
 {
     static auto const all = std::vector<command>{
         {"serve", "run an entry host until SIGTERM",
-         "primrosedeal serve --settings=samples/kigali-a-1.host.yaml", serve},
+         "primrosedeal serve --settings=samples/kigali-kgl-1-a.host.yaml", serve},
         {"check", "check settings and configuration files",
          "primrosedeal check samples/kigali.defaults.yaml", check},
+        {"defaults", "show, diff or apply the accepted configuration",
+         "primrosedeal defaults apply fleet.yaml --author=ann --wait=10s "
+         "--key_value=127.0.0.1:2379 --operators=127.0.0.1:8081 "
+         "--secret_file=operators.secret",
+         defaults},
+        {"exceptions", "list, add or remove exceptions",
+         "primrosedeal exceptions add --organisation=parliament "
+         "--field=admission.weight --value=2 --reason=\"summit week\" "
+         "--author=ann --key_value=127.0.0.1:2379",
+         exceptions},
+        {"load", "drive entry hosts and verify every answer",
+         "primrosedeal load --entry_hosts=127.0.0.1:8080 "
+         "--keys_file=keys.txt --generations=100",
+         load},
         {"status", "show what entry hosts report",
          "primrosedeal status --operators=127.0.0.1:8081 "
          "--secret_file=operators.secret",
--- a/src/cli/subcommands.hpp
+++ b/src/cli/subcommands.hpp
@@ -9,6 +9,9 @@
 
 auto serve(arguments const& words) -> exit_code;
 auto check(arguments const& words) -> exit_code;
+auto defaults(arguments const& words) -> exit_code;
+auto exceptions(arguments const& words) -> exit_code;
+auto load(arguments const& words) -> exit_code;
 auto status(arguments const& words) -> exit_code;
 auto version(arguments const& words) -> exit_code;
 
