--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -11,7 +11,8 @@
 {
     static auto const all = std::vector<command>{
         {"serve", "run an entry host until SIGTERM",
-         "primrosedeal serve --settings=samples/kigali-kgl-1-a.host.yaml", serve},
+         "primrosedeal serve --settings=samples/kigali-kgl-1-a.host.yaml",
+         serve},
         {"check", "check settings and configuration files",
          "primrosedeal check samples/kigali.defaults.yaml", check},
         {"defaults", "show, diff or apply the accepted configuration",
