--- a/src/serve/data_plane.cpp
+++ b/src/serve/data_plane.cpp
@@ -86,6 +86,7 @@
       orders_(loop, {settings.host, start}, settings.peer_secret,
               mix64(seed ^ 1U), places_, counters,
               [this](claim_wanted it) { to_control_(std::move(it)); }),
+      lookups_(loop, places_, counters),
       server_(loop, server_limits_of(settings),
               [this](net::server_request it,
                      std::shared_ptr<net::responder> const& answer)
@@ -220,6 +221,18 @@
         orders_.call(from, parts->service, parts->rest);
         return;
     }
+    auto const& known = *service;
+    if (parts->verb == "lookup" && http.method == net::http_method::get)
+    {
+        if (configuration::is_order_path(known, parts->rest))
+        {
+            refuse(reason::malformed_request,
+                   "calls to this path may not be repeated: use calls/");
+        }
+        auto const query = http.query.empty() ? "" : "?" + http.query;
+        lookups_.handle(from, parts->service, parts->rest + query);
+        return;
+    }
     refuse(reason::not_found, "no such path or method");
 }
 
@@ -247,7 +260,8 @@
 void data_plane::check_drained()
 {
     auto const idle = server_.open_requests() == 0 &&
-                      completions_.open() == 0 && orders_.open() == 0;
+                      completions_.open() == 0 && orders_.open() == 0 &&
+                      lookups_.open() == 0;
     if (stopped_listening_ && idle && !std::exchange(drained_, true))
     {
         to_control_(drained{});
--- a/src/serve/data_plane.hpp
+++ b/src/serve/data_plane.hpp
@@ -5,6 +5,7 @@
 #include "net/event_loop.hpp"
 #include "net/http_server.hpp"
 #include "serve/completions.hpp"
+#include "serve/lookups.hpp"
 #include "serve/messages.hpp"
 #include "serve/orders.hpp"
 #include "serve/placement.hpp"
@@ -63,6 +64,7 @@
     admission::admitter admitter_;
     completions completions_;
     orders orders_;
+    lookups lookups_;
     std::shared_ptr<configuration_view const> configuration_;
     net::http_server server_;
     net::timer tick_;
--- a/src/serve/entry_host_test.cpp
+++ b/src/serve/entry_host_test.cpp
@@ -121,14 +121,22 @@
     }
 
     void post(std::string const& path, std::vector<net::http_header> headers)
+    {
+        send({net::http_method::post, path, std::move(headers), "a booking"});
+    }
+
+    void get(std::string const& path)
+    {
+        send({net::http_method::get, path, {}, ""});
+    }
+
+    void send(net::http_request request)
     {
         answered = false;
-        headers.push_back(
+        request.headers.push_back(
             {"Authorization", std::string{"Bearer "} + fixture_key});
         call = net::fetch(
-            loop, host_at,
-            {net::http_method::post, path, std::move(headers), "a booking"},
-            20s,
+            loop, host_at, request, 20s,
             [this](net::http_response it)
             {
                 last = std::move(it);
@@ -246,6 +254,31 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(asked_to_look_up, ready_host)
+
+BOOST_AUTO_TEST_CASE(brings_the_targets_answer)
+{
+    get("/v1/services/order/lookup/stock/lasts");
+    BOOST_TEST(last.status == 200);
+    BOOST_TEST(!last.body.empty());
+}
+
+BOOST_AUTO_TEST_CASE(refuses_paths_that_may_not_be_repeated)
+{
+    get("/v1/services/order/lookup/orders");
+    BOOST_TEST(last.status == 400);
+}
+
+BOOST_AUTO_TEST_CASE(refuses_in_time_when_no_target_answers)
+{
+    orders_server.set_fault({standins::fault::pause, std::nullopt});
+    get("/v1/services/order/lookup/stock");
+    BOOST_TEST(last.status >= 500);
+    BOOST_TEST(last.body.find("\"verdict\":") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_CASE(gives_a_leaving_target_no_new_work, ready_host)
 {
     list_targets("leaving", 2);
--- a/src/serve/placement.hpp
+++ b/src/serve/placement.hpp
@@ -58,6 +58,12 @@
 
     void reported(target_id const& target, routing::load_report const& it);
 
+    /// The budget that all kinds of calls share.
+    auto budget() -> retry::budget&
+    {
+        return budget_;
+    }
+
     /// Incarnation of a known target, for evidence about it.
     [[nodiscard]] auto find(target_id const& target) const
         -> target_entry const*;
