--- a/src/configuration/document_test.cpp
+++ b/src/configuration/document_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 #include <fstream>
 #include <rapidcheck.h>
+#include <set>
 #include <sstream>
 
 using namespace primrosedeal;
@@ -241,6 +242,119 @@
     BOOST_TEST(priority_of(it, "order", "one", "a") == 3);
 }
 
+namespace
+{
+
+/// 0 for "all", else one of two names.
+template <class Id>
+auto any_part(char const* prefix) -> std::optional<Id>
+{
+    auto const n = *rc::gen::inRange(0, 3);
+    return n == 0 ? std::nullopt
+                  : std::optional{Id{prefix + std::to_string(n)}};
+}
+
+/// As many random exceptions as are accepted together.
+auto any_document() -> document
+{
+    auto it = document{};
+    it.domains = {domain_id{"d1"}, domain_id{"d2"}};
+    it.services = {{service_id{"s1"}, service_kind::engine, false, {}},
+                   {service_id{"s2"}, service_kind::plain, false, {}}};
+    it.organisations = {{organisation_id{"o1"}, {}},
+                        {organisation_id{"o2"}, {}}};
+    for (auto tries = 0; tries < 12; ++tries)
+    {
+        auto entry = exception_entry{};
+        entry.scope = {any_part<organisation_id>("o"),
+                       any_part<service_id>("s"), any_part<domain_id>("d")};
+        entry.field = "admission.priority";
+        entry.value = *rc::gen::inRange<std::uint64_t>(0, 10);
+        entry.reason = "r";
+        entry.author = "a";
+        entry.overrides = true;
+        auto const expiry = *rc::gen::inRange(0, 4);
+        if (expiry > 0)
+        {
+            entry.expires = wall_time{std::chrono::seconds{expiry}};
+        }
+        it.exceptions.push_back(entry);
+        if (!check(it).empty())
+        {
+            it.exceptions.pop_back();
+        }
+    }
+    return it;
+}
+
+/// Whether `a` covers all that `b` does.
+auto contains(exception_scope const& a, exception_scope const& b) -> bool
+{
+    return (!a.organisation || a.organisation == b.organisation) &&
+           (!a.service || a.service == b.service) &&
+           (!a.domain || a.domain == b.domain);
+}
+
+/// The priorities that a reader of the list could claim: of the exceptions
+/// in force there, those that have no narrower one.
+auto claims(document const& it, exception_scope const& point, wall_time now)
+    -> std::set<std::uint64_t>
+{
+    auto here = std::vector<exception_entry>{};
+    for (auto const& each : it.exceptions)
+    {
+        auto const over = each.expires && *each.expires <= now;
+        if (!over && contains(each.scope, point))
+        {
+            here.push_back(each);
+        }
+    }
+    auto result = std::set<std::uint64_t>{};
+    for (auto const& each : here)
+    {
+        auto const narrower = [&](exception_entry const& other)
+        {
+            return other.scope != each.scope &&
+                   contains(each.scope, other.scope);
+        };
+        if (std::ranges::none_of(here, narrower))
+        {
+            result.insert(std::get<std::uint64_t>(each.value));
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(agree_with_the_only_claim_that_an_accepted_list_allows)
+{
+    auto accepted = 0;
+    auto const ok = rc::check(
+        "one claim at each point",
+        [&]
+        {
+            auto const it = any_document();
+            accepted += it.exceptions.size() > 1 ? 1 : 0;
+            auto const point = exception_scope{
+                organisation_id{*rc::gen::element<std::string>("o1", "o2")},
+                service_id{*rc::gen::element<std::string>("s1", "s2")},
+                domain_id{*rc::gen::element<std::string>("d1", "d2")}};
+            auto const now =
+                wall_time{std::chrono::seconds{*rc::gen::inRange(0, 4)}};
+            auto const claimed = claims(it, point, now);
+            RC_ASSERT(claimed.size() <= 1);
+            auto const expected_priority = claimed.empty()
+                                               ? it.defaults.admission.priority
+                                               : *claimed.begin();
+            RC_ASSERT(effective(it, *point.service, *point.organisation,
+                                *point.domain, now)
+                          .admission.priority == expected_priority);
+        });
+    BOOST_TEST(ok);
+    BOOST_TEST(accepted > 50);
+}
+
 BOOST_AUTO_TEST_CASE(an_expired_exception_stops_at_its_civil_time)
 {
     auto const it = read_yaml(
