Ask a target that has not begun, and start another beside it in time

Ruled out: leaving it at once at a shorter ceiling, which gives up queue positions under load. Change: asked after 700 ms by a fresh connection, left if silent; while it answers it keeps its attempt and a second one starts beside it after 2.5 s (1.2 s when resuming).

--- a/src/entry/completion_request.cpp
+++ b/src/entry/completion_request.cpp
@@ -48,6 +48,12 @@
         }
         return true;
     };
+    // The parser would stop at a NUL and ignore what follows.
+    if (body.find('\0') != std::string_view::npos)
+    {
+        refuse(reason::malformed_request,
+               "body: text without NUL was expected");
+    }
     try
     {
         auto it = json::parse(body, shallow);
--- a/src/generation/machine.cpp
+++ b/src/generation/machine.cpp
@@ -126,6 +126,13 @@
         lose(found->id, {retry_reason::silence, false, false});
         return;
     }
+    if (!found->heard)
+    {
+        // It may be computing the prompt or let us wait for a slot.
+        found->known_alive = true;
+        found->probe_ends.reset();
+        return;
+    }
     auto const lost = *found;
     attempts_.erase(found);
     out_.push_back(action::cancel_attempt{lost.id});
--- a/src/generation/machine.hpp
+++ b/src/generation/machine.hpp
@@ -68,6 +68,8 @@
         bool heard = false;
         std::optional<time_point> probe_ends;
         bool second_asked = false;
+        /// It answered a probe and had not begun.
+        bool known_alive = false;
     };
 
     /// Output stopped and has not gone on yet.
@@ -92,6 +94,7 @@
     void choose(std::optional<retry_reason> retry,
                 std::optional<target_id> prefer);
     void check_silence(attempt_id id);
+    void start_second(attempt& beside);
     void on_silent_target(attempt& it);
     void lose(attempt_id id, attempt_loss const& loss);
     void note_failure(attempt const& lost, attempt_loss const& loss);
@@ -107,6 +110,9 @@
     [[nodiscard]] auto end_reached() const -> std::optional<std::string>;
     [[nodiscard]] auto has_output() const -> bool;
     [[nodiscard]] auto silence_limit(attempt const& it) const -> duration;
+    [[nodiscard]] auto second_after(attempt const& it) const
+        -> std::optional<duration>;
+    [[nodiscard]] auto may_start_second(attempt const& it) const -> bool;
     [[nodiscard]] auto next_check(attempt const& it) const -> time_point;
     auto find(attempt_id id) -> attempt*;
 
--- a/src/generation/machine_losses.cpp
+++ b/src/generation/machine_losses.cpp
@@ -9,6 +9,10 @@
 // for another target. With `early_second_attempt_after` another target is
 // started beside the silent one and the first token decides.
 //
+// A target that has not begun is asked too. While it answers it keeps its
+// attempt, since leaving it would lose its queue position and its prefill, but
+// another is started beside it in case only the connection was forgotten.
+//
 // An attempt that brought at least `progress_tokens` shows that the request
 // does not kill its engines, so only failures without progress in between
 // count towards `max_engine_failures`.
@@ -59,21 +63,10 @@
         return;
     }
     auto const silent_for = now_ - it->last_heard;
-    auto const early = policy_.early_second_attempt_after;
-    if (early && it->heard && silent_for >= *early && !it->second_asked &&
-        !choosing_ && attempts_.size() < max_parallel_attempts)
+    auto const second = second_after(*it);
+    if (second && silent_for >= *second && may_start_second(*it))
     {
-        it->second_asked = true;
-        if (!contains(excluded_, it->target))
-        {
-            excluded_.push_back(it->target);
-        }
-        if (!loss_)
-        {
-            loss_ = open_loss{retry_reason::early_second_attempt,
-                              it->last_heard, it->target};
-        }
-        choose(retry_reason::early_second_attempt, std::nullopt);
+        start_second(*it);
     }
     if (silent_for >= silence_limit(*it) && !it->probe_ends)
     {
@@ -81,10 +74,33 @@
     }
 }
 
+auto machine::may_start_second(attempt const& it) const -> bool
+{
+    return !it.second_asked && !choosing_ &&
+           attempts_.size() < max_parallel_attempts;
+}
+
+void machine::start_second(attempt& beside)
+{
+    beside.second_asked = true;
+    if (!contains(excluded_, beside.target))
+    {
+        excluded_.push_back(beside.target);
+    }
+    if (!loss_ && beside.heard)
+    {
+        loss_ = open_loss{retry_reason::early_second_attempt, beside.last_heard,
+                          beside.target};
+    }
+    choose(retry_reason::early_second_attempt, std::nullopt);
+}
+
 void machine::on_silent_target(attempt& it)
 {
     auto const repeated = contains(excluded_, it.target);
-    if (!policy_.probe_before_leaving || repeated)
+    auto const probe_first =
+        it.heard ? policy_.probe_before_leaving && !repeated : !it.known_alive;
+    if (!probe_first)
     {
         lose(it.id, {retry_reason::silence, false, false});
         return;
@@ -159,6 +175,21 @@
     {
         return silence_.threshold(policy_);
     }
+    return it.known_alive ? 2 * *second_after(it)
+                          : policy_.first_token_probe_after;
+}
+
+/// Silence after which a second attempt starts beside `it`, if at all.
+auto machine::second_after(attempt const& it) const -> std::optional<duration>
+{
+    if (it.heard)
+    {
+        return policy_.early_second_attempt_after;
+    }
+    if (!it.known_alive)
+    {
+        return std::nullopt;
+    }
     return has_output() ? policy_.resume_first_token_ceiling
                         : policy_.first_token_ceiling;
 }
@@ -170,11 +201,10 @@
         return *it.probe_ends;
     }
     auto at = it.last_heard + silence_limit(it);
-    auto const early = policy_.early_second_attempt_after;
-    if (early && it.heard && !it.second_asked &&
-        attempts_.size() < max_parallel_attempts)
+    auto const second = second_after(it);
+    if (second && may_start_second(it))
     {
-        at = std::min(at, it.last_heard + *early);
+        at = std::min(at, it.last_heard + *second);
     }
     return at;
 }
--- a/src/generation/machine_test.cpp
+++ b/src/generation/machine_test.cpp
@@ -353,6 +353,29 @@
     BOOST_TEST((end->failed->retry_after == 2s));
 }
 
+BOOST_FIXTURE_TEST_CASE(leaves_a_target_that_does_not_answer_a_probe,
+                        running_fixture)
+{
+    BOOST_TEST(find_action<action::probe>(wait_for_timer()));
+    auto const gone = wait_for_timer();
+    BOOST_TEST(find_action<action::choose_target>(gone));
+    BOOST_TEST((now <= time_point{} + 1400ms));
+}
+
+BOOST_FIXTURE_TEST_CASE(keeps_one_that_answers_and_starts_another_beside_it,
+                        running_fixture)
+{
+    wait_for_timer();
+    auto const alive = send(event::probe_result{target_id{"a"}, true});
+    BOOST_TEST(alive.empty());
+    auto const second = wait_for_timer();
+    BOOST_TEST(find_action<action::choose_target>(second));
+    BOOST_TEST(!find_action<action::cancel_attempt>(second));
+    choose("b");
+    BOOST_TEST((now < time_point{} + 3s));
+    BOOST_TEST(find_action<action::relay>(chunk(1, 0, {1})));
+}
+
 BOOST_FIXTURE_TEST_CASE(ends_at_its_deadline, running_fixture)
 {
     auto out = std::vector<any_action>{};
