--- a/bench/engine_model.cpp
+++ b/bench/engine_model.cpp
@@ -82,6 +82,7 @@
 void engine_model::die(bool reset)
 {
     dead_ = true;
+    silent_ = !reset;
     ++step_;
     stepping_ = false;
     cache_.clear();
@@ -127,6 +128,7 @@
     it.prefill = std::max(all - held, 1U);
     asked_ += all;
     computed_ += all - held;
+    recomputed_ += it.work.again ? all - held : 0;
 }
 
 void engine_model::fill_batch()
@@ -140,15 +142,22 @@
 
 auto engine_model::plan_prefill() -> std::uint32_t
 {
-    auto left = settings_.prefill_chunk;
+    auto cold = std::vector<sequence*>{};
     for (auto& it : running_)
     {
-        if (it.decoding || left == 0)
+        if (!it.decoding)
         {
-            continue;
+            cold.push_back(&it);
         }
-        auto const part = std::min(it.prefill, left);
-        it.prefill -= part;
+    }
+    std::ranges::stable_sort(cold, std::greater<>{},
+                             [](sequence const* it)
+                             { return it->work.priority; });
+    auto left = settings_.prefill_chunk;
+    for (auto* it : cold)
+    {
+        auto const part = std::min(it->prefill, left);
+        it->prefill -= part;
         left -= part;
     }
     return settings_.prefill_chunk - left;
--- a/bench/engine_model.hpp
+++ b/bench/engine_model.hpp
@@ -37,6 +37,8 @@
     /// Tokens of the whole answer.
     std::uint32_t length = 1;
     int priority = 0;
+    /// Continues or repeats what another attempt began.
+    bool again = false;
     /// The engine dies when it prefills this.
     bool poison = false;
 };
@@ -79,6 +81,11 @@
     {
         return dead_;
     }
+    /// Dead, and nothing says so to those who connect.
+    [[nodiscard]] auto unreachable() const -> bool
+    {
+        return dead_ && silent_;
+    }
     [[nodiscard]] auto running() const -> std::uint32_t
     {
         return static_cast<std::uint32_t>(running_.size());
@@ -100,6 +107,11 @@
     {
         return asked_;
     }
+    /// Of the computed tokens, those for a further attempt.
+    [[nodiscard]] auto recomputed_tokens() const -> std::uint64_t
+    {
+        return recomputed_;
+    }
     /// Tokens generated, also those that nobody read.
     [[nodiscard]] auto generated_tokens() const -> std::uint64_t
     {
@@ -137,9 +149,11 @@
     std::uint64_t step_ = 0;
     bool stepping_ = false;
     bool dead_ = false;
+    bool silent_ = false;
     double slowness_ = 1;
     time_point paused_until_{};
     std::uint64_t computed_ = 0;
+    std::uint64_t recomputed_ = 0;
     std::uint64_t asked_ = 0;
     std::uint64_t generated_ = 0;
 };
