--- a/src/admission/admitter.cpp
+++ b/src/admission/admitter.cpp
@@ -60,7 +60,7 @@
     auto const known = accounts_.contains(it.organisation);
     if (!known && accounts_.size() >= settings_.max_organisations)
     {
-        forget_idle(now);
+        tick(now);
     }
     if (!known && accounts_.size() >= settings_.max_organisations)
     {
@@ -188,7 +188,7 @@
     it->second.rate = std::max(it->second.rate - unused / rate_memory, 0.0);
 }
 
-void admitter::forget_idle(time_point now)
+void admitter::tick(time_point now)
 {
     std::erase_if(accounts_,
                   [&](auto const& each)
@@ -201,7 +201,7 @@
 
 auto admitter::digest(time_point now) -> usage_digest
 {
-    forget_idle(now);
+    tick(now);
     auto all = usage_digest{};
     used_rate_ = 0;
     active_weight_ = 0;
--- a/src/admission/admitter.hpp
+++ b/src/admission/admitter.hpp
@@ -108,6 +108,9 @@
         pressure_ = it;
     }
 
+    /// Forgets idle organisations; for hosts that send no digests.
+    void tick(time_point now);
+
     /// What to tell the other hosts, to be sent to all of them now; also
     /// forgets idle organisations. Call every 250 ms.
     auto digest(time_point now) -> usage_digest;
@@ -152,7 +155,6 @@
 
     auto account_of(arrival const& it, time_point now) -> account*;
     void refill(account& it, time_point now) const;
-    void forget_idle(time_point now);
     [[nodiscard]] auto refuse(reason code, double seconds) const -> refused;
     [[nodiscard]] auto rate_of(account const& it, time_point now) const
         -> double;
