Share limits by demand over gossip; resumes have their own budget

Usage digests go out four times a second from up to eight hosts, less often from more; admission learns how full the engines are from the router's loads. A resume takes from the budget of its target and failure domain instead of the retry budget, so that one loss is not refused for retries spent elsewhere.

--- a/src/serve/control_plane.cpp
+++ b/src/serve/control_plane.cpp
@@ -15,7 +15,7 @@
 {
 
 constexpr auto mark_lifetime = std::chrono::seconds{3600};
-constexpr auto usage_lifetime = std::chrono::seconds{10};
+constexpr auto usage_lifetime = std::chrono::seconds{30};
 constexpr auto kept_until_replaced = std::chrono::seconds{0};
 
 auto etcd_settings_of(settings::host_settings const& from)
--- a/src/serve/data_plane.cpp
+++ b/src/serve/data_plane.cpp
@@ -1,7 +1,9 @@
 #include "serve/data_plane.hpp"
 
 #include "entry/answers.hpp"
+#include "membership/record.hpp"
 #include "serve/operators_port.hpp"
+#include "serve/usage_form.hpp"
 
 #include <algorithm>
 #include <string_view>
@@ -16,6 +18,8 @@
 {
 
 constexpr auto tick_period = duration{100ms};
+constexpr auto shortest_usage_period = duration{250ms};
+constexpr auto usage_period_per_host = duration{30ms};
 
 auto server_limits_of(settings::host_settings const& from) -> net::server_limits
 {
@@ -93,6 +97,7 @@
               { on_request(std::move(it), answer); })
 {
     tick();
+    usage_timer_ = loop_.after(shortest_usage_period, [this] { tell_usage(); });
 }
 
 data_plane::~data_plane() = default;
@@ -127,10 +132,18 @@
     orders_.on_platform(it.event);
 }
 
-void data_plane::take(usage_heard const& /*it*/) {}
+void data_plane::take(usage_heard const& it)
+{
+    if (auto const digest = read_usage(it.digest))
+    {
+        admitter_.on_digest(it.host, *digest, net::event_loop::now());
+    }
+}
 
 void data_plane::take(peers_changed const& it)
 {
+    hosts_ = std::max<std::size_t>(it.peers.size(), 1);
+    admitter_.set_hosts(hosts_);
     orders_.set_peers(it.peers);
 }
 
@@ -252,11 +265,26 @@
 
 void data_plane::tick()
 {
-    admitter_.tick(net::event_loop::now());
+    admitter_.set_pressure(places_.pressure(net::event_loop::now()));
     check_drained();
     tick_ = loop_.after(tick_period, [this] { tick(); });
 }
 
+/// More hosts tell less often, so that the gossip's bytes stay bounded.
+void data_plane::tell_usage()
+{
+    auto digest = admitter_.digest(net::event_loop::now());
+    if (!digest.usages.empty())
+    {
+        to_control_(usage_digest{
+            write_usage(std::move(digest), membership::max_payload_bytes)});
+    }
+    auto const period = std::max<duration>(
+        shortest_usage_period,
+        usage_period_per_host * static_cast<std::int64_t>(hosts_));
+    usage_timer_ = loop_.after(period, [this] { tell_usage(); });
+}
+
 void data_plane::check_drained()
 {
     auto const idle = server_.open_requests() == 0 &&
--- a/src/serve/data_plane.hpp
+++ b/src/serve/data_plane.hpp
@@ -54,6 +54,7 @@
     void route_peer(net::server_request const& it,
                     std::shared_ptr<net::responder> const& answer);
     void tick();
+    void tell_usage();
     void check_drained();
 
     net::event_loop& loop_;
@@ -68,6 +69,8 @@
     std::shared_ptr<configuration_view const> configuration_;
     net::http_server server_;
     net::timer tick_;
+    net::timer usage_timer_;
+    std::size_t hosts_ = 1;
     net::timer listen_until_;
     bool draining_ = false;
     bool stopped_listening_ = false;
--- a/src/serve/placement.cpp
+++ b/src/serve/placement.cpp
@@ -5,10 +5,18 @@
 namespace primrosedeal::serve
 {
 
+namespace
+{
+
+constexpr auto come_back = duration{2s};
+
+} // namespace
+
 placement::placement(domain_id own_domain, std::uint64_t seed,
                      metrics::process_metrics& counters)
     : own_domain_(std::move(own_domain)), random_(seed), counters_(counters),
       router_(routing::router_settings{}), budget_(retry::budget_settings{}),
+      resumes_(retry::resume_budget_settings{}),
       view_(std::make_shared<target_view const>())
 {
 }
@@ -28,6 +36,7 @@
         if (gone(it))
         {
             router_.forget(it.what.id);
+            resumes_.forget(it.what.id);
         }
     }
     view_ = std::move(view);
@@ -41,18 +50,14 @@
 auto placement::place(placement_request const& it, time_point now)
     -> std::variant<placed, not_placed>
 {
-    constexpr auto come_back = duration{2s};
-    auto item = it.item;
-    item.own_domain = own_domain_;
-    auto const targets = candidates_of(it.service);
-    auto const answer = router_.choose(item, targets, now, random_);
+    auto const answer = choose(it, now);
     if (auto const* const why = std::get_if<reason>(&answer))
     {
         return not_placed{*why, come_back};
     }
     if (it.retry)
     {
-        if (budget_.retry(it.service, it.organisation) != retry::spent::no)
+        if (!may_retry(it))
         {
             return not_placed{reason::retry_budget_exhausted, come_back};
         }
@@ -60,8 +65,48 @@
     }
     auto const& choice = std::get<routing::choice>(answer);
     auto const* const target = find(choice.target);
-    router_.dispatched(choice.target, item, now);
-    return placed{*target, version_at(target->what, item)};
+    router_.dispatched(choice.target, it.item, now);
+    return placed{*target, version_at(target->what, it.item)};
+}
+
+/// A resume has its own budget for each target and failure domain, so that the
+/// work of a lost target does not overrun the others.
+auto placement::choose(placement_request const& it, time_point now)
+    -> routing::outcome
+{
+    auto item = it.item;
+    item.own_domain = own_domain_;
+    auto const targets = candidates_of(it.service);
+    auto excluded =
+        std::vector<target_id>{item.excluded.begin(), item.excluded.end()};
+    while (true)
+    {
+        item.excluded = excluded;
+        auto answer = router_.choose(item, targets, now, random_);
+        auto const* const found = std::get_if<routing::choice>(&answer);
+        if (found == nullptr || !is_resume(it))
+        {
+            return answer;
+        }
+        auto const& domain = find(found->target)->what.domain;
+        if (resumes_.take(found->target, domain, now))
+        {
+            return answer;
+        }
+        excluded.push_back(found->target);
+    }
+}
+
+auto placement::is_resume(placement_request const& it) -> bool
+{
+    return it.item.resume && it.retry &&
+           it.retry != retry_reason::early_second_attempt;
+}
+
+auto placement::may_retry(placement_request const& it) -> bool
+{
+    return is_resume(it) ||
+           budget_.retry(it.service, it.organisation) == retry::spent::no;
 }
 
 void placement::finished(target_id const& target, time_point now)
@@ -83,6 +128,26 @@
     return found == view_->targets.end() ? nullptr : &*found;
 }
 
+auto placement::pressure(time_point now) const -> admission::pressure
+{
+    auto it = admission::pressure{};
+    for (auto const& target : view_->targets)
+    {
+        auto const takes_work =
+            target.what.state == routing::target_state::live &&
+            !target.what.models.empty();
+        if (!takes_work)
+        {
+            continue;
+        }
+        auto const slots = static_cast<double>(target.what.slots);
+        auto const load = router_.load().expected(target.what.id, now);
+        it.waiting += std::max(load - slots, 0.0);
+        it.slots += slots;
+    }
+    return it;
+}
+
 auto placement::candidates_of(service_id const& service) const
     -> std::vector<routing::candidate>
 {
--- a/src/serve/placement.hpp
+++ b/src/serve/placement.hpp
@@ -4,6 +4,7 @@
 #include "core/random.hpp"
 #include "metrics/metrics.hpp"
 #include "retry/budget.hpp"
+#include "retry/resume_budget.hpp"
 #include "routing/router.hpp"
 #include "serve/messages.hpp"
 
@@ -64,11 +65,18 @@
         return budget_;
     }
 
+    /// How full the engines are, for admission. Costs a walk over them.
+    [[nodiscard]] auto pressure(time_point now) const -> admission::pressure;
+
     /// Incarnation of a known target, for evidence about it.
     [[nodiscard]] auto find(target_id const& target) const
         -> target_entry const*;
 
 private:
+    auto choose(placement_request const& it, time_point now)
+        -> routing::outcome;
+    static auto is_resume(placement_request const& it) -> bool;
+    auto may_retry(placement_request const& it) -> bool;
     [[nodiscard]] auto candidates_of(service_id const& service) const
         -> std::vector<routing::candidate>;
 
@@ -77,6 +85,7 @@
     metrics::process_metrics& counters_;
     routing::router router_;
     retry::budget budget_;
+    retry::resume_budget resumes_;
     std::shared_ptr<target_view const> view_;
 };
 
