Start the second attempt sooner beside a target that has not begun

Now asked after 500 ms and a second attempt after 1.2 s (700 ms when resuming), within the retry budget. Resumes that follow an early second attempt are no longer charged as early ones, and an engine that answers probes but is overfull does not count as failed.

--- a/src/generation/machine.cpp
+++ b/src/generation/machine.cpp
@@ -158,8 +158,7 @@
     }
     if (choose_at_ && now_ >= *choose_at_)
     {
-        choose(loss_ ? std::optional{loss_->cause} : std::nullopt,
-               std::nullopt);
+        choose(cause_of_further_attempt(), std::nullopt);
     }
     if (caller_slow_)
     {
--- a/src/generation/machine.hpp
+++ b/src/generation/machine.hpp
@@ -112,6 +112,8 @@
     [[nodiscard]] auto silence_limit(attempt const& it) const -> duration;
     [[nodiscard]] auto second_after(attempt const& it) const
         -> std::optional<duration>;
+    [[nodiscard]] auto cause_of_further_attempt() const
+        -> std::optional<retry_reason>;
     [[nodiscard]] auto may_start_second(attempt const& it) const -> bool;
     [[nodiscard]] auto next_check(attempt const& it) const -> time_point;
     auto find(attempt_id id) -> attempt*;
--- a/src/generation/machine_losses.cpp
+++ b/src/generation/machine_losses.cpp
@@ -74,6 +74,19 @@
     }
 }
 
+/// Only an attempt beside a living one is an early second attempt; those that
+/// follow when none lives are resumes.
+auto machine::cause_of_further_attempt() const -> std::optional<retry_reason>
+{
+    if (!loss_)
+    {
+        return std::nullopt;
+    }
+    return loss_->cause == retry_reason::early_second_attempt
+               ? retry_reason::silence
+               : loss_->cause;
+}
+
 auto machine::may_start_second(attempt const& it) const -> bool
 {
     return !it.second_asked && !choosing_ &&
@@ -103,7 +116,8 @@
     auto const probe_first = may_help && !repeated;
     if (!probe_first)
     {
-        lose(it.id, {retry_reason::silence, false, false});
+        // One that answers probes has not failed; it is only overfull.
+        lose(it.id, {retry_reason::silence, false, it.known_alive});
         return;
     }
     it.probe_ends = now_ + policy_.probe_timeout;
--- a/src/generation/machine_test.cpp
+++ b/src/generation/machine_test.cpp
@@ -337,6 +337,19 @@
     BOOST_TEST(!find_action<action::relay>(chunk(2, 3, {4})));
 }
 
+BOOST_FIXTURE_TEST_CASE(resumes_that_follow_are_not_early_attempts,
+                        early_fixture)
+{
+    lose(1);
+    auto const both_gone = lose(2);
+    BOOST_TEST((find_action<action::choose_target>(both_gone)->retry ==
+                retry_reason::connection_reset));
+    send(event::no_target{});
+    auto const again = wait_for_timer();
+    BOOST_TEST((find_action<action::choose_target>(again)->retry ==
+                retry_reason::silence));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(before_its_first_token)
--- a/src/generation/model.hpp
+++ b/src/generation/model.hpp
@@ -57,12 +57,12 @@
     double silence_factor = 8.0;
     /// A target that has not begun is asked by a fresh connection after this
     /// time; one that does not answer is left.
-    duration first_token_probe_after = 700ms;
+    duration first_token_probe_after = 500ms;
     /// A target that answers but has not begun gets a second attempt beside
     /// it after this time, and is left after twice as long.
-    duration first_token_ceiling = 2500ms;
+    duration first_token_ceiling = 1200ms;
     /// The same when resuming, where the output must go on within 3 s.
-    duration resume_first_token_ceiling = 1200ms;
+    duration resume_first_token_ceiling = 700ms;
     /// A second attempt beside the silent one after this time; the first
     /// token wins. Nothing: the silent one is given up first.
     std::optional<duration> early_second_attempt_after;
--- a/src/serve/completions.cpp
+++ b/src/serve/completions.cpp
@@ -388,7 +388,8 @@
                               generation::attempt_loss const& loss)
 {
     auto const* const known = places_.find(target);
-    if (known == nullptr)
+    auto const overfull = loss.refused && loss.cause == retry_reason::silence;
+    if (known == nullptr || overfull)
     {
         return;
     }
