Hosts that start during an outage take the configuration from peers

A failed fetch was never tried again, since gossip announces a revision once; and the request to the peer, binary, travelled in a header and was answered 404. Ruled out: lost announcements (they arrived). Change: announcements are kept and peers that are ahead are asked again each 500 ms; the request is base64.

--- a/src/membership/task.hpp
+++ b/src/membership/task.hpp
@@ -80,7 +80,8 @@
     void leave();
 
     /// Fetches a body, such as a configuration, from `peer` over a
-    /// connection of its own; `done` gets nothing if that fails.
+    /// connection of its own; `done` gets nothing if that fails. `name` travels
+    /// as a header: printable ASCII, at most about 3 KB.
     void fetch_body(host_id const& peer, std::string const& name,
                     std::function<void(std::optional<std::string>)> done);
 
--- a/src/serve/configuration_watch.cpp
+++ b/src/serve/configuration_watch.cpp
@@ -3,6 +3,7 @@
 #include "configuration/stored_form.hpp"
 #include "log/log.hpp"
 
+#include <algorithm>
 #include <utility>
 
 // Gossip says who has which revision; the document itself is fetched from
@@ -14,6 +15,8 @@
 {
 
 constexpr auto tick_period = duration{100ms};
+constexpr auto reminder_period = duration{500ms};
+constexpr auto max_announced = std::size_t{1024};
 
 auto now() -> time_point
 {
@@ -26,17 +29,42 @@
                                          platform::key_value_service& store,
                                          host_id self, std::uint64_t seed,
                                          configuration_watch_outputs outputs)
-    : loop_(loop), store_(store), outputs_(std::move(outputs)),
-      follower_(std::move(self), {}, now(), seed)
+    : loop_(loop), store_(store), outputs_(std::move(outputs)), self_(self),
+      follower_(std::move(self), {}, now(), seed), random_(seed)
 {
     tick_ = loop_.after(0s, [this] { tick(); });
 }
 
 void configuration_watch::on_announcement(host_id const& peer, revision number)
 {
+    auto const known = announced_.count(peer) != 0;
+    if (peer == self_ || (!known && announced_.size() >= max_announced))
+    {
+        return;
+    }
+    announced_[peer] = std::max(announced_[peer], number);
     perform(follower_.on_peer_revision(peer, number, now()));
 }
 
+/// Tells the follower again of one peer that is ahead.
+void configuration_watch::remind()
+{
+    auto ahead = std::vector<host_id>{};
+    for (auto const& [host, number] : announced_)
+    {
+        if (number > follower_.number())
+        {
+            ahead.push_back(host);
+        }
+    }
+    if (ahead.empty())
+    {
+        return;
+    }
+    auto const& host = ahead[random_.below(ahead.size())];
+    perform(follower_.on_peer_revision(host, announced_.at(host), now()));
+}
+
 auto configuration_watch::answer_peer(std::string const& request) const
     -> std::optional<std::string>
 {
@@ -53,6 +81,11 @@
 void configuration_watch::tick()
 {
     perform(follower_.on_tick(now(), outputs_.domain_hosts()));
+    if (now() >= next_reminder_)
+    {
+        next_reminder_ = now() + reminder_period;
+        remind();
+    }
     tick_ = loop_.after(tick_period, [this] { tick(); });
 }
 
--- a/src/serve/configuration_watch.hpp
+++ b/src/serve/configuration_watch.hpp
@@ -2,11 +2,13 @@
 
 #include "configuration/follower.hpp"
 #include "configuration/peer_form.hpp"
+#include "core/random.hpp"
 #include "net/event_loop.hpp"
 #include "platform/etcd_client.hpp"
 #include "serve/messages.hpp"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -53,6 +55,7 @@
 
 private:
     void tick();
+    void remind();
     void perform(configuration::follower_steps const& steps);
     void perform_one(configuration::read_head_step const& it);
     void perform_one(configuration::read_parts_step const& it);
@@ -68,7 +71,12 @@
     net::event_loop& loop_;
     platform::key_value_service& store_;
     configuration_watch_outputs outputs_;
+    host_id self_;
     configuration::follower follower_;
+    /// What peers have said; gossip says it once, fetching may fail often.
+    std::map<host_id, revision> announced_;
+    time_point next_reminder_{};
+    random_source random_;
     std::unique_ptr<platform::watch> watch_;
     net::timer tick_;
 };
--- a/src/serve/control_plane.cpp
+++ b/src/serve/control_plane.cpp
@@ -2,6 +2,7 @@
 
 #include "log/log.hpp"
 
+#include <absl/strings/escaping.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -46,7 +47,7 @@
                 [this](incarnation it) { start_ = it; },
                 [this](std::string_view name)
                 {
-                    return configuration_.answer_peer(std::string{name});
+                    return answer_peer(name);
                 }}),
       targets_(loop, settings.host_list, mix64(seed ^ 1U),
                {[this](targets_changed it) { to_data_(std::move(it)); },
@@ -72,7 +73,10 @@
            },
            [this](host_id const& peer, std::string const& request,
                   std::function<void(std::optional<std::string>)> done)
-           { members_.fetch_body(peer, request, std::move(done)); },
+           {
+               members_.fetch_body(peer, absl::WebSafeBase64Escape(request),
+                                   std::move(done));
+           },
            [this]
            {
                return domain_hosts();
@@ -134,6 +138,16 @@
     to_data_(std::move(peers));
 }
 
+/// A body's name travels as a header, so the request in it is base64.
+auto control_plane::answer_peer(std::string_view name) const
+    -> std::optional<std::string>
+{
+    auto request = std::string{};
+    return absl::WebSafeBase64Unescape({name.data(), name.size()}, &request)
+               ? configuration_.answer_peer(request)
+               : std::nullopt;
+}
+
 void control_plane::on_member(membership::member const& it)
 {
     log::write(log::level::info, "member_state",
--- a/src/serve/control_plane.hpp
+++ b/src/serve/control_plane.hpp
@@ -15,6 +15,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 /// The task that talks to the platform, to other entry hosts and to
 /// operators. The data plane goes on without it.
@@ -46,6 +47,12 @@
         return targets_.has_list();
     }
 
+    /// Where other entry hosts reach this one.
+    [[nodiscard]] auto peers_at() const -> net::endpoint const&
+    {
+        return members_.self().address;
+    }
+
     [[nodiscard]] auto leaving_targets() const -> std::size_t;
 
 private:
@@ -55,6 +62,8 @@
     void take(drained const& it);
 
     void on_list(platform::host_list const& it);
+    [[nodiscard]] auto answer_peer(std::string_view name) const
+        -> std::optional<std::string>;
     void on_member(membership::member const& it);
     void on_item(membership::record const& it, host_id const& from);
     void publish(membership::topic topic, std::string const& name,
--- a/src/serve/entry_host_test.cpp
+++ b/src/serve/entry_host_test.cpp
@@ -294,6 +294,31 @@
     BOOST_TEST(engines[0]->totals().requests == before);
 }
 
+BOOST_FIXTURE_TEST_CASE(gives_its_configuration_to_one_without_the_store,
+                        ready_host)
+{
+    auto theirs = make_settings(2);
+    theirs.seeds = {control->peers_at()};
+    // Nothing listens there.
+    theirs.key_value = {"127.0.0.1", 1};
+    theirs.host_list = settings.host_list;
+    theirs.listen_operators = {"127.0.0.1", 0};
+    auto in_force = std::uint64_t{0};
+    auto other_counters = metrics::process_metrics{};
+    auto const other = std::make_unique<control_plane>(
+        loop, theirs, incarnation{1}, 2, other_counters,
+        [&](to_data const& it)
+        {
+            if (auto const* const got = std::get_if<configuration_changed>(&it))
+            {
+                in_force = got->view->document.number.value();
+            }
+        },
+        [] {});
+    run_until([&] { return in_force != 0; });
+    BOOST_TEST(in_force == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(drains_on_request, ready_host)
 {
     ask(host_at, body(60), caller);
