Say may_have_run about own keys that may have run through another host

Cause: an order by the caller's own key was taken for a first ask unless the caller said otherwise, so a host cut off from the key-value service told not_run about a key that could have run elsewhere; the old test of that case expected not_run. Now it is a repeat unless the caller says that it is the first ask (Primrosedeal-First-Ask), and the test asks both ways.

--- a/src/serve/entry_host_test.cpp
+++ b/src/serve/entry_host_test.cpp
@@ -242,8 +242,12 @@
 BOOST_AUTO_TEST_CASE(refuses_own_keys_but_not_tickets_without_the_store)
 {
     store.set_fault({standins::fault::die, std::nullopt});
-    post("/v1/services/order/calls/orders", {{"Idempotency-Key", "mine-4"}});
+    post("/v1/services/order/calls/orders",
+         {{"Idempotency-Key", "mine-4"}, {"Primrosedeal-First-Ask", "yes"}});
     BOOST_TEST(last.body.find("not_run") != std::string::npos);
+    // It may have run through another host before.
+    post("/v1/services/order/calls/orders", {{"Idempotency-Key", "mine-5"}});
+    BOOST_TEST(last.body.find("may_have_run") != std::string::npos);
     post("/v1/services/order/tickets", {});
     auto const ticket =
         nlohmann::json::parse(last.body).at("ticket").get<std::string>();
--- a/src/serve/orders.cpp
+++ b/src/serve/orders.cpp
@@ -117,8 +117,9 @@
     it.key = {from.organisation, key};
     it.call = std::move(call);
     it.deadline = from.arrived + default_deadline;
-    it.repeat =
-        net::find_header(from.http.headers, "Primrosedeal-Repeat").has_value();
+    // Without the caller's word this may be a copy of an order that ran through
+    // another host, so "not run" could be false.
+    it.repeat = !net::find_header(from.http.headers, "Primrosedeal-First-Ask");
     places_.request(service, from.organisation);
     ask(std::move(it), {from.answer, false});
 }
