--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -10,6 +10,8 @@
 auto commands() -> std::vector<command> const&
 {
     static auto const all = std::vector<command>{
+        {"gateway", "run an entry host on the users' platform until SIGTERM",
+         "primrosedeal gateway /etc/primrosedeal/boot.json", gateway},
         {"serve", "run an entry host until SIGTERM",
          "primrosedeal serve --settings=samples/kigali-kgl-1-a.host.yaml",
          serve},
--- a/src/cli/defaults_command.cpp
+++ b/src/cli/defaults_command.cpp
@@ -3,7 +3,7 @@
 #include "cli/input_file.hpp"
 #include "cli/operators_client.hpp"
 #include "declare/commands.hpp"
-#include "platform/etcd_client.hpp"
+#include "external/etcd_client.hpp"
 
 #include <absl/flags/declare.h>
 #include <absl/flags/flag.h>
@@ -148,7 +148,7 @@
     }
 
     net::event_loop loop_;
-    platform::etcd_client store_;
+    external::etcd_client store_;
     std::list<net::timer> timers_;
 };
 
--- /dev/null
+++ b/src/cli/gateway_command.cpp
@@ -0,0 +1,43 @@
+#include "cli/subcommands.hpp"
+
+#include "gateway/gateway.hpp"
+#include "log/log.hpp"
+#include "platform/protocol.hpp"
+#include "platform/settings.hpp"
+#include "platform/store_client.hpp"
+
+#include <iostream>
+
+namespace primrosedeal::cli
+{
+
+auto gateway(arguments const& words) -> exit_code
+{
+    if (words.size() > 1)
+    {
+        std::cerr << "gateway: one settings file at most was expected\n";
+        return exit_code::usage;
+    }
+    try
+    {
+        auto const file = words.empty() ? platform::settings_path()
+                                        : words.front();
+        auto const settings = platform::load_settings(file);
+        auto const logging = log::scope{};
+        auto loop = net::event_loop{};
+        auto const wire = platform::wire_protocol{};
+        auto store = platform::store_client{
+            loop, platform::store_client_settings{settings.store}};
+        auto const drained = gateway::run_gateway(
+            loop, settings, [file] { return platform::load_settings(file); },
+            wire, store);
+        return drained ? exit_code::success : exit_code::not_drained;
+    }
+    catch (gateway::settings_error const& e)
+    {
+        std::cerr << e.what() << "\n";
+        return exit_code::usage;
+    }
+}
+
+} // namespace primrosedeal::cli
--- a/src/configuration/configuration_bench.cpp
+++ b/src/configuration/configuration_bench.cpp
@@ -85,7 +85,7 @@
     {
         encoded_ =
             encode(small_document(revision{encoded_.number.value() + 1}));
-        modified_ = platform::store_revision{modified_.value() + 5};
+        modified_ = external::store_revision{modified_.value() + 5};
         for (auto n = 0U; n < hosts_.size(); ++n)
         {
             if (watching_[n])
@@ -166,7 +166,7 @@
     std::vector<follower> hosts_;
     std::vector<bool> watching_;
     encoded_document encoded_;
-    platform::store_revision modified_;
+    external::store_revision modified_;
     time_point now_{};
     random_source random_{3};
 };
--- a/src/configuration/edit.cpp
+++ b/src/configuration/edit.cpp
@@ -124,16 +124,16 @@
 
 auto edit::settle(document_view const& view, random_source& random) -> edit_step
 {
-    auto const seen = platform::guard_view{
+    auto const seen = external::guard_view{
         view.modified, false,
         history_reaches(view.content,
                         revision{sent_.content.number.value() - 1})};
     auto const step = std::exchange(condition_failed_, false)
                           ? write_->on_condition_failed(seen)
                           : write_->on_read(seen);
-    auto const* outcome = std::get_if<platform::write_outcome>(&step);
+    auto const* outcome = std::get_if<external::write_outcome>(&step);
     auto const lost_race = outcome != nullptr &&
-                           *outcome == platform::write_outcome::not_applied &&
+                           *outcome == external::write_outcome::not_applied &&
                            view.modified != sent_.expected;
     if (!lost_race)
     {
@@ -145,7 +145,7 @@
         return refused("other edits were accepted first, too many times");
     }
     // A pause spreads operators who race; the next round reads afresh.
-    return pause_step{platform::full_jitter(settings_.backoff,
+    return pause_step{external::full_jitter(settings_.backoff,
                                             std::min(rounds_ - 1, 3U), random)};
 }
 
@@ -200,30 +200,30 @@
     }
     write_.emplace(sent_.expected, settings_.max_tries, settings_.backoff,
                    request_.repeated);
-    return follow(platform::guarded_write::start());
+    return follow(external::guarded_write::start());
 }
 
-auto edit::follow(platform::write_step const& step) -> edit_step
+auto edit::follow(external::write_step const& step) -> edit_step
 {
-    if (std::holds_alternative<platform::send_write>(step))
+    if (std::holds_alternative<external::send_write>(step))
     {
         return sent_;
     }
-    if (std::holds_alternative<platform::send_read>(step))
+    if (std::holds_alternative<external::send_read>(step))
     {
         return read_document{};
     }
-    if (auto const* wait = std::get_if<platform::wait_then_read>(&step))
+    if (auto const* wait = std::get_if<external::wait_then_read>(&step))
     {
         return pause_step{wait->how_long};
     }
-    switch (std::get<platform::write_outcome>(step))
+    switch (std::get<external::write_outcome>(step))
     {
-    case platform::write_outcome::applied:
+    case external::write_outcome::applied:
         return accepted(sent_.content.number);
-    case platform::write_outcome::not_applied:
+    case external::write_outcome::not_applied:
         return refused("the key-value service does not take it");
-    case platform::write_outcome::unknown:
+    case external::write_outcome::unknown:
         break;
     }
     return unknown();
@@ -244,7 +244,7 @@
         return refused("the key-value service does not answer");
     }
     return pause_step{
-        platform::full_jitter(settings_.backoff, read_failures_ - 1, random)};
+        external::full_jitter(settings_.backoff, read_failures_ - 1, random)};
 }
 
 auto edit::on_written() -> edit_step
@@ -258,7 +258,7 @@
     return read_document{};
 }
 
-auto edit::on_write_failure(platform::call_fault fault, random_source& random)
+auto edit::on_write_failure(external::call_fault fault, random_source& random)
     -> edit_step
 {
     return follow(write_->on_write_failure(fault, random));
--- a/src/configuration/edit.hpp
+++ b/src/configuration/edit.hpp
@@ -2,7 +2,7 @@
 
 #include "configuration/cells.hpp"
 #include "configuration/stored_form.hpp"
-#include "platform/guarded_write.hpp"
+#include "external/guarded_write.hpp"
 
 #include <functional>
 #include <optional>
@@ -50,14 +50,14 @@
     unsigned max_tries = 6;
     /// Writes that may lose a race.
     unsigned max_rounds = 100;
-    platform::backoff_settings backoff{50ms, 2s};
+    external::backoff_settings backoff{50ms, 2s};
 };
 
 /// The accepted document as the service holds it; number 0: none yet.
 struct document_view
 {
     document content;
-    platform::store_revision modified;
+    external::store_revision modified;
     unsigned format = stored_format;
     /// Parts that the service holds, so that they need not be put again.
     std::set<part_name> parts{};
@@ -74,7 +74,7 @@
 struct write_document
 {
     encoded_document content;
-    platform::store_revision expected;
+    external::store_revision expected;
 };
 
 /// Call `on_pause_over` after `how_long`.
@@ -128,7 +128,7 @@
     auto on_read_failure(random_source& random) -> edit_step;
     auto on_written() -> edit_step;
     auto on_condition_failed() -> edit_step;
-    auto on_write_failure(platform::call_fault fault, random_source& random)
+    auto on_write_failure(external::call_fault fault, random_source& random)
         -> edit_step;
 
     static auto on_pause_over() -> edit_step
@@ -139,7 +139,7 @@
 private:
     auto settle(document_view const& view, random_source& random) -> edit_step;
     auto attempt(document_view const& view, wall_time now) -> edit_step;
-    auto follow(platform::write_step const& step) -> edit_step;
+    auto follow(external::write_step const& step) -> edit_step;
     [[nodiscard]] auto unknown() const -> edit_outcome;
     [[nodiscard]] auto refused(std::string why) const -> edit_outcome;
     [[nodiscard]] auto accepted(revision number) const -> edit_outcome;
@@ -147,7 +147,7 @@
     edit_request request_;
     edit_settings settings_;
     std::optional<std::vector<cell_change>> changes_;
-    std::optional<platform::guarded_write> write_;
+    std::optional<external::guarded_write> write_;
     write_document sent_;
     revision seen_;
     unsigned rounds_ = 0;
--- a/src/configuration/edit_test.cpp
+++ b/src/configuration/edit_test.cpp
@@ -64,7 +64,7 @@
     auto random = random_source{1};
     auto it = edit{{change_id{"x"}, "me", set_priority(7)}, {}};
     auto const step =
-        it.on_document({{}, platform::store_revision{5}}, {}, random);
+        it.on_document({{}, external::store_revision{5}}, {}, random);
     auto const& sent = std::get<write_document>(step);
     BOOST_TEST(sent.expected.value() == 5);
     BOOST_TEST(sent.content.number.value() == 1);
@@ -78,13 +78,13 @@
     auto random = random_source{1};
     auto it = edit{{change_id{"x"}, "me", set_priority(7)}, {}};
     auto const base = with_priority(document{}, 4);
-    it.on_document({base, platform::store_revision{5}}, {}, random);
+    it.on_document({base, external::store_revision{5}}, {}, random);
     it.on_condition_failed();
     auto const theirs = changed(base, revision{1}, set_priority(2)(base));
     auto step =
-        it.on_document({theirs, platform::store_revision{6}}, {}, random);
+        it.on_document({theirs, external::store_revision{6}}, {}, random);
     BOOST_TEST(std::holds_alternative<pause_step>(step));
-    step = it.on_document({theirs, platform::store_revision{6}}, {}, random);
+    step = it.on_document({theirs, external::store_revision{6}}, {}, random);
     auto const& outcome = std::get<edit_outcome>(step);
     BOOST_TEST((outcome.result == acceptance::not_accepted));
     BOOST_REQUIRE(outcome.conflicts.size() == 1);
@@ -102,7 +102,7 @@
         changed(accepted, revision{2}, set_priority(3)(accepted));
     auto it = edit{{change_id{"x"}, "me", set_priority(7), true}, {}};
     auto const step =
-        it.on_document({later, platform::store_revision{9}}, {}, random);
+        it.on_document({later, external::store_revision{9}}, {}, random);
     BOOST_TEST((outcome_of(step) == acceptance::accepted));
     BOOST_TEST(std::get<edit_outcome>(step).number.value() == 1);
 }
@@ -123,7 +123,7 @@
         auto sent = edit{{change_id{"x"}, "me", set_priority(7), repeated},
                          {1, 10, {}}};
         sent.on_document({}, {}, random);
-        sent.on_write_failure(platform::call_fault::not_sent, random);
+        sent.on_write_failure(external::call_fault::not_sent, random);
         BOOST_TEST(
             (outcome_of(sent.on_read_failure(random)) == expected_outcome));
     }
--- a/src/configuration/follower.cpp
+++ b/src/configuration/follower.cpp
@@ -57,7 +57,7 @@
     {
         watching_ = true;
         steps.emplace_back(open_watch_step{
-            platform::store_revision{head_modified_->value() + 1}});
+            external::store_revision{head_modified_->value() + 1}});
     }
 }
 
@@ -102,7 +102,7 @@
 }
 
 auto follower::on_head(std::string const& head,
-                       platform::store_revision modified, time_point now)
+                       external::store_revision modified, time_point now)
     -> follower_steps
 {
     head_modified_ = modified;
@@ -110,7 +110,7 @@
     return consider(head, now);
 }
 
-void follower::on_head_absent(platform::store_revision at, time_point now)
+void follower::on_head_absent(external::store_revision at, time_point now)
 {
     store_empty_ = true;
     head_modified_ = at;
@@ -179,12 +179,12 @@
     reading_since_.reset();
     head_modified_.reset();
     next_read_ =
-        now + platform::full_jitter(settings_.backoff, failures_, random_);
+        now + external::full_jitter(settings_.backoff, failures_, random_);
     ++failures_;
 }
 
 auto follower::on_watch_value(std::string const& head,
-                              platform::store_revision modified, time_point now)
+                              external::store_revision modified, time_point now)
     -> follower_steps
 {
     head_modified_ = modified;
--- a/src/configuration/follower.hpp
+++ b/src/configuration/follower.hpp
@@ -2,7 +2,7 @@
 
 #include "configuration/peer_form.hpp"
 #include "configuration/stored_form.hpp"
-#include "platform/backoff.hpp"
+#include "external/backoff.hpp"
 
 #include <functional>
 #include <memory>
@@ -33,7 +33,7 @@
     duration peer_patience = 1s;
     /// Time after which a call of this host counts as failed.
     duration call_timeout = 3s;
-    platform::backoff_settings backoff{200ms, 5s};
+    external::backoff_settings backoff{200ms, 5s};
 };
 
 /// Read the head, or with `only_if_not` skip the value while the head is
@@ -41,7 +41,7 @@
 /// `on_store_failure`.
 struct read_head_step
 {
-    std::optional<platform::store_revision> only_if_not;
+    std::optional<external::store_revision> only_if_not;
 };
 
 /// Read these parts; answer by `on_parts` or `on_store_failure`.
@@ -54,7 +54,7 @@
 /// by `on_watch_end`.
 struct open_watch_step
 {
-    platform::store_revision from;
+    external::store_revision from;
 };
 
 struct close_watch_step
@@ -102,17 +102,17 @@
     auto on_tick(time_point now, std::vector<host_id> const& domain_hosts)
         -> follower_steps;
 
-    auto on_head(std::string const& head, platform::store_revision modified,
+    auto on_head(std::string const& head, external::store_revision modified,
                  time_point now) -> follower_steps;
     /// The service answered and holds no head.
-    void on_head_absent(platform::store_revision at, time_point now);
+    void on_head_absent(external::store_revision at, time_point now);
     void on_head_unchanged(time_point now);
     auto on_parts(std::map<part_name, std::string> const& parts, time_point now)
         -> follower_steps;
     void on_store_failure(time_point now);
 
     auto on_watch_value(std::string const& head,
-                        platform::store_revision modified, time_point now)
+                        external::store_revision modified, time_point now)
         -> follower_steps;
     void on_watch_end(time_point now);
 
@@ -188,7 +188,7 @@
     unsigned failures_ = 0;
     std::optional<time_point> reading_since_;
     time_point next_read_{};
-    std::optional<platform::store_revision> head_modified_;
+    std::optional<external::store_revision> head_modified_;
     std::string pending_head_;
     std::optional<question> question_;
     std::optional<rumour> rumour_;
--- a/src/configuration/stored_form.cpp
+++ b/src/configuration/stored_form.cpp
@@ -26,10 +26,10 @@
 
 auto check_size(std::string value, char const* what) -> std::string
 {
-    if (value.size() > platform::max_value_bytes)
+    if (value.size() > external::max_value_bytes)
     {
         throw stored_form_error(std::string{what} + ": expected at most " +
-                                std::to_string(platform::max_value_bytes) +
+                                std::to_string(external::max_value_bytes) +
                                 " bytes, not " + std::to_string(value.size()));
     }
     return value;
--- a/src/configuration/stored_form.hpp
+++ b/src/configuration/stored_form.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "configuration/cells.hpp"
-#include "platform/key_value.hpp"
+#include "external/key_value.hpp"
 
 #include <map>
 #include <stdexcept>
--- a/src/configuration/world_reference.hpp
+++ b/src/configuration/world_reference.hpp
@@ -59,7 +59,7 @@
             return false;
         }
         // Other keys are written in between, so revisions have gaps.
-        modified_ = platform::store_revision{modified_.value() + 3};
+        modified_ = external::store_revision{modified_.value() + 3};
         log.push_back({it.content, decode(it.content.head, it.content.parts)});
         return true;
     }
@@ -90,13 +90,13 @@
         return result;
     }
 
-    [[nodiscard]] auto modified() const -> platform::store_revision
+    [[nodiscard]] auto modified() const -> external::store_revision
     {
         return modified_;
     }
 
 private:
-    platform::store_revision modified_{0};
+    external::store_revision modified_{0};
     std::map<part_name, std::string> parts_;
 };
 
--- a/src/configuration/world_reference_test.cpp
+++ b/src/configuration/world_reference_test.cpp
@@ -85,7 +85,7 @@
     it.parts_written = false;
     if (how == fate::not_sent)
     {
-        it.step = it.machine->on_write_failure(platform::call_fault::not_sent,
+        it.step = it.machine->on_write_failure(external::call_fault::not_sent,
                                                random_);
         return;
     }
@@ -101,7 +101,7 @@
             store.swap_head(write);
         }
         it.step =
-            it.machine->on_write_failure(platform::call_fault::lost, random_);
+            it.machine->on_write_failure(external::call_fault::lost, random_);
         return;
     }
     it.step = store.swap_head(write) ? it.machine->on_written()
--- a/src/declare/commands.cpp
+++ b/src/declare/commands.cpp
@@ -17,7 +17,7 @@
 
 constexpr auto poll_interval = duration{250ms};
 
-auto unavailable(platform::call_failure const& it) -> command_result
+auto unavailable(external::call_failure const& it) -> command_result
 {
     return {exit_code::unavailable, "",
             "the key-value service does not answer: " + it.text + "\n", ""};
@@ -355,11 +355,11 @@
 {
     read_document(
         seams.editor.store,
-        [done](platform::answer<document_view> const& it)
+        [done](external::answer<document_view> const& it)
         {
             auto const* view = std::get_if<document_view>(&it);
             done(view == nullptr
-                     ? unavailable(std::get<platform::call_failure>(it))
+                     ? unavailable(std::get<external::call_failure>(it))
                      : command_result{exit_code::done,
                                       write_yaml(view->content), "", ""});
         });
@@ -404,12 +404,12 @@
 {
     read_document(
         seams.editor.store,
-        [now, json, done](platform::answer<document_view> const& it)
+        [now, json, done](external::answer<document_view> const& it)
         {
             auto const* view = std::get_if<document_view>(&it);
             if (view == nullptr)
             {
-                done(unavailable(std::get<platform::call_failure>(it)));
+                done(unavailable(std::get<external::call_failure>(it)));
                 return;
             }
             auto const& content = view->content;
--- a/src/declare/declare_test.cpp
+++ b/src/declare/declare_test.cpp
@@ -1,7 +1,7 @@
 #include "declare/commands.hpp"
 
 #include "configuration/yaml.hpp"
-#include "platform/etcd_client.hpp"
+#include "external/etcd_client.hpp"
 #include "standins/key_value_standin.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -40,10 +40,10 @@
         net::initialise_process();
         port_ = service.listen({"127.0.0.1", 0});
         // Ten operators share this client; in life each has its own budget.
-        auto const shared = platform::call_budget_settings{1000, 1000, 0};
-        client_ = std::make_unique<platform::etcd_client>(
+        auto const shared = external::call_budget_settings{1000, 1000, 0};
+        client_ = std::make_unique<external::etcd_client>(
             loop,
-            platform::etcd_settings{{"127.0.0.1", port_}, 2s, shared, {}});
+            external::etcd_settings{{"127.0.0.1", port_}, 2s, shared, {}});
     }
 
     auto seams() -> command_seams
@@ -128,7 +128,7 @@
 
 private:
     std::uint16_t port_ = 0;
-    std::unique_ptr<platform::etcd_client> client_;
+    std::unique_ptr<external::etcd_client> client_;
     std::list<net::timer> timers_;
     std::uint64_t seed_ = 0;
 };
--- a/src/declare/editor.cpp
+++ b/src/declare/editor.cpp
@@ -14,20 +14,20 @@
 {
 
 using namespace configuration;
-using platform::call_failure;
-using platform::call_purpose;
+using external::call_failure;
+using external::call_purpose;
 
 /// Bytes of parts put by one transaction.
 constexpr auto batch_bytes = std::size_t{900'000};
 
-auto all_parts() -> platform::range_request
+auto all_parts() -> external::range_request
 {
-    return {part_prefix, platform::prefix_end(part_prefix), false};
+    return {part_prefix, external::prefix_end(part_prefix), false};
 }
 
-auto decode_view(platform::stored_value const& head,
-                 std::vector<platform::stored_value> const& values)
-    -> platform::answer<document_view>
+auto decode_view(external::stored_value const& head,
+                 std::vector<external::stored_value> const& values)
+    -> external::answer<document_view>
 {
     auto parts = std::map<part_name, std::string>{};
     for (auto const& it : values)
@@ -47,7 +47,7 @@
     }
     catch (stored_form_error const& ex)
     {
-        return call_failure{platform::call_fault::refused, ex.what()};
+        return call_failure{external::call_fault::refused, ex.what()};
     }
 }
 
@@ -79,11 +79,11 @@
     {
         auto const self = shared_from_this();
         declare::read_document(seams_.store,
-                               [self](platform::answer<document_view> const& it)
+                               [self](external::answer<document_view> const& it)
                                { self->on_read(it); });
     }
 
-    void on_read(platform::answer<document_view> const& it)
+    void on_read(external::answer<document_view> const& it)
     {
         auto const* view = std::get_if<document_view>(&it);
         if (view == nullptr)
@@ -114,14 +114,14 @@
     /// Puts the next batch; after the last one swaps the head.
     void put_parts()
     {
-        auto request = platform::transaction{};
+        auto request = external::transaction{};
         auto bytes = std::size_t{0};
         auto const end = missing_.end();
         while (next_part_ != end &&
                (bytes == 0 || bytes + next_part_->second.size() <= batch_bytes))
         {
             bytes += next_part_->second.size();
-            request.then.emplace_back(platform::put{
+            request.then.emplace_back(external::put{
                 part_key(next_part_->first), next_part_->second, {}});
             ++next_part_;
         }
@@ -135,15 +135,15 @@
 
     void swap_head()
     {
-        auto request = platform::transaction{};
+        auto request = external::transaction{};
         request.conditions.emplace_back(
-            platform::unchanged_since{head_key, writing_.expected});
+            external::unchanged_since{head_key, writing_.expected});
         for (auto const& [name, content] : writing_.content.parts)
         {
-            request.conditions.emplace_back(platform::exists{part_key(name)});
+            request.conditions.emplace_back(external::exists{part_key(name)});
         }
         request.then.emplace_back(
-            platform::put{head_key, writing_.content.head, {}});
+            external::put{head_key, writing_.content.head, {}});
         head_sent_ = true;
         commit(request,
                [](edit_run& self, bool succeeded)
@@ -153,17 +153,17 @@
                });
     }
 
-    void commit(platform::transaction const& request,
+    void commit(external::transaction const& request,
                 void (*next)(edit_run&, bool succeeded))
     {
         auto const self = shared_from_this();
         seams_.store.commit(
             call_purpose::configuration_write, request,
             [self,
-             next](platform::answer<platform::transaction_result> const& it)
+             next](external::answer<external::transaction_result> const& it)
             {
                 auto const* result =
-                    std::get_if<platform::transaction_result>(&it);
+                    std::get_if<external::transaction_result>(&it);
                 if (result != nullptr)
                 {
                     self->head_modified_ = result->at;
@@ -173,7 +173,7 @@
                 // Parts without a head have no effect on anybody.
                 auto const fault = std::exchange(self->head_sent_, false)
                                        ? std::get<call_failure>(it).fault
-                                       : platform::call_fault::not_sent;
+                                       : external::call_fault::not_sent;
                 self->perform(
                     self->edit_.on_write_failure(fault, self->random_));
             });
@@ -196,9 +196,9 @@
         request.keys_only = true;
         seams_.store.range(
             call_purpose::configuration_write, request,
-            [self, outcome](platform::answer<platform::range_result> const& it)
+            [self, outcome](external::answer<external::range_result> const& it)
             {
-                auto const* found = std::get_if<platform::range_result>(&it);
+                auto const* found = std::get_if<external::range_result>(&it);
                 if (found == nullptr)
                 {
                     // The next accepted edit does it.
@@ -209,12 +209,12 @@
             });
     }
 
-    void erase(std::vector<platform::stored_value> const& found,
+    void erase(std::vector<external::stored_value> const& found,
                edit_outcome const& outcome)
     {
-        auto request = platform::transaction{};
+        auto request = external::transaction{};
         request.conditions.emplace_back(
-            platform::unchanged_since{head_key, head_modified_});
+            external::unchanged_since{head_key, head_modified_});
         for (auto const& it : found)
         {
             auto const name =
@@ -222,7 +222,7 @@
             if (!writing_.content.parts.contains(name) &&
                 request.then.size() < max_parts)
             {
-                request.then.emplace_back(platform::erase{it.key});
+                request.then.emplace_back(external::erase{it.key});
             }
         }
         if (request.then.empty())
@@ -234,7 +234,7 @@
         seams_.store.commit(
             call_purpose::configuration_write, request,
             [self,
-             outcome](platform::answer<platform::transaction_result> const&)
+             outcome](external::answer<external::transaction_result> const&)
             { self->done_(outcome); });
     }
 
@@ -246,19 +246,19 @@
     std::set<part_name> held_parts_;
     std::map<part_name, std::string> missing_;
     std::map<part_name, std::string>::const_iterator next_part_;
-    platform::store_revision head_modified_;
+    external::store_revision head_modified_;
     bool head_sent_ = false;
 };
 
-void read_parts(platform::key_value_service& store,
-                platform::stored_value const& head,
-                platform::answer_handler<document_view> const& done)
+void read_parts(external::key_value_service& store,
+                external::stored_value const& head,
+                external::answer_handler<document_view> const& done)
 {
     store.range(call_purpose::configuration_read, all_parts(),
-                [head, done](platform::answer<platform::range_result> const& it)
+                [head, done](external::answer<external::range_result> const& it)
                 {
                     auto const* found =
-                        std::get_if<platform::range_result>(&it);
+                        std::get_if<external::range_result>(&it);
                     if (found == nullptr)
                     {
                         done(std::get<call_failure>(it));
@@ -270,13 +270,13 @@
 
 } // namespace
 
-void read_document(platform::key_value_service& store,
-                   platform::answer_handler<document_view> const& done)
+void read_document(external::key_value_service& store,
+                   external::answer_handler<document_view> const& done)
 {
     auto const on_head =
-        [&store, done](platform::answer<platform::range_result> const& it)
+        [&store, done](external::answer<external::range_result> const& it)
     {
-        auto const* found = std::get_if<platform::range_result>(&it);
+        auto const* found = std::get_if<external::range_result>(&it);
         if (found == nullptr)
         {
             done(std::get<call_failure>(it));
--- a/src/declare/editor.hpp
+++ b/src/declare/editor.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "configuration/edit.hpp"
-#include "platform/key_value.hpp"
+#include "external/key_value.hpp"
 
 #include <functional>
 #include <memory>
@@ -20,13 +20,13 @@
 /// Reads the accepted document with the parts that the head names; a store
 /// without a head gives revision 0. `done` may be called with a failure.
 void read_document(
-    platform::key_value_service& store,
-    platform::answer_handler<configuration::document_view> const& done);
+    external::key_value_service& store,
+    external::answer_handler<configuration::document_view> const& done);
 
 /// What an editor needs from outside. All must outlive the edit.
 struct editor_seams
 {
-    platform::key_value_service& store;
+    external::key_value_service& store;
     run_later later;
     civil_clock civil_now;
     /// Seed of the back-off's jitter.
--- /dev/null
+++ b/src/directory/target_directory.cpp
@@ -0,0 +1,221 @@
+#include "directory/target_directory.hpp"
+
+#include <algorithm>
+#include <set>
+
+// A removal counts at once while the store is sound. During an outage, and
+// for `lapse_grace` after it, it may only mean that a heartbeat could not be
+// written: the target stays usable until the grace ends, and its absence then
+// is final.
+namespace primrosedeal::directory
+{
+
+auto to_string(change_kind it) -> std::string_view
+{
+    switch (it)
+    {
+    case change_kind::added:
+        return "added";
+    case change_kind::leaving:
+        return "leaving";
+    case change_kind::gone:
+        return "gone";
+    case change_kind::lapsed:
+        return "lapsed";
+    case change_kind::returned:
+        return "returned";
+    }
+    return "unknown";
+}
+
+auto target_directory::handle(event const& it, time_point now)
+    -> std::vector<change>
+{
+    auto out = changes{};
+    std::visit([&](auto const& e) { on(e, now, out); }, it);
+    if (!out.empty())
+    {
+        rebuild();
+    }
+    return out;
+}
+
+auto target_directory::expire(time_point now) -> std::vector<change>
+{
+    auto out = changes{};
+    if (store_away_ || !regained_at_ || now - *regained_at_ < lapse_grace)
+    {
+        return out;
+    }
+    std::erase_if(entries_,
+                  [&](auto const& it)
+                  {
+                      auto const over = it.second.lapsed_at.has_value();
+                      if (over)
+                      {
+                          out.push_back({it.first, change_kind::gone});
+                      }
+                      return over;
+                  });
+    regained_at_.reset();
+    if (!out.empty())
+    {
+        rebuild();
+    }
+    return out;
+}
+
+auto target_directory::usable(service_id const& service) const
+    -> std::vector<listed_target> const&
+{
+    static auto const none = std::vector<listed_target>{};
+    auto const it = usable_.find(service);
+    return it == usable_.end() ? none : it->second;
+}
+
+auto target_directory::takes_new_work(target_id const& id) const -> bool
+{
+    auto const it = entries_.find(id);
+    return it != entries_.end() && !it->second.it.leaving;
+}
+
+void target_directory::on(entry_written const& it, time_point now, changes& out)
+{
+    if (it.it)
+    {
+        put(*it.it, out);
+    }
+    else
+    {
+        remove(it.id, now, out);
+    }
+}
+
+void target_directory::on(entry_removed const& it, time_point now, changes& out)
+{
+    remove(it.id, now, out);
+}
+
+void target_directory::on(all_entries const& it, time_point now, changes& out)
+{
+    auto present = std::set<target_id>{};
+    for (auto const& target : it.targets)
+    {
+        present.insert(target.id);
+        put(target, out);
+    }
+    auto missing = std::vector<target_id>{};
+    for (auto const& [id, held] : entries_)
+    {
+        if (!present.contains(id))
+        {
+            missing.push_back(id);
+        }
+    }
+    for (auto const& id : missing)
+    {
+        remove(id, now, out);
+    }
+}
+
+void target_directory::on(store_lost const& /*it*/, time_point /*now*/,
+                          changes& /*out*/)
+{
+    store_away_ = true;
+}
+
+void target_directory::on(store_regained const& /*it*/, time_point now,
+                          changes& /*out*/)
+{
+    if (store_away_)
+    {
+        store_away_ = false;
+        regained_at_ = now;
+    }
+}
+
+void target_directory::on(target_replaced const& it, time_point /*now*/,
+                          changes& out)
+{
+    auto const found = entries_.find(it.id);
+    if (found != entries_.end() && !found->second.it.leaving)
+    {
+        left_[it.id] = found->second.it.born;
+        found->second.it.leaving = true;
+        out.push_back({it.id, change_kind::gone});
+    }
+}
+
+void target_directory::put(listed_target const& it, changes& out)
+{
+    auto const left = left_.find(it.id);
+    auto next = it;
+    if (left != left_.end())
+    {
+        if (left->second < it.born)
+        {
+            left_.erase(left);
+        }
+        else
+        {
+            next.leaving = true;
+        }
+    }
+    if (next.leaving)
+    {
+        auto& mark = left_[it.id];
+        mark = std::max(mark, it.born);
+    }
+    auto const [at, added] = entries_.try_emplace(it.id);
+    auto& held = at->second;
+    if (it.born < held.it.born)
+    {
+        // A late heartbeat of an earlier process under the same id.
+        return;
+    }
+    auto const was = held.it;
+    auto const returned = held.lapsed_at.has_value();
+    held.lapsed_at.reset();
+    if (!added && !returned && was == next)
+    {
+        return;
+    }
+    held.it = next;
+    auto const to = next.leaving ? change_kind::leaving
+                    : returned   ? change_kind::returned
+                                 : change_kind::added;
+    out.push_back({it.id, to});
+}
+
+void target_directory::remove(target_id const& id, time_point now, changes& out)
+{
+    auto const it = entries_.find(id);
+    if (it == entries_.end() || it->second.lapsed_at)
+    {
+        return;
+    }
+    auto const in_doubt =
+        store_away_ || (regained_at_ && now - *regained_at_ < lapse_grace);
+    if (in_doubt && !it->second.it.leaving)
+    {
+        it->second.lapsed_at = now;
+        out.push_back({id, change_kind::lapsed});
+        return;
+    }
+    entries_.erase(it);
+    out.push_back({id, change_kind::gone});
+}
+
+void target_directory::rebuild()
+{
+    usable_.clear();
+    for (auto const& [id, held] : entries_)
+    {
+        if (!held.it.leaving)
+        {
+            usable_[held.it.service].push_back(held.it);
+        }
+    }
+}
+
+} // namespace primrosedeal::directory
--- /dev/null
+++ b/src/dispatch/attempt_policy.cpp
@@ -0,0 +1,80 @@
+#include "dispatch/attempt_policy.hpp"
+
+namespace primrosedeal::dispatch
+{
+
+namespace
+{
+
+constexpr auto bad_gateway = 502;
+constexpr auto unavailable = 503;
+constexpr auto gateway_timeout = 504;
+
+auto repeatable(request_state const& it) -> bool
+{
+    switch (it.kind)
+    {
+    case routes::request_kind::idempotent:
+        return true;
+    case routes::request_kind::non_idempotent:
+        return !it.may_have_run;
+    case routes::request_kind::streaming:
+        return it.resumable || !it.may_have_run;
+    }
+    return false;
+}
+
+} // namespace
+
+auto to_string(attempt_failure it) -> std::string_view
+{
+    switch (it)
+    {
+    case attempt_failure::not_connected:
+        return "not_connected";
+    case attempt_failure::not_executed:
+        return "not_executed";
+    case attempt_failure::misdirected:
+        return "misdirected";
+    case attempt_failure::broken:
+        return "broken";
+    case attempt_failure::silent:
+        return "silent";
+    case attempt_failure::target_error:
+        return "target_error";
+    case attempt_failure::damaged:
+        return "damaged";
+    }
+    return "unknown";
+}
+
+auto may_have_run(attempt_failure it) -> bool
+{
+    return it != attempt_failure::not_connected &&
+           it != attempt_failure::not_executed &&
+           it != attempt_failure::misdirected;
+}
+
+auto final_status(request_state const& it, time_point now) -> int
+{
+    if (!it.may_have_run)
+    {
+        return unavailable;
+    }
+    return now >= it.give_up_at ? gateway_timeout : bad_gateway;
+}
+
+auto after_failure(request_state const& it, time_point now)
+    -> next_step
+{
+    auto const in_time = now + least_time_for_attempt < it.give_up_at;
+    auto const runs_left = it.runs < it.max_runs;
+    auto const tries_left = it.refusals < max_refusals;
+    if (repeatable(it) && in_time && runs_left && tries_left)
+    {
+        return try_again{};
+    }
+    return give_up{final_status(it, now)};
+}
+
+} // namespace primrosedeal::dispatch
--- /dev/null
+++ b/src/dispatch/placement.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "core/ids.hpp"
+#include "core/random.hpp"
+#include "directory/target_directory.hpp"
+#include "dispatch/load_book.hpp"
+#include "dispatch/suspicion.hpp"
+
+#include <optional>
+#include <span>
+#include <vector>
+
+/// Which target takes a piece of work, and which one keeps its copy.
+///
+/// Load pattern: long prompts, about a second of prefill each, arrive at many
+/// hosts that do not see each other's; two prompts at one target delay both
+/// and slow every stream there. Work goes where this host has the least
+/// prefill outstanding, then the least memory, with ties broken at random so
+/// that hosts which know the same do not choose the same. A copy goes to
+/// another failure domain, since domains fail as a whole.
+namespace primrosedeal::dispatch
+{
+
+struct placement_request
+{
+    work_size size;
+    domain_id own_domain;
+    /// Memory of one target in tokens; 0: not limited by memory.
+    std::uint64_t target_memory = 0;
+    /// Targets that this request has already met.
+    std::span<target_id const> met;
+};
+
+/// Everything placement reads; nothing is kept between calls.
+struct placement_view
+{
+    std::vector<directory::listed_target> const& targets;
+    suspicion const& doubts;
+    load_book const& loads;
+};
+
+/// The target for new work; nothing if none has room. Targets that were met
+/// before or are avoided are taken only if no other is left.
+auto place(placement_view const& view, placement_request const& it,
+           time_point now, random_source& random)
+    -> std::optional<directory::listed_target>;
+
+/// The target that keeps a copy of work running at `primary`.
+auto place_copy(placement_view const& view, placement_request const& it,
+                directory::listed_target const& primary, time_point now,
+                random_source& random)
+    -> std::optional<directory::listed_target>;
+
+} // namespace primrosedeal::dispatch
--- /dev/null
+++ b/src/dispatch/stream_watch.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "core/units.hpp"
+
+#include <optional>
+#include <variant>
+
+/// When the silence of a running stream means that its target is lost.
+///
+/// Load pattern: a domain's engines go dark for a second, without a reset,
+/// under streams whose clients accept pauses of some hundred milliseconds.
+/// Events come every few ten milliseconds, a neighbour's prompt stretches the
+/// gap a few times over. So a short silence makes a connection attempt, whose
+/// failure ends the doubt, and a longer one is enough by itself: going on at
+/// the copy costs little where the target was only slow.
+namespace primrosedeal::dispatch
+{
+
+struct stream_facts
+{
+    time_point sent_at{};
+    /// Last event, if any came in this attempt.
+    std::optional<time_point> last_event;
+    /// Last time that a connection attempt to the target was made.
+    std::optional<time_point> probed_at;
+    /// Longest pause that is on time; 0: not stated.
+    duration gap_objective{};
+    /// When the first event would be late; for streams with none so far.
+    time_point first_event_due{};
+    /// The prompt needs no reading: its copy is at the target.
+    bool warm = false;
+    /// Its target's domain has just lost several targets.
+    bool domain_in_doubt = false;
+};
+
+struct keep_waiting
+{
+    time_point until{};
+};
+
+/// Try a fresh connection to the target.
+struct probe_target
+{
+};
+
+/// Give the target up and go on elsewhere.
+struct leave_target
+{
+};
+
+using watch_step = std::variant<keep_waiting, probe_target, leave_target>;
+
+struct watch_limits
+{
+    /// Assumed where the route states no pause.
+    duration default_gap = 700ms;
+    /// Parts of the gap objective.
+    double probe_after = 0.26;
+    double leave_after = 0.58;
+    /// Silence before the first event that is probed, and how often.
+    duration first_probe_after = 500ms;
+    duration first_probe_period = 300ms;
+    /// Part of the time to the first event's due time after which a silent
+    /// target is left; a prompt read elsewhere must still be in time.
+    double first_patience = 0.55;
+    /// Silence before the first event of a stream that goes on at a copy.
+    duration warm_patience = 450ms;
+};
+
+auto check_stream(watch_limits const& limits, stream_facts const& it,
+                  time_point now) -> watch_step;
+
+} // namespace primrosedeal::dispatch
--- /dev/null
+++ b/src/dispatch/suspicion.cpp
@@ -0,0 +1,112 @@
+#include "dispatch/suspicion.hpp"
+
+#include <algorithm>
+#include <set>
+
+// Failed answers are judged by their share and not by their number, since
+// some services fail a steady part of their calls while they are well.
+namespace primrosedeal::dispatch
+{
+
+auto to_string(evidence it) -> std::string_view
+{
+    switch (it)
+    {
+    case evidence::unreachable:
+        return "unreachable";
+    case evidence::silent:
+        return "silent";
+    case evidence::failed:
+        return "failed";
+    case evidence::busy:
+        return "busy";
+    case evidence::answered:
+        return "answered";
+    }
+    return "unknown";
+}
+
+auto suspicion::note(target_id const& id, domain_id const& domain,
+                     evidence seen, time_point now) -> bool
+{
+    auto& it = records_[id];
+    auto const before = it.avoided_until;
+    auto const remembered = static_cast<double>(limits_.answers_remembered);
+    switch (seen)
+    {
+    case evidence::answered:
+        it.failures_in_row = 0;
+        it.failed_share -= it.failed_share / remembered;
+        it.answers = std::min(it.answers + 1, limits_.answers_remembered);
+        it.avoided_until = std::min(it.avoided_until, now);
+        return false;
+    case evidence::busy:
+        it.avoided_until =
+            std::max(it.avoided_until, now + limits_.busy_pause);
+        return false;
+    case evidence::failed:
+        it.failed_share += (1 - it.failed_share) / remembered;
+        it.answers = std::min(it.answers + 1, limits_.answers_remembered);
+        if (it.answers < limits_.answers_remembered / 2 ||
+            it.failed_share < limits_.failure_share)
+        {
+            return false;
+        }
+        break;
+    case evidence::unreachable:
+    case evidence::silent:
+        note_loss(id, domain, now);
+        break;
+    }
+    constexpr auto most_doublings = 8U;
+    auto const doublings = std::min(it.failures_in_row, most_doublings);
+    ++it.failures_in_row;
+    auto const span = std::min(limits_.first_avoidance * (1 << doublings),
+                               limits_.longest_avoidance);
+    it.avoided_until = std::max(it.avoided_until, now + span);
+    return before <= now;
+}
+
+void suspicion::note_loss(target_id const& id, domain_id const& domain,
+                          time_point now)
+{
+    auto& recent = losses_[domain];
+    while (!recent.empty() && now - recent.front().at > limits_.domain_window)
+    {
+        recent.pop_front();
+    }
+    recent.push_back({now, id});
+    auto distinct = std::set<target_id>{};
+    for (auto const& it : recent)
+    {
+        distinct.insert(it.id);
+    }
+    if (distinct.size() >= limits_.losses_for_doubt)
+    {
+        doubted_until_[domain] = now + limits_.domain_doubt;
+    }
+}
+
+auto suspicion::of(target_id const& id, domain_id const& domain,
+                   time_point now) const -> standing
+{
+    auto const it = records_.find(id);
+    if (it != records_.end() && now < it->second.avoided_until)
+    {
+        return standing::avoided;
+    }
+    return doubts(domain, now) ? standing::doubtful : standing::trusted;
+}
+
+auto suspicion::doubts(domain_id const& domain, time_point now) const -> bool
+{
+    auto const it = doubted_until_.find(domain);
+    return it != doubted_until_.end() && now < it->second;
+}
+
+void suspicion::forget(target_id const& id)
+{
+    records_.erase(id);
+}
+
+} // namespace primrosedeal::dispatch
--- /dev/null
+++ b/src/dispatch/suspicion.hpp
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "core/ids.hpp"
+#include "core/units.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string_view>
+
+/// Which targets to avoid, from what this host's own requests met there.
+///
+/// Load pattern: most targets of one failure domain vanish together for about
+/// a second, some without a reset, while every host has work for them. One
+/// failure sets a target aside; several in a domain set the domain aside, so
+/// that the rest of it costs no request a connect timeout.
+namespace primrosedeal::dispatch
+{
+
+enum class evidence
+{
+    /// No connection, or the connection broke without an answer.
+    unreachable,
+    /// Connected but nothing came in the time that usual work takes.
+    silent,
+    /// Its own answer says that it failed, or is damaged.
+    failed,
+    /// It refused for lack of room.
+    busy,
+    answered,
+};
+
+auto to_string(evidence it) -> std::string_view;
+
+enum class standing
+{
+    trusted,
+    /// Its failure domain has just lost several targets.
+    doubtful,
+    /// Set aside until its time is over.
+    avoided,
+};
+
+struct suspicion_limits
+{
+    /// First time that an unreachable target is set aside; doubles.
+    duration first_avoidance = 400ms;
+    duration longest_avoidance = 4s;
+    /// Time that a target without room is left alone.
+    duration busy_pause = 30ms;
+    /// Targets of a domain lost within `domain_window` that cast doubt on it.
+    std::size_t losses_for_doubt = 3;
+    duration domain_window = 500ms;
+    duration domain_doubt = 900ms;
+    /// Share of failed answers, over the last ones, that sets a target aside.
+    double failure_share = 0.6;
+    std::uint32_t answers_remembered = 8;
+};
+
+class suspicion
+{
+public:
+    explicit suspicion(suspicion_limits limits = {}) : limits_(limits) {}
+
+    /// Returns true if the standing of the target became worse.
+    auto note(target_id const& id, domain_id const& domain, evidence seen,
+              time_point now) -> bool;
+
+    [[nodiscard]] auto of(target_id const& id, domain_id const& domain,
+                          time_point now) const -> standing;
+
+    /// Whether `domain` lost several targets a moment ago.
+    [[nodiscard]] auto doubts(domain_id const& domain, time_point now) const
+        -> bool;
+
+    /// Forgets a target that is gone.
+    void forget(target_id const& id);
+
+private:
+    struct record
+    {
+        std::uint32_t failures_in_row = 0;
+        /// Moving share of failed answers.
+        double failed_share = 0;
+        std::uint32_t answers = 0;
+        time_point avoided_until{};
+    };
+
+    struct loss
+    {
+        time_point at;
+        target_id id;
+    };
+
+    void note_loss(target_id const& id, domain_id const& domain,
+                   time_point now);
+
+    suspicion_limits limits_;
+    std::map<target_id, record> records_;
+    std::map<domain_id, std::deque<loss>> losses_;
+    std::map<domain_id, time_point> doubted_until_;
+};
+
+} // namespace primrosedeal::dispatch
--- a/src/platform/backoff.hpp
+++ b/src/external/backoff.hpp
@@ -6,7 +6,7 @@
 #include <algorithm>
 
 /// Waiting times between tries.
-namespace primrosedeal::platform
+namespace primrosedeal::external
 {
 
 struct backoff_settings
@@ -29,4 +29,4 @@
     return duration{static_cast<duration::rep>(random.below(choices))};
 }
 
-} // namespace primrosedeal::platform
+} // namespace primrosedeal::external
--- a/src/platform/call_budget.cpp
+++ b/src/external/call_budget.cpp
@@ -1,11 +1,11 @@
-#include "platform/call_budget.hpp"
+#include "external/call_budget.hpp"
 
 #include <algorithm>
 
 // One bucket for all purposes, since the bill is one. Claims come from
 // callers and may be many; what they leave untouched keeps leases alive and
 // configuration moving during a rush of orders.
-namespace primrosedeal::platform
+namespace primrosedeal::external
 {
 
 auto to_string(call_purpose it) -> std::string_view
@@ -54,4 +54,4 @@
     return true;
 }
 
-} // namespace primrosedeal::platform
+} // namespace primrosedeal::external
--- a/src/platform/call_budget.hpp
+++ b/src/external/call_budget.hpp
@@ -9,7 +9,7 @@
 
 /// How many calls this process may make to the key-value service, which
 /// counts and bills each of them.
-namespace primrosedeal::platform
+namespace primrosedeal::external
 {
 
 /// What a call is for. The text form labels the counters.
@@ -69,4 +69,4 @@
     std::array<call_counters, call_purpose_count> counters_{};
 };
 
-} // namespace primrosedeal::platform
+} // namespace primrosedeal::external
--- a/src/platform/etcd_client.cpp
+++ b/src/external/etcd_client.cpp
@@ -1,13 +1,13 @@
-#include "platform/etcd_client.hpp"
+#include "external/etcd_client.hpp"
 
-#include "platform/etcd_json.hpp"
+#include "external/etcd_json.hpp"
 
 #include <map>
 
 // A call over budget is answered from a posted task, never inside the call
 // that made it, so that a caller's state is settled before its answer comes.
 // An answer that can't be read counts as lost: the call may have run.
-namespace primrosedeal::platform
+namespace primrosedeal::external
 {
 namespace
 {
@@ -302,4 +302,4 @@
     return state_->verdict.state(net::event_loop::now());
 }
 
-} // namespace primrosedeal::platform
+} // namespace primrosedeal::external
--- a/src/platform/etcd_client.hpp
+++ b/src/external/etcd_client.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "net/http_client.hpp"
-#include "platform/key_value.hpp"
-#include "platform/service_health.hpp"
+#include "external/key_value.hpp"
+#include "external/service_health.hpp"
 
 #include <memory>
 
@@ -11,7 +11,7 @@
 /// One object per process, on one loop: it keeps the process's call budget
 /// and its verdict on the service's health. Every call is made once; trying
 /// again is the caller's decision, which knows what a lost answer means.
-namespace primrosedeal::platform
+namespace primrosedeal::external
 {
 
 struct etcd_settings
@@ -48,4 +48,4 @@
     std::shared_ptr<state> state_;
 };
 
-} // namespace primrosedeal::platform
+} // namespace primrosedeal::external
--- a/src/platform/etcd_json.cpp
+++ b/src/external/etcd_json.cpp
@@ -1,4 +1,4 @@
-#include "platform/etcd_json.hpp"
+#include "external/etcd_json.hpp"
 
 #include <array>
 #include <charconv>
@@ -7,7 +7,7 @@
 
 // The gateway leaves out members that hold their zero value, so each reader
 // takes an absent member for zero. Numbers may come as text or as numbers.
-namespace primrosedeal::platform::etcd
+namespace primrosedeal::external::etcd
 {
 namespace
 {
@@ -284,4 +284,4 @@
     return result;
 }
 
-} // namespace primrosedeal::platform::etcd
+} // namespace primrosedeal::external::etcd
--- a/src/platform/etcd_json.hpp
+++ b/src/external/etcd_json.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/key_value.hpp"
+#include "external/key_value.hpp"
 
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
@@ -10,7 +10,7 @@
 /// The JSON form of the etcd v3 gateway: base64 keys and values, 64-bit
 /// numbers as text. Pure functions; readers return nothing for text that is
 /// not such an answer and skip members they don't know.
-namespace primrosedeal::platform::etcd
+namespace primrosedeal::external::etcd
 {
 
 auto encode_base64(std::string_view bytes) -> std::string;
@@ -39,4 +39,4 @@
 
 auto read_watch_line(std::string_view line) -> std::optional<watch_line>;
 
-} // namespace primrosedeal::platform::etcd
+} // namespace primrosedeal::external::etcd
--- a/src/platform/platform_test.cpp
+++ b/src/external/external_test.cpp
@@ -1,11 +1,11 @@
-#include "platform/backoff.hpp"
-#include "platform/call_budget.hpp"
-#include "platform/etcd_client.hpp"
-#include "platform/etcd_json.hpp"
-#include "platform/guarded_write.hpp"
-#include "platform/host_list.hpp"
-#include "platform/service_health.hpp"
-#include "platform/weight_store.hpp"
+#include "external/backoff.hpp"
+#include "external/call_budget.hpp"
+#include "external/etcd_client.hpp"
+#include "external/etcd_json.hpp"
+#include "external/guarded_write.hpp"
+#include "external/host_list.hpp"
+#include "external/service_health.hpp"
+#include "external/weight_store.hpp"
 
 #include "net/http_server.hpp"
 
@@ -13,7 +13,7 @@
 #include <rapidcheck.h>
 
 using namespace primrosedeal;
-using namespace primrosedeal::platform;
+using namespace primrosedeal::external;
 
 namespace
 {
--- a/src/platform/guarded_write.cpp
+++ b/src/external/guarded_write.cpp
@@ -1,9 +1,9 @@
-#include "platform/guarded_write.hpp"
+#include "external/guarded_write.hpp"
 
 // A write that may have left can arrive at any later time, so "the key is
 // unchanged" never proves that it won't happen. Only a changed key without
 // the writer's mark does: the guard then fails for good.
-namespace primrosedeal::platform
+namespace primrosedeal::external
 {
 
 auto guarded_write::wait(random_source& random) -> write_step
@@ -74,4 +74,4 @@
     return wait(random);
 }
 
-} // namespace primrosedeal::platform
+} // namespace primrosedeal::external
--- a/src/platform/guarded_write.hpp
+++ b/src/external/guarded_write.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/backoff.hpp"
-#include "platform/key_value.hpp"
+#include "external/backoff.hpp"
+#include "external/key_value.hpp"
 
 #include <variant>
 
@@ -11,7 +11,7 @@
 /// out at most once however often it is sent. A lost answer is resolved by
 /// reading the key: the writer tells from the value whether it is its own.
 /// Only while the key is unchanged is the same write sent again.
-namespace primrosedeal::platform
+namespace primrosedeal::external
 {
 
 struct send_write
@@ -93,4 +93,4 @@
     bool may_have_left_;
 };
 
-} // namespace primrosedeal::platform
+} // namespace primrosedeal::external
--- a/src/platform/host_list.cpp
+++ b/src/external/host_list.cpp
@@ -1,10 +1,10 @@
-#include "platform/host_list.hpp"
+#include "external/host_list.hpp"
 
 #include <nlohmann/json.hpp>
 
 // One unreadable entry must not blind a host to all others, so entries are
 // judged one by one.
-namespace primrosedeal::platform
+namespace primrosedeal::external
 {
 namespace
 {
@@ -136,4 +136,4 @@
         net::fetch(loop_, address_, request, timeout_, on_response, on_error);
 }
 
-} // namespace primrosedeal::platform
+} // namespace primrosedeal::external
--- a/src/platform/host_list.hpp
+++ b/src/external/host_list.hpp
@@ -2,7 +2,7 @@
 
 #include "core/ids.hpp"
 #include "net/http_client.hpp"
-#include "platform/key_value.hpp"
+#include "external/key_value.hpp"
 
 #include <optional>
 #include <string>
@@ -10,7 +10,7 @@
 #include <vector>
 
 /// The platform's lagging list of targets and entry hosts.
-namespace primrosedeal::platform
+namespace primrosedeal::external
 {
 
 struct listed_target
@@ -78,4 +78,4 @@
     std::unique_ptr<net::http_call> call_;
 };
 
-} // namespace primrosedeal::platform
+} // namespace primrosedeal::external
--- a/src/platform/key_value.cpp
+++ b/src/external/key_value.cpp
@@ -1,6 +1,6 @@
-#include "platform/key_value.hpp"
+#include "external/key_value.hpp"
 
-namespace primrosedeal::platform
+namespace primrosedeal::external
 {
 
 auto prefix_end(std::string prefix) -> std::string
@@ -17,4 +17,4 @@
     return prefix;
 }
 
-} // namespace primrosedeal::platform
+} // namespace primrosedeal::external
--- a/src/platform/key_value.hpp
+++ b/src/external/key_value.hpp
@@ -2,7 +2,7 @@
 
 #include "core/units.hpp"
 #include "core/verdict.hpp"
-#include "platform/call_budget.hpp"
+#include "external/call_budget.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -15,7 +15,7 @@
 /// The key-value service as this system sees it: compare-and-swap, leases
 /// and watches, with the meaning of the etcd v3 API. Keys and values are raw
 /// bytes here. All answers come later, on the caller's loop.
-namespace primrosedeal::platform
+namespace primrosedeal::external
 {
 
 /// Largest value that the service takes, in bytes.
@@ -189,4 +189,4 @@
         -> std::unique_ptr<watch> = 0;
 };
 
-} // namespace primrosedeal::platform
+} // namespace primrosedeal::external
--- a/src/platform/service_health.cpp
+++ b/src/external/service_health.cpp
@@ -1,11 +1,11 @@
-#include "platform/service_health.hpp"
+#include "external/service_health.hpp"
 
 #include <algorithm>
 
 // Streaks decide, not means: a mean over a time that saw an outage says
 // neither that it is over nor that it goes on. Two slow answers in a row make
 // it slow, so that one stray late answer doesn't.
-namespace primrosedeal::platform
+namespace primrosedeal::external
 {
 namespace
 {
@@ -79,4 +79,4 @@
                                                    : health::good;
 }
 
-} // namespace primrosedeal::platform
+} // namespace primrosedeal::external
--- a/src/platform/service_health.hpp
+++ b/src/external/service_health.hpp
@@ -8,7 +8,7 @@
 #include <string_view>
 
 /// What this process makes of an outside service from its own calls.
-namespace primrosedeal::platform
+namespace primrosedeal::external
 {
 
 enum class health
@@ -68,4 +68,4 @@
     std::deque<time_point> falls_;
 };
 
-} // namespace primrosedeal::platform
+} // namespace primrosedeal::external
--- a/src/platform/weight_store.cpp
+++ b/src/external/weight_store.cpp
@@ -1,10 +1,10 @@
-#include "platform/weight_store.hpp"
+#include "external/weight_store.hpp"
 
 #include <charconv>
 
 // A 429 is an answer, not a failure: it says when to come back. One without
 // a readable time counts as one second.
-namespace primrosedeal::platform
+namespace primrosedeal::external
 {
 namespace
 {
@@ -67,4 +67,4 @@
         net::fetch(loop_, address_, request, timeout_, on_response, on_error);
 }
 
-} // namespace primrosedeal::platform
+} // namespace primrosedeal::external
--- a/src/platform/weight_store.hpp
+++ b/src/external/weight_store.hpp
@@ -2,13 +2,13 @@
 
 #include "core/ids.hpp"
 #include "net/http_client.hpp"
-#include "platform/key_value.hpp"
+#include "external/key_value.hpp"
 
 #include <map>
 #include <optional>
 
 /// The rate-limited store of model weights, asked before a load is ordered.
-namespace primrosedeal::platform
+namespace primrosedeal::external
 {
 
 struct weights_answer
@@ -56,4 +56,4 @@
 auto read_weights_answer(net::http_response const& it)
     -> answer<weights_answer>;
 
-} // namespace primrosedeal::platform
+} // namespace primrosedeal::external
--- /dev/null
+++ b/src/gateway/admit.cpp
@@ -0,0 +1,98 @@
+#include "gateway/admit.hpp"
+
+#include <algorithm>
+
+namespace primrosedeal::gateway
+{
+
+namespace
+{
+
+constexpr auto bad_request = 400;
+constexpr auto unauthorised = 401;
+constexpr auto not_found = 404;
+constexpr auto unavailable = 503;
+
+} // namespace
+
+auto to_string(refusal_reason it) -> std::string_view
+{
+    switch (it)
+    {
+    case refusal_reason::no_configuration:
+        return "no_configuration";
+    case refusal_reason::no_route:
+        return "no_route";
+    case refusal_reason::no_id:
+        return "no_id";
+    case refusal_reason::no_key:
+        return "no_key";
+    case refusal_reason::unknown_key:
+        return "unknown_key";
+    case refusal_reason::leaving:
+        return "leaving";
+    case refusal_reason::no_target:
+        return "no_target";
+    case refusal_reason::deadline:
+        return "deadline";
+    case refusal_reason::retry_budget:
+        return "retry_budget";
+    case refusal_reason::attempts_used:
+        return "attempts_used";
+    case refusal_reason::client_gone:
+        return "client_gone";
+    }
+    return "unknown";
+}
+
+auto admit(routes::route_table const* table, client_facts const& client,
+           std::string_view target, time_point now, random_source& random)
+    -> admission_verdict
+{
+    if (table == nullptr)
+    {
+        return refusal{unavailable, refusal_reason::no_configuration,
+                       retry_after_start};
+    }
+    auto const* const route = table->match(client.host, target);
+    if (route == nullptr)
+    {
+        return refusal{not_found, refusal_reason::no_route, {}};
+    }
+    if (client.id.value().empty())
+    {
+        return refusal{bad_request, refusal_reason::no_id, {}};
+    }
+    auto const* const holder =
+        client.key ? table->holder_of(*client.key) : nullptr;
+    if (table->asks_for_keys() && !route->anonymous && holder == nullptr)
+    {
+        return refusal{unauthorised,
+                       client.key ? refusal_reason::unknown_key
+                                  : refusal_reason::no_key,
+                       {}};
+    }
+    auto const* const chosen = routes::choose_service(*route, random);
+    auto const* const service =
+        chosen == nullptr ? nullptr : table->find(*chosen);
+    if (service == nullptr)
+    {
+        return refusal{unavailable, refusal_reason::no_target,
+                       retry_after_start};
+    }
+    auto out = admitted{};
+    out.route = route;
+    out.service = service;
+    out.priority = route->priority;
+    if (holder != nullptr)
+    {
+        out.organisation = holder->id;
+        out.priority = holder->priority.value_or(route->priority);
+    }
+    out.give_up_at =
+        now + std::min(route->timeout, client.patience.value_or(route->timeout));
+    out.objective_at = now + route->objective;
+    return out;
+}
+
+} // namespace primrosedeal::gateway
--- /dev/null
+++ b/src/gateway/connect_prober.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "core/units.hpp"
+#include "net/event_loop.hpp"
+#include "net/http_message.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+/// Tells whether a target still takes connections. Questions about the same
+/// address share one connection attempt.
+namespace primrosedeal::gateway
+{
+
+/// A sound target answers within a few round trips.
+constexpr auto probe_timeout = duration{130ms};
+
+class connect_prober
+{
+public:
+    explicit connect_prober(net::event_loop& loop);
+    connect_prober(connect_prober const&) = delete;
+    auto operator=(connect_prober const&) -> connect_prober& = delete;
+    ~connect_prober();
+
+    /// `done` runs later, with whether a connection was made in time.
+    void probe(net::endpoint const& at, std::function<void(bool alive)> done);
+
+private:
+    struct attempt;
+
+    void finish(net::endpoint const& at, bool alive);
+
+    net::event_loop& loop_;
+    std::map<net::endpoint, std::unique_ptr<attempt>> attempts_;
+};
+
+} // namespace primrosedeal::gateway
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,435 @@
+#include "gateway/gateway.hpp"
+
+#include "core/overloaded.hpp"
+#include "gateway/host_state.hpp"
+#include "gateway/peer_exchange.hpp"
+#include "gateway/relay.hpp"
+#include "gateway/store_follower.hpp"
+#include "http1/server.hpp"
+#include "log/log.hpp"
+
+#include <csignal>
+#include <random>
+
+// One loop carries everything: a host has a part of one core, and a second
+// thread would only add switches.
+namespace primrosedeal::gateway
+{
+
+namespace
+{
+
+constexpr auto tick_period = duration{250ms};
+/// Between questions to peers while the store does not answer.
+constexpr auto peer_period = duration{500ms};
+/// Time for the balancer to see that this host takes no new connections.
+constexpr auto balancer_notice = duration{2500ms};
+/// Kept of the grace for the last answers to leave.
+constexpr auto grace_margin = duration{500ms};
+/// Hosts assumed until the store tells how many there are.
+constexpr auto assumed_hosts = std::size_t{16};
+/// Descriptors left to the store, peers, files and targets' connections.
+constexpr auto reserved_descriptors = std::size_t{600};
+/// Part of the fleet's allowance of further attempts that hosts use.
+constexpr auto allowance_used = 0.85;
+
+constexpr auto ok = 200;
+constexpr auto unavailable = 503;
+constexpr auto not_found = 404;
+
+auto random_seed() -> std::uint64_t
+{
+    auto device = std::random_device{};
+    constexpr auto word = 32U;
+    return (std::uint64_t{device()} << word) | device();
+}
+
+auto budget_of(host_settings const& it, std::size_t hosts)
+    -> retry::budget_settings
+{
+    auto out = retry::budget_settings{};
+    out.ratio = it.retry_ratio * allowance_used;
+    out.reserve = std::max(
+        2.0, it.retry_slack * allowance_used / static_cast<double>(hosts));
+    out.max_saved = out.reserve;
+    return out;
+}
+
+class gateway_process
+{
+public:
+    gateway_process(net::event_loop& loop, host_settings const& settings,
+                    settings_source reload, protocol const& wire,
+                    external::key_value_service& store)
+        : loop_(loop), reload_(std::move(reload)), store_(store),
+          host_(loop, wire, settings, budget_of(settings, assumed_hosts),
+                random_seed()),
+          clients_(loop, [this](http1::request it,
+                                std::shared_ptr<http1::exchange> client)
+                   { on_request(std::move(it), std::move(client)); }),
+          readiness_(loop, [this](http1::request const& it,
+                                  std::shared_ptr<http1::exchange> const& from)
+                     { on_readiness_query(it, *from); }),
+          metrics_(loop, [this](http1::request const&,
+                                std::shared_ptr<http1::exchange> const& from)
+                   { from->reply({ok, {{"Content-Type", "text/plain"}}},
+                                 host_.metrics.text(), true); }),
+          peers_(loop, {settings.host, net::to_string(settings.store)},
+                 [this] { return own_state(); },
+                 [this](peer_state const& it) { on_peer_state(it); }),
+          follower_(loop, store, host_.random, follower_handlers())
+    {
+    }
+
+    auto run() -> bool
+    {
+        auto const& at = host_.settings;
+        clients_.listen(at.clients);
+        readiness_.listen(at.readiness);
+        metrics_.listen(at.metrics);
+        peers_.listen(at.peers);
+        apply_limits();
+        log::write(log::level::info, "started",
+                   {{"host", at.host.value()},
+                    {"domain", at.domain.value()},
+                    {"clients", net::to_string(at.clients)},
+                    {"store", net::to_string(at.store)}});
+        auto const terminate = net::signal_watch{
+            loop_, SIGTERM, [this] { leave(net::event_loop::now()); }};
+        auto const reload =
+            net::signal_watch{loop_, SIGHUP, [this] { reload_settings(); }};
+        follower_.start();
+        register_host();
+        tick();
+        ask_peers();
+        loop_.run();
+        auto const left = host_.relays.size();
+        log::write(log::level::info, "stopped",
+                   {{"unanswered", std::to_string(left)}});
+        return left == 0;
+    }
+
+private:
+    auto follower_handlers() -> follower_events
+    {
+        auto out = follower_events{};
+        out.on_snapshot =
+            [this](std::vector<external::stored_value> const& it)
+        {
+            on_snapshot(it, net::event_loop::now());
+        };
+        out.on_entry = [this](external::watch_event const& it)
+        {
+            on_entry(it.key,
+                     it.value ? std::optional{it.value->value} : std::nullopt,
+                     net::event_loop::now());
+        };
+        out.on_lost = [this](std::string const& why)
+        {
+            host_.metrics.store_call_failed();
+            log::write(log::level::warning, "store_lost", {{"why", why}});
+            note_targets(directory::store_lost{}, net::event_loop::now());
+        };
+        out.on_regained = [this]
+        {
+            log::write(log::level::info, "store_regained", {});
+            note_targets(directory::store_regained{}, net::event_loop::now());
+        };
+        return out;
+    }
+
+    void on_request(http1::request it, std::shared_ptr<http1::exchange> client)
+    {
+        relay::start(host_, std::move(it), std::move(client),
+                     net::event_loop::now());
+    }
+
+    void on_readiness_query(http1::request const& it, http1::exchange& from)
+    {
+        if (!host_.wire.is_readiness_query(it.target))
+        {
+            from.reply({not_found, {}}, {}, false);
+            return;
+        }
+        auto const ready = host_.table != nullptr && !host_.leaving_since;
+        from.reply({ready ? ok : unavailable, {}}, {}, false);
+    }
+
+    void on_snapshot(std::vector<external::stored_value> const& it,
+                     time_point now)
+    {
+        entries_.clear();
+        auto targets = directory::all_entries{};
+        for (auto const& value : it)
+        {
+            keep(value.key, value.value);
+            auto entry = host_.wire.read_entry(value.key, value.value);
+            if (auto* const target =
+                    std::get_if<directory::entry_written>(&entry))
+            {
+                if (target->it)
+                {
+                    targets.targets.push_back(std::move(*target->it));
+                }
+            }
+            else
+            {
+                apply(entry, now);
+            }
+        }
+        note_targets(targets, now);
+    }
+
+    void on_entry(std::string const& key,
+                  std::optional<std::string> const& value, time_point now)
+    {
+        keep(key, value);
+        auto const entry = host_.wire.read_entry(key, value);
+        if (std::holds_alternative<directory::entry_written>(entry) && !value)
+        {
+            note_targets(directory::entry_removed{
+                             std::get<directory::entry_written>(entry).id},
+                         now);
+            return;
+        }
+        apply(entry, now);
+    }
+
+    /// Keeps what peers may ask for.
+    void keep(std::string const& key, std::optional<std::string> const& value)
+    {
+        if (value)
+        {
+            entries_[key] = *value;
+        }
+        else
+        {
+            entries_.erase(key);
+        }
+    }
+
+    void apply(store_entry const& it, time_point now)
+    {
+        std::visit(overloaded{[&](configuration_entry const& e)
+                              { adopt(e); },
+                              [&](directory::entry_written const& e)
+                              { note_targets(e, now); },
+                              [&](host_entry const& e)
+                              { know_host(e); },
+                              [](other_entry const&) {}},
+                   it);
+    }
+
+    void know_host(host_entry const& it)
+    {
+        peers_.know(it.id, it.peers);
+        host_.retries.configure(
+            budget_of(host_.settings, std::max<std::size_t>(
+                                          peers_.known_hosts(), 1)));
+    }
+
+    void adopt(configuration_entry const& it)
+    {
+        if (!it.it)
+        {
+            log::write(log::level::error, "configuration_unreadable",
+                       {{"why", it.error}});
+            return;
+        }
+        auto const held = host_.table
+                              ? std::optional{host_.table->version()}
+                              : std::nullopt;
+        if (held && it.it->version <= *held)
+        {
+            return;
+        }
+        host_.table = std::make_shared<routes::route_table const>(*it.it);
+        host_.metrics.configuration_version(it.it->version.value());
+        apply_limits();
+        log::write(
+            log::level::info, "configuration_adopted",
+            {{"version", std::to_string(it.it->version.value())},
+             {"before", held ? std::to_string(held->value()) : "none"},
+             {"routes", std::to_string(it.it->routes.size())},
+             {"from", follower_.in_contact() ? "store" : "peer"}});
+    }
+
+    void apply_limits()
+    {
+        auto out = http1::server_limits{};
+        auto const descriptors = host_.settings.max_descriptors;
+        out.max_connections = descriptors > 2 * reserved_descriptors
+                                  ? descriptors - reserved_descriptors
+                                  : descriptors / 2;
+        if (host_.table)
+        {
+            auto const& limits = host_.table->limits();
+            out.sizes = {limits.head_bytes, limits.body_bytes};
+            out.head_timeout = limits.head_timeout;
+            out.idle_timeout = limits.idle_timeout;
+        }
+        clients_.set_limits(out);
+    }
+
+    template <class Event>
+    void note_targets(Event const& it, time_point now)
+    {
+        log_changes(host_.targets.handle(it, now));
+    }
+
+    void log_changes(std::vector<directory::change> const& changes)
+    {
+        for (auto const& it : changes)
+        {
+            host_.metrics.target_changed(to_string(it.to));
+            log::write(log::level::info, "target_changed",
+                       {{"target", it.id.value()},
+                        {"to", std::string{to_string(it.to)}},
+                        {"store_in_contact",
+                         follower_.in_contact() ? "true" : "false"}});
+            if (it.to == directory::change_kind::gone)
+            {
+                host_.doubts.forget(it.id);
+            }
+        }
+    }
+
+    auto own_state() -> peer_state
+    {
+        return {follower_.in_contact(), entries_};
+    }
+
+    /// A peer's copy counts only while the store does not answer this host.
+    void on_peer_state(peer_state const& it)
+    {
+        if (follower_.in_contact() || (!it.fresh && host_.table))
+        {
+            return;
+        }
+        auto const now = net::event_loop::now();
+        for (auto const& [key, value] : it.entries)
+        {
+            keep(key, value);
+            apply(host_.wire.read_entry(key, value), now);
+        }
+    }
+
+    /// Lets peers find this host; written once, so it may be written again.
+    void register_host()
+    {
+        auto const& own = host_.settings;
+        auto write = external::transaction{};
+        write.then.emplace_back(external::put{host_.wire.host_key(own.host),
+                                              net::to_string(own.peers),
+                                              external::lease_id{0}});
+        store_.commit(
+            external::call_purpose::configuration_write, write,
+            [this](external::answer<external::transaction_result> const& it)
+            {
+                if (std::holds_alternative<external::call_failure>(it))
+                {
+                    constexpr auto pause = duration{1s};
+                    register_again_ =
+                        loop_.after(pause, [this] { register_host(); });
+                }
+            });
+    }
+
+    void ask_peers()
+    {
+        if (!follower_.in_contact())
+        {
+            peers_.ask(host_.settings.seeds, host_.settings.peers,
+                       host_.random);
+        }
+        peer_timer_ = loop_.after(peer_period, [this] { ask_peers(); });
+    }
+
+    void tick()
+    {
+        auto const now = net::event_loop::now();
+        log_changes(host_.targets.expire(now));
+        host_.metrics.log_lines_dropped(log::dropped_lines());
+        if (host_.leaving_since)
+        {
+            leave_further(now);
+        }
+        tick_timer_ = loop_.after(tick_period, [this] { tick(); });
+    }
+
+    void leave(time_point now)
+    {
+        if (host_.leaving_since)
+        {
+            return;
+        }
+        host_.leaving_since = now;
+        clients_.close_after_answers();
+        log::write(log::level::info, "leaving",
+                   {{"open_requests", std::to_string(host_.relays.size())}});
+    }
+
+    void leave_further(time_point now)
+    {
+        auto const since = now - *host_.leaving_since;
+        if (since < balancer_notice)
+        {
+            return;
+        }
+        clients_.close_idle();
+        auto const over = since >= host_.settings.shutdown_grace - grace_margin;
+        if (over || (host_.relays.empty() && clients_.connections() == 0))
+        {
+            loop_.stop();
+        }
+    }
+
+    void reload_settings()
+    {
+        try
+        {
+            auto const it = reload_();
+            auto const changed = !(it == host_.settings);
+            // Listening addresses and the store's hold for a process's life.
+            host_.settings.seeds = it.seeds;
+            host_.settings.shutdown_grace = it.shutdown_grace;
+            host_.settings.retry_ratio = it.retry_ratio;
+            host_.settings.retry_slack = it.retry_slack;
+            host_.settings.max_descriptors = it.max_descriptors;
+            apply_limits();
+            log::write(log::level::info, "settings_reloaded",
+                       {{"changed", changed ? "true" : "false"}});
+        }
+        catch (settings_error const& e)
+        {
+            log::write(log::level::error, "settings_kept",
+                       {{"why", e.what()}});
+        }
+    }
+
+    net::event_loop& loop_;
+    settings_source reload_;
+    external::key_value_service& store_;
+    host_state host_;
+    http1::server clients_;
+    http1::server readiness_;
+    http1::server metrics_;
+    peer_exchange peers_;
+    store_follower follower_;
+    std::map<std::string, std::string> entries_;
+    net::timer tick_timer_;
+    net::timer peer_timer_;
+    net::timer register_again_;
+};
+
+} // namespace
+
+auto run_gateway(net::event_loop& loop, host_settings const& settings,
+                 settings_source const& reload, protocol const& wire,
+                 external::key_value_service& store) -> bool
+{
+    auto process = gateway_process{loop, settings, reload, wire, store};
+    return process.run();
+}
+
+} // namespace primrosedeal::gateway
--- /dev/null
+++ b/src/gateway/host_state.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "core/random.hpp"
+#include "directory/target_directory.hpp"
+#include "dispatch/load_book.hpp"
+#include "dispatch/suspicion.hpp"
+#include "gateway/connect_prober.hpp"
+#include "gateway/protocol.hpp"
+#include "gateway/settings.hpp"
+#include "metrics/gateway_metrics.hpp"
+#include "net/event_loop.hpp"
+#include "retry/budget.hpp"
+#include "routes/route_table.hpp"
+
+#include <map>
+#include <memory>
+
+/// What all requests of one host share. Lives on the loop's thread.
+namespace primrosedeal::gateway
+{
+
+class relay;
+
+struct host_state
+{
+    host_state(net::event_loop& on, protocol const& names, host_settings its,
+               retry::budget_settings const& budget, std::uint64_t seed)
+        : loop(on), wire(names), settings(std::move(its)), random(seed),
+          retries(budget), prober(on)
+    {
+    }
+
+    net::event_loop& loop;
+    protocol const& wire;
+    host_settings settings;
+    random_source random;
+    std::shared_ptr<routes::route_table const> table;
+    directory::target_directory targets;
+    dispatch::suspicion doubts;
+    dispatch::load_book loads;
+    retry::budget retries;
+    connect_prober prober;
+    metrics::gateway_metrics metrics;
+    std::map<relay*, std::shared_ptr<relay>> relays;
+    /// Set at SIGTERM.
+    std::optional<time_point> leaving_since;
+};
+
+} // namespace primrosedeal::gateway
--- /dev/null
+++ b/src/gateway/relay.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "dispatch/placement.hpp"
+#include "gateway/admit.hpp"
+#include "gateway/attempt.hpp"
+#include "gateway/host_state.hpp"
+#include "http1/server.hpp"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// One client's request from its arrival to its last byte.
+///
+/// A plain call is answered with the whole answer of one target. A stream is
+/// put together from the events of as many targets as it takes, each going
+/// on behind the last event that the client was sent.
+namespace primrosedeal::gateway
+{
+
+class relay : public std::enable_shared_from_this<relay>
+{
+public:
+    /// Serves `message`; the relay lives in `host` until its end.
+    static void start(host_state& host, http1::request message,
+                      std::shared_ptr<http1::exchange> client, time_point now);
+
+    relay(host_state& host, http1::request message,
+          std::shared_ptr<http1::exchange> client, time_point now);
+
+private:
+    /// The attempt that is under way.
+    struct current
+    {
+        directory::listed_target target;
+        std::optional<directory::listed_target> copy;
+        /// It goes on from a copy of its memory.
+        bool warm = false;
+        bool began = false;
+        std::unique_ptr<attempt> io;
+    };
+
+    void begin(time_point now);
+    void refuse(refusal const& it, time_point now);
+    void try_next(time_point now);
+    void send(directory::listed_target const& target, bool warm,
+              time_point now);
+    [[nodiscard]] auto plan_attempt(directory::listed_target const& target,
+                                    bool warm, time_point now) -> attempt_plan;
+    [[nodiscard]] auto view() const -> dispatch::placement_view;
+    [[nodiscard]] auto placement() const -> dispatch::placement_request;
+    [[nodiscard]] auto target_of_copy(time_point now) const
+        -> std::optional<directory::listed_target>;
+    void on_event(http1::response_head const& head, http1::stream_event it,
+                  time_point now);
+    void on_stream_end(time_point now);
+    void on_answer(target_answer const& it, time_point now);
+    void on_failure(dispatch::attempt_failure how,
+                    std::optional<target_answer> answer, time_point now);
+    void on_client_gone(time_point now);
+    void on_deadline(time_point now);
+    void retry_or_end(time_point now);
+    void end_unserved(refusal_reason why, int status, time_point now);
+    void leave_target();
+    void finish(std::string_view outcome, int status, time_point now);
+    [[nodiscard]] auto streaming() const -> bool;
+
+    host_state& host_;
+    http1::request message_;
+    std::shared_ptr<http1::exchange> client_;
+    client_facts facts_;
+    /// Keeps the route alive while a newer configuration is in force.
+    std::shared_ptr<routes::route_table const> table_;
+    admitted admitted_;
+    dispatch::request_state state_;
+    time_point arrived_at_{};
+    std::optional<current> current_;
+    /// Where the memory of the last attempt was copied to.
+    std::optional<directory::listed_target> copy_;
+    std::vector<target_id> met_;
+    std::optional<std::uint64_t> last_event_;
+    std::optional<time_point> last_event_at_;
+    std::optional<target_answer> error_answer_;
+    std::uint32_t attempts_ = 0;
+    /// The stream has failed and not gone on yet.
+    bool interrupted_ = false;
+    net::timer deadline_;
+};
+
+} // namespace primrosedeal::gateway
--- /dev/null
+++ b/src/http1/client.cpp
@@ -0,0 +1,293 @@
+#include "http1/client.hpp"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+
+namespace primrosedeal::http1
+{
+
+namespace
+{
+
+auto to_sockaddr(net::endpoint const& it) -> sockaddr_in
+{
+    auto out = sockaddr_in{};
+    out.sin_family = AF_INET;
+    out.sin_port = htons(it.port);
+    inet_pton(AF_INET, it.address.c_str(), &out.sin_addr);
+    return out;
+}
+
+auto serialise(request const& it) -> std::string
+{
+    auto out = it.method + ' ' + it.target + " HTTP/1.1\r\n";
+    for (auto const& header : it.headers)
+    {
+        out += header.name + ": " + header.value + "\r\n";
+    }
+    if (!it.body.empty() || it.method == "POST" || it.method == "PUT")
+    {
+        out += "Content-Length: " + std::to_string(it.body.size()) + "\r\n";
+    }
+    return out + "\r\n" + it.body;
+}
+
+} // namespace
+
+auto to_string(call_error it) -> std::string_view
+{
+    switch (it)
+    {
+    case call_error::not_connected:
+        return "not_connected";
+    case call_error::closed_unanswered:
+        return "closed_unanswered";
+    case call_error::truncated:
+        return "truncated";
+    case call_error::malformed:
+        return "malformed";
+    }
+    return "unknown";
+}
+
+struct client_call::state
+{
+    state(net::event_loop& loop, bool head_request, call_events handlers)
+        : events(std::move(handlers)), parser(head_request),
+          bev(bufferevent_socket_new(loop.base(), -1,
+                                     BEV_OPT_CLOSE_ON_FREE |
+                                         BEV_OPT_DEFER_CALLBACKS))
+    {
+    }
+
+    state(state const&) = delete;
+    auto operator=(state const&) -> state& = delete;
+
+    ~state()
+    {
+        if (bev != nullptr)
+        {
+            bufferevent_free(bev);
+        }
+    }
+
+    void open(net::event_loop& loop, net::endpoint const& to,
+              request const& message, duration connect_timeout)
+    {
+        if (bev == nullptr)
+        {
+            deadline = loop.after(0s, [this]
+                                  { fail(call_error::not_connected); });
+            return;
+        }
+        bufferevent_setcb(bev, on_read, nullptr, on_event, this);
+        auto const bytes = serialise(message);
+        bufferevent_write(bev, bytes.data(), bytes.size());
+        bufferevent_enable(bev, EV_READ | EV_WRITE);
+        auto const at = to_sockaddr(to);
+        if (bufferevent_socket_connect(
+                bev, reinterpret_cast<sockaddr const*>(&at), sizeof at) != 0)
+        {
+            deadline = loop.after(0s, [this]
+                                  { fail(call_error::not_connected); });
+            return;
+        }
+        deadline = loop.after(connect_timeout,
+                              [this] { fail(call_error::not_connected); });
+    }
+
+    static void on_read(bufferevent* bev, void* arg)
+    {
+        auto& self = *static_cast<state*>(arg);
+        auto* const in = bufferevent_get_input(bev);
+        auto const n = evbuffer_get_length(in);
+        if (n == 0)
+        {
+            return;
+        }
+        auto bytes = std::string(n, '\0');
+        evbuffer_remove(in, bytes.data(), n);
+        self.answered = true;
+        self.deliver(self.parser.feed(bytes), false);
+    }
+
+    static void on_event(bufferevent* bev, short what, void* arg)
+    {
+        auto& self = *static_cast<state*>(arg);
+        if ((what & BEV_EVENT_CONNECTED) != 0)
+        {
+            self.connected = true;
+            self.deadline.cancel();
+            auto const on = 1;
+            setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_NODELAY, &on,
+                       sizeof on);
+            if (self.events.on_connected)
+            {
+                self.events.on_connected();
+            }
+            return;
+        }
+        self.on_closed((what & BEV_EVENT_EOF) != 0);
+    }
+
+    void on_closed(bool in_good_order)
+    {
+        if (!connected)
+        {
+            fail(call_error::not_connected);
+        }
+        else if (!answered)
+        {
+            fail(call_error::closed_unanswered);
+        }
+        else if (in_good_order)
+        {
+            deliver(parser.feed_end(), true);
+        }
+        else
+        {
+            fail(call_error::truncated);
+        }
+    }
+
+    /// Every handler may destroy this object.
+    void deliver(response_progress it, bool ended)
+    {
+        auto const alive = std::weak_ptr{alive_mark};
+        if (it.head && events.on_head)
+        {
+            events.on_head(std::move(*it.head));
+        }
+        if (!alive.expired() && !it.body.empty() && events.on_body)
+        {
+            events.on_body(it.body);
+        }
+        if (alive.expired())
+        {
+            return;
+        }
+        if (it.complete)
+        {
+            finish();
+        }
+        else if (ended)
+        {
+            fail(call_error::truncated);
+        }
+        else if (it.malformed)
+        {
+            fail(call_error::malformed);
+        }
+    }
+
+    void finish()
+    {
+        close();
+        auto const done = std::move(events.on_complete);
+        if (done)
+        {
+            done();
+        }
+    }
+
+    void fail(call_error why)
+    {
+        close();
+        auto const failed = std::move(events.on_error);
+        if (failed)
+        {
+            failed(why);
+        }
+    }
+
+    void close()
+    {
+        deadline.cancel();
+        if (bev != nullptr)
+        {
+            bufferevent_free(std::exchange(bev, nullptr));
+        }
+    }
+
+    call_events events;
+    response_parser parser;
+    bufferevent* bev;
+    net::timer deadline;
+    bool connected = false;
+    bool answered = false;
+    std::shared_ptr<int> alive_mark = std::make_shared<int>(0);
+};
+
+client_call::client_call(net::event_loop& loop, net::endpoint const& to,
+                         request const& message, duration connect_timeout,
+                         call_events events)
+    : state_(std::make_unique<state>(loop, message.method == "HEAD",
+                                     std::move(events)))
+{
+    state_->open(loop, to, message, connect_timeout);
+}
+
+client_call::~client_call() = default;
+
+auto client_call::may_have_sent() const -> bool
+{
+    return state_->connected;
+}
+
+struct fetch::state
+{
+    net::http_response response;
+    std::unique_ptr<client_call> call;
+    net::timer deadline;
+    handler done;
+
+    void finish(bool answered)
+    {
+        auto const sent = call && call->may_have_sent();
+        auto const report = std::move(done);
+        deadline.cancel();
+        auto out = answered ? std::optional{std::move(response)} : std::nullopt;
+        report(std::move(out), sent);
+    }
+};
+
+fetch::fetch(net::event_loop& loop, net::endpoint const& to,
+             request const& message, duration timeout, handler done)
+    : state_(std::make_unique<state>())
+{
+    auto* const it = state_.get();
+    it->done = std::move(done);
+    auto events = call_events{};
+    events.on_head = [it](response_head head)
+    {
+        it->response.status = head.status;
+        it->response.headers = std::move(head.headers);
+    };
+    events.on_body = [it](std::string_view bytes)
+    {
+        it->response.body += bytes;
+    };
+    events.on_complete = [it]
+    {
+        it->finish(true);
+    };
+    events.on_error = [it](call_error)
+    {
+        it->finish(false);
+    };
+    it->deadline = loop.after(timeout, [it] { it->finish(false); });
+    it->call = std::make_unique<client_call>(loop, to, message, timeout,
+                                             std::move(events));
+}
+
+fetch::~fetch() = default;
+
+} // namespace primrosedeal::http1
--- /dev/null
+++ b/src/http1/client.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "core/units.hpp"
+#include "http1/message.hpp"
+#include "net/event_loop.hpp"
+
+#include <functional>
+#include <memory>
+#include <string_view>
+
+/// One request over a connection of its own, with an exact account of how
+/// far it got.
+///
+/// Connections are not reused: a request written to an idle connection that
+/// the peer has dropped may or may not have run, and an answer meant for an
+/// earlier request could be taken for this one's.
+namespace primrosedeal::http1
+{
+
+enum class call_error
+{
+    /// No connection was made; not a byte of the request left.
+    not_connected,
+    /// The connection ended before the first byte of an answer.
+    closed_unanswered,
+    /// The connection ended inside the answer.
+    truncated,
+    /// The answer is not HTTP.
+    malformed,
+};
+
+auto to_string(call_error it) -> std::string_view;
+
+/// All run on the loop's thread, none after the `client_call` is destroyed.
+/// `on_complete` or `on_error` is the last to run.
+struct call_events
+{
+    std::function<void()> on_connected;
+    std::function<void(response_head)> on_head;
+    std::function<void(std::string_view)> on_body;
+    std::function<void()> on_complete;
+    std::function<void(call_error)> on_error;
+};
+
+/// A call in progress; destroying it closes the connection. May be destroyed
+/// inside any of its events.
+class client_call
+{
+public:
+    /// Connects to `to` and sends `request`, whose `Content-Length` is set
+    /// here; its other headers go as they are.
+    client_call(net::event_loop& loop, net::endpoint const& to,
+                request const& message, duration connect_timeout,
+                call_events events);
+    client_call(client_call const&) = delete;
+    auto operator=(client_call const&) -> client_call& = delete;
+    ~client_call();
+
+    /// Whether a byte of the request may have left this process.
+    [[nodiscard]] auto may_have_sent() const -> bool;
+
+private:
+    struct state;
+    std::unique_ptr<state> state_;
+};
+
+/// Collects a whole answer, or reports the failure within `timeout`.
+class fetch
+{
+public:
+    using handler =
+        std::function<void(std::optional<net::http_response>, bool may_have_sent)>;
+
+    fetch(net::event_loop& loop, net::endpoint const& to,
+          request const& message, duration timeout, handler done);
+    fetch(fetch const&) = delete;
+    auto operator=(fetch const&) -> fetch& = delete;
+    ~fetch();
+
+private:
+    struct state;
+    std::unique_ptr<state> state_;
+};
+
+} // namespace primrosedeal::http1
--- /dev/null
+++ b/src/http1/message.cpp
@@ -0,0 +1,396 @@
+#include "http1/message.hpp"
+
+#include <algorithm>
+#include <cctype>
+
+// A request is forwarded with its body re-framed by length, so a peer can
+// only see the bytes that this parser took for the message. What is ambiguous
+// (two lengths, a length beside chunks, control characters) is malformed.
+namespace primrosedeal::http1
+{
+
+namespace
+{
+
+/// Bytes of head an answer may have.
+constexpr auto max_response_head = std::size_t{64} << 10U;
+
+auto has_control_character(std::string_view text) -> bool
+{
+    return std::any_of(text.begin(), text.end(),
+                       [](unsigned char c)
+                       { return (c < ' ' && c != '\t') || c == 0x7F; });
+}
+
+auto count_headers(header_list const& headers, std::string_view name)
+    -> std::size_t
+{
+    return static_cast<std::size_t>(
+        std::count_if(headers.begin(), headers.end(),
+                      [&](net::http_header const& it)
+                      { return same_header_name(it.name, name); }));
+}
+
+auto lists_token(std::string_view list, std::string_view token) -> bool
+{
+    while (!list.empty())
+    {
+        auto const comma = list.find(',');
+        auto part = list.substr(0, comma);
+        while (!part.empty() && (part.front() == ' ' || part.front() == '\t'))
+        {
+            part.remove_prefix(1);
+        }
+        while (!part.empty() && (part.back() == ' ' || part.back() == '\t'))
+        {
+            part.remove_suffix(1);
+        }
+        if (same_header_name(part, token))
+        {
+            return true;
+        }
+        list = comma == std::string_view::npos ? std::string_view{}
+                                               : list.substr(comma + 1);
+    }
+    return false;
+}
+
+} // namespace
+
+auto same_header_name(std::string_view a, std::string_view b) -> bool
+{
+    auto const lower = [](unsigned char c)
+    {
+        return std::tolower(c);
+    };
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                      [&](char x, char y)
+                      {
+                          return lower(static_cast<unsigned char>(x)) ==
+                                 lower(static_cast<unsigned char>(y));
+                      });
+}
+
+auto single_header(header_list const& headers, std::string_view name)
+    -> std::optional<std::string_view>
+{
+    if (count_headers(headers, name) != 1)
+    {
+        return std::nullopt;
+    }
+    return net::find_header(headers, name);
+}
+
+auto is_hop_by_hop(std::string_view name, header_list const& headers) -> bool
+{
+    static constexpr std::string_view fixed[] = {
+        "connection", "keep-alive",        "proxy-connection",
+        "te",         "transfer-encoding", "trailer",
+        "upgrade",    "content-length",    "expect"};
+    auto const listed =
+        std::any_of(std::begin(fixed), std::end(fixed), [&](auto const it)
+                    { return same_header_name(it, name); });
+    return listed || std::any_of(headers.begin(), headers.end(),
+                                 [&](net::http_header const& it) {
+                                     return same_header_name(it.name,
+                                                             "connection") &&
+                                            lists_token(it.value, name);
+                                 });
+}
+
+auto reason_phrase(int status) -> std::string_view
+{
+    return http_status_str(static_cast<http_status>(status));
+}
+
+auto header_collector::name(std::string_view piece) -> std::size_t
+{
+    if (in_value_)
+    {
+        headers_.push_back({});
+        in_value_ = false;
+    }
+    headers_.back().name += piece;
+    return bytes_ += piece.size();
+}
+
+auto header_collector::value(std::string_view piece) -> std::size_t
+{
+    in_value_ = true;
+    if (!headers_.empty())
+    {
+        headers_.back().value += piece;
+    }
+    return bytes_ += piece.size();
+}
+
+auto header_collector::take() -> header_list
+{
+    auto out = std::move(headers_);
+    *this = {};
+    return out;
+}
+
+struct request_parser::callbacks
+{
+    static auto self(http_parser* it) -> request_parser&
+    {
+        return *static_cast<request_parser*>(it->data);
+    }
+
+    static auto count_head(request_parser& it, std::size_t n) -> int
+    {
+        it.head_bytes_ += n;
+        if (it.head_bytes_ <= it.limits_.head)
+        {
+            return 0;
+        }
+        it.error_ = parse_error::head_too_large;
+        return 1;
+    }
+
+    static auto make() -> http_parser_settings
+    {
+        auto out = http_parser_settings{};
+        http_parser_settings_init(&out);
+        out.on_message_begin = [](http_parser* p)
+        {
+            self(p).started_ = true;
+            return 0;
+        };
+        out.on_url = [](http_parser* p, char const* at, std::size_t n)
+        {
+            self(p).message_.target.append(at, n);
+            return count_head(self(p), n);
+        };
+        out.on_header_field = [](http_parser* p, char const* at, std::size_t n)
+        {
+            self(p).headers_.name({at, n});
+            return count_head(self(p), n);
+        };
+        out.on_header_value = [](http_parser* p, char const* at, std::size_t n)
+        {
+            self(p).headers_.value({at, n});
+            return count_head(self(p), n);
+        };
+        out.on_headers_complete = [](http_parser* p)
+        {
+            // An upgrade is never taken up, so the message has an end.
+            p->upgrade = 0;
+            return self(p).check_head() ? 0 : -1;
+        };
+        out.on_body = [](http_parser* p, char const* at, std::size_t n)
+        {
+            auto& it = self(p);
+            it.message_.body.append(at, n);
+            if (it.message_.body.size() <= it.limits_.body)
+            {
+                return 0;
+            }
+            it.error_ = parse_error::body_too_large;
+            return 1;
+        };
+        out.on_message_complete = [](http_parser* p)
+        {
+            auto& it = self(p);
+            it.complete_ = true;
+            it.message_.keep_alive = http_should_keep_alive(p) != 0;
+            http_parser_pause(p, 1);
+            return 0;
+        };
+        return out;
+    }
+};
+
+request_parser::request_parser()
+{
+    reset();
+}
+
+void request_parser::reset()
+{
+    http_parser_init(&parser_, HTTP_REQUEST);
+    parser_.data = this;
+    message_ = {};
+    headers_ = {};
+    head_bytes_ = 0;
+    started_ = false;
+    head_complete_ = false;
+    complete_ = false;
+    expects_continue_ = false;
+    error_ = parse_error::none;
+}
+
+auto request_parser::check_head() -> bool
+{
+    message_.method = http_method_str(static_cast<http_method>(parser_.method));
+    auto trailing = headers_.take();
+    message_.headers = std::move(trailing);
+    head_complete_ = true;
+    auto const& headers = message_.headers;
+    auto const bad_header =
+        std::any_of(headers.begin(), headers.end(),
+                    [](net::http_header const& it) {
+                        return it.name.empty() ||
+                               it.name.find(' ') != std::string::npos ||
+                               has_control_character(it.value);
+                    });
+    auto const lengths = count_headers(headers, "content-length");
+    auto const codings = count_headers(headers, "transfer-encoding");
+    auto const coding = net::find_header(headers, "transfer-encoding");
+    auto const ambiguous =
+        lengths > 1 || codings > 1 || (lengths > 0 && codings > 0) ||
+        (coding && !same_header_name(*coding, "chunked")) ||
+        count_headers(headers, "host") > 1;
+    auto const one_dot_one = parser_.http_major == 1 && parser_.http_minor <= 1;
+    if (bad_header || ambiguous || !one_dot_one ||
+        message_.target.empty() || message_.target.front() != '/' ||
+        parser_.method == HTTP_CONNECT)
+    {
+        error_ = parse_error::malformed;
+        return false;
+    }
+    if (parser_.content_length != ~std::uint64_t{0} &&
+        parser_.content_length > limits_.body)
+    {
+        error_ = parse_error::body_too_large;
+        return false;
+    }
+    auto const expect = net::find_header(headers, "expect");
+    expects_continue_ = expect && same_header_name(*expect, "100-continue");
+    return true;
+}
+
+auto request_parser::feed(std::string_view bytes, parse_limits const& limits)
+    -> std::size_t
+{
+    static auto const settings = callbacks::make();
+    limits_ = limits;
+    if (complete_ || error_ != parse_error::none)
+    {
+        return 0;
+    }
+    auto const n =
+        http_parser_execute(&parser_, &settings, bytes.data(), bytes.size());
+    auto const failed = HTTP_PARSER_ERRNO(&parser_) != HPE_OK &&
+                        HTTP_PARSER_ERRNO(&parser_) != HPE_PAUSED;
+    if (failed && error_ == parse_error::none)
+    {
+        error_ = HTTP_PARSER_ERRNO(&parser_) == HPE_HEADER_OVERFLOW
+                     ? parse_error::head_too_large
+                     : parse_error::malformed;
+    }
+    return n;
+}
+
+auto request_parser::take() -> request
+{
+    auto out = std::move(message_);
+    reset();
+    return out;
+}
+
+struct response_parser::callbacks
+{
+    static auto self(http_parser* it) -> response_parser&
+    {
+        return *static_cast<response_parser*>(it->data);
+    }
+
+    static auto make() -> http_parser_settings
+    {
+        auto out = http_parser_settings{};
+        http_parser_settings_init(&out);
+        out.on_header_field = [](http_parser* p, char const* at, std::size_t n)
+        {
+            return self(p).headers_.name({at, n}) > max_response_head ? 1 : 0;
+        };
+        out.on_header_value = [](http_parser* p, char const* at, std::size_t n)
+        {
+            return self(p).headers_.value({at, n}) > max_response_head ? 1 : 0;
+        };
+        out.on_headers_complete = [](http_parser* p)
+        {
+            auto& it = self(p);
+            auto headers = it.headers_.take();
+            constexpr auto first_final_status = 200U;
+            it.interim_ = p->status_code < first_final_status;
+            p->upgrade = 0;
+            if (!it.interim_)
+            {
+                it.progress_.until_close =
+                    http_message_needs_eof(p) != 0 && !it.head_request_;
+                it.progress_.head =
+                    response_head{static_cast<int>(p->status_code),
+                                  std::move(headers)};
+            }
+            return it.head_request_ && !it.interim_ ? 1 : 0;
+        };
+        out.on_body = [](http_parser* p, char const* at, std::size_t n)
+        {
+            self(p).progress_.body.append(at, n);
+            return 0;
+        };
+        out.on_message_complete = [](http_parser* p)
+        {
+            auto& it = self(p);
+            if (!it.interim_)
+            {
+                it.progress_.complete = true;
+                it.complete_ = true;
+                http_parser_pause(p, 1);
+            }
+            return 0;
+        };
+        return out;
+    }
+
+    /// Whether the body ends with the connection; http_parser keeps its own
+    /// test private.
+    static auto http_message_needs_eof(http_parser const* p) -> int
+    {
+        constexpr auto no_content = 204U;
+        constexpr auto not_modified = 304U;
+        auto const chunked = (p->flags & F_CHUNKED) != 0;
+        auto const sized = p->content_length != ~std::uint64_t{0};
+        auto const bodiless = p->status_code == no_content ||
+                              p->status_code == not_modified;
+        return !chunked && !sized && !bodiless ? 1 : 0;
+    }
+};
+
+response_parser::response_parser(bool head_request)
+    : head_request_(head_request)
+{
+    http_parser_init(&parser_, HTTP_RESPONSE);
+    parser_.data = this;
+}
+
+auto response_parser::execute(char const* data, std::size_t n)
+    -> response_progress
+{
+    static auto const settings = callbacks::make();
+    // The parser may have been copied with its owner since the last call.
+    parser_.data = this;
+    progress_ = {};
+    if (!complete_)
+    {
+        http_parser_execute(&parser_, &settings, data, n);
+        auto const error = HTTP_PARSER_ERRNO(&parser_);
+        progress_.malformed = error != HPE_OK && error != HPE_PAUSED;
+    }
+    return std::move(progress_);
+}
+
+auto response_parser::feed(std::string_view bytes) -> response_progress
+{
+    return bytes.empty() ? response_progress{}
+                         : execute(bytes.data(), bytes.size());
+}
+
+auto response_parser::feed_end() -> response_progress
+{
+    return execute("", 0);
+}
+
+} // namespace primrosedeal::http1
--- /dev/null
+++ b/src/http1/server.cpp
@@ -0,0 +1,565 @@
+#include "http1/server.hpp"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <map>
+#include <stdexcept>
+#include <utility>
+
+// A connection reads one request, hands it over and parses no further until
+// the answer is out; it goes on watching for the client's end. The end of a
+// connection is a half-close followed by reading until the client's own end,
+// since closing a socket with unread bytes would destroy the last answer.
+namespace primrosedeal::http1
+{
+
+namespace
+{
+
+/// Bytes of a following request kept while an answer is owed.
+constexpr auto max_read_ahead = std::size_t{64} << 10U;
+/// Time for a client to take the last answer of a connection.
+constexpr auto linger = duration{2s};
+/// Unsent bytes of an answer at which its client counts as gone.
+constexpr auto max_unsent = std::size_t{8} << 20U;
+constexpr auto backlog = 1024;
+
+auto serialise_head(response_head const& it, std::string_view framing,
+                    bool close) -> std::string
+{
+    auto out = "HTTP/1.1 " + std::to_string(it.status) + ' ' +
+               std::string{reason_phrase(it.status)} + "\r\n";
+    for (auto const& header : it.headers)
+    {
+        out += header.name + ": " + header.value + "\r\n";
+    }
+    out += framing;
+    out += "\r\n";
+    if (close)
+    {
+        out += "Connection: close\r\n";
+    }
+    return out + "\r\n";
+}
+
+} // namespace
+
+class connection;
+
+struct server::state
+{
+    state(net::event_loop& on, handler handler)
+        : loop(on), on_request(std::move(handler))
+    {
+    }
+
+    net::event_loop& loop;
+    handler on_request;
+    server_limits limits;
+    evconnlistener* listener = nullptr;
+    std::map<connection*, std::shared_ptr<connection>> connections;
+    std::size_t open = 0;
+    bool closing = false;
+};
+
+class connection : public std::enable_shared_from_this<connection>
+{
+public:
+    connection(server::state& owner, evutil_socket_t fd)
+        : owner_(owner), bev_(bufferevent_socket_new(
+                             owner.loop.base(), fd,
+                             BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS))
+    {
+        auto const on = 1;
+        setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        bufferevent_setcb(bev_, on_read, on_written, on_event, this);
+        bufferevent_setwatermark(bev_, EV_READ, 0, max_read_ahead);
+        bufferevent_enable(bev_, EV_READ | EV_WRITE);
+        idle_since_ = net::event_loop::now();
+        arm(owner_.limits.idle_timeout);
+    }
+
+    connection(connection const&) = delete;
+    auto operator=(connection const&) -> connection& = delete;
+
+    ~connection()
+    {
+        close_socket();
+    }
+
+    [[nodiscard]] auto idle() const -> bool
+    {
+        return bev_ != nullptr && !answering_ && !ending_ &&
+               !parser_.started();
+    }
+
+    void end_gently()
+    {
+        if (bev_ == nullptr || ending_)
+        {
+            return;
+        }
+        ending_ = true;
+        arm(linger);
+        if (evbuffer_get_length(bufferevent_get_output(bev_)) == 0)
+        {
+            half_close();
+        }
+    }
+
+    void reply(response_head const& head, std::string_view body, bool close)
+    {
+        auto const last = close || owner_.closing || !keep_alive_;
+        auto const framing =
+            "Content-Length: " + std::to_string(body.size());
+        write(serialise_head(head, framing, last));
+        if (!head_request_)
+        {
+            write(body);
+        }
+        answered(last);
+    }
+
+    void start(response_head const& head)
+    {
+        streaming_ = true;
+        write(serialise_head(head, "Transfer-Encoding: chunked",
+                             owner_.closing || !keep_alive_));
+    }
+
+    void send(std::string_view bytes)
+    {
+        if (bytes.empty() || bev_ == nullptr)
+        {
+            return;
+        }
+        char size[20];
+        auto const n =
+            std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
+        write({size, static_cast<std::size_t>(n)});
+        write(bytes);
+        write("\r\n");
+        if (evbuffer_get_length(bufferevent_get_output(bev_)) > max_unsent)
+        {
+            owner_.loop.post(
+                [self = weak_from_this()]
+                {
+                    if (auto const it = self.lock())
+                    {
+                        it->lost();
+                    }
+                });
+        }
+    }
+
+    void finish()
+    {
+        write("0\r\n\r\n");
+        answered(owner_.closing || !keep_alive_);
+    }
+
+    void abort()
+    {
+        if (answering_)
+        {
+            release();
+            end_gently();
+        }
+    }
+
+    void on_gone(std::function<void()> work)
+    {
+        gone_ = std::move(work);
+    }
+
+private:
+    static void on_read(bufferevent* /*bev*/, void* arg)
+    {
+        auto const self = static_cast<connection*>(arg)->shared_from_this();
+        self->parse();
+    }
+
+    static void on_written(bufferevent* /*bev*/, void* arg)
+    {
+        auto const self = static_cast<connection*>(arg)->shared_from_this();
+        if (self->ending_)
+        {
+            self->half_close();
+        }
+    }
+
+    static void on_event(bufferevent* /*bev*/, short /*what*/, void* arg)
+    {
+        auto const self = static_cast<connection*>(arg)->shared_from_this();
+        self->lost();
+    }
+
+    void parse()
+    {
+        if (bev_ == nullptr)
+        {
+            return;
+        }
+        auto* const in = bufferevent_get_input(bev_);
+        if (ending_)
+        {
+            evbuffer_drain(in, evbuffer_get_length(in));
+            return;
+        }
+        auto const was_started = parser_.started();
+        while (!answering_ && evbuffer_get_length(in) > 0 &&
+               parser_.error() == parse_error::none && !parser_.complete())
+        {
+            auto const n = evbuffer_get_contiguous_space(in);
+            auto const* const data =
+                reinterpret_cast<char const*>(evbuffer_pullup(
+                    in, static_cast<ev_ssize_t>(n)));
+            auto const taken =
+                parser_.feed({data, n}, owner_.limits.sizes);
+            evbuffer_drain(in, parser_.error() == parse_error::none ? taken : n);
+        }
+        if (parser_.error() != parse_error::none)
+        {
+            reject();
+        }
+        else if (parser_.complete())
+        {
+            hand_over();
+        }
+        else if (!answering_ && parser_.started())
+        {
+            on_progress(was_started);
+        }
+    }
+
+    /// The head has one deadline as a whole; a body must not stop coming.
+    void on_progress(bool was_started)
+    {
+        if (!was_started)
+        {
+            arm(owner_.limits.head_timeout);
+        }
+        else if (parser_.head_complete())
+        {
+            arm(owner_.limits.idle_timeout);
+        }
+        if (parser_.expects_continue() && !continued_)
+        {
+            continued_ = true;
+            write("HTTP/1.1 100 Continue\r\n\r\n");
+        }
+    }
+
+    void reject()
+    {
+        constexpr auto bad_request = 400;
+        constexpr auto content_too_large = 413;
+        constexpr auto head_too_large = 431;
+        auto const error = parser_.error();
+        auto const status = error == parse_error::head_too_large
+                                ? head_too_large
+                            : error == parse_error::body_too_large
+                                ? content_too_large
+                                : bad_request;
+        refuse_and_end(status);
+    }
+
+    void refuse_and_end(int status)
+    {
+        write(serialise_head({status, {}}, "Content-Length: 0", true));
+        end_gently();
+    }
+
+    void hand_over()
+    {
+        timer_.cancel();
+        auto message = parser_.take();
+        keep_alive_ = message.keep_alive;
+        head_request_ = message.method == "HEAD";
+        continued_ = false;
+        answering_ = true;
+        ++owner_.open;
+        owner_.on_request(std::move(message), make_exchange());
+    }
+
+    auto make_exchange() -> std::shared_ptr<exchange>;
+
+    void answered(bool last)
+    {
+        release();
+        if (last)
+        {
+            end_gently();
+            return;
+        }
+        streaming_ = false;
+        idle_since_ = net::event_loop::now();
+        arm(owner_.limits.idle_timeout);
+        // A request that came meanwhile is parsed from a fresh stack.
+        auto const self = weak_from_this();
+        owner_.loop.post(
+            [self]
+            {
+                if (auto const it = self.lock())
+                {
+                    it->parse();
+                }
+            });
+    }
+
+    void release()
+    {
+        if (answering_)
+        {
+            answering_ = false;
+            gone_ = nullptr;
+            --owner_.open;
+        }
+    }
+
+    /// The client or its connection has gone.
+    void lost()
+    {
+        auto const gone = std::move(gone_);
+        release();
+        close_socket();
+        if (gone)
+        {
+            gone();
+        }
+        owner_.connections.erase(this);
+    }
+
+    void write(std::string_view bytes)
+    {
+        if (bev_ != nullptr)
+        {
+            bufferevent_write(bev_, bytes.data(), bytes.size());
+        }
+    }
+
+    void half_close()
+    {
+        if (bev_ != nullptr)
+        {
+            ::shutdown(bufferevent_getfd(bev_), SHUT_WR);
+        }
+    }
+
+    void close_socket()
+    {
+        timer_.cancel();
+        if (bev_ != nullptr)
+        {
+            bufferevent_free(std::exchange(bev_, nullptr));
+        }
+    }
+
+    void arm(duration after)
+    {
+        timer_ = owner_.loop.after(after, [this] { timed_out(); });
+    }
+
+    void timed_out()
+    {
+        auto const self = shared_from_this();
+        constexpr auto request_timeout = 408;
+        if (ending_)
+        {
+            lost();
+        }
+        else if (parser_.started())
+        {
+            refuse_and_end(request_timeout);
+        }
+        else if (auto const left = idle_since_ + owner_.limits.idle_timeout -
+                                   net::event_loop::now();
+                 left > 0s)
+        {
+            // A new configuration allows longer pauses.
+            arm(left);
+        }
+        else
+        {
+            end_gently();
+        }
+    }
+
+    server::state& owner_;
+    bufferevent* bev_;
+    request_parser parser_;
+    net::timer timer_;
+    time_point idle_since_{};
+    std::function<void()> gone_;
+    bool answering_ = false;
+    bool streaming_ = false;
+    bool keep_alive_ = true;
+    bool head_request_ = false;
+    bool continued_ = false;
+    bool ending_ = false;
+};
+
+namespace
+{
+
+/// Holds its connection only while the answer is owed.
+class open_exchange : public exchange
+{
+public:
+    explicit open_exchange(std::weak_ptr<connection> it) : to_(std::move(it)) {}
+
+    void reply(response_head const& head, std::string_view body,
+               bool close) override
+    {
+        if (auto const it = std::exchange(to_, {}).lock())
+        {
+            it->reply(head, body, close);
+        }
+    }
+
+    void start(response_head const& head) override
+    {
+        if (auto const it = to_.lock())
+        {
+            it->start(head);
+        }
+    }
+
+    void send(std::string_view bytes) override
+    {
+        if (auto const it = to_.lock())
+        {
+            it->send(bytes);
+        }
+    }
+
+    void finish() override
+    {
+        if (auto const it = std::exchange(to_, {}).lock())
+        {
+            it->finish();
+        }
+    }
+
+    void abort() override
+    {
+        if (auto const it = std::exchange(to_, {}).lock())
+        {
+            it->abort();
+        }
+    }
+
+    void on_gone(std::function<void()> work) override
+    {
+        if (auto const it = to_.lock())
+        {
+            it->on_gone(std::move(work));
+        }
+    }
+
+private:
+    std::weak_ptr<connection> to_;
+};
+
+} // namespace
+
+auto connection::make_exchange() -> std::shared_ptr<exchange>
+{
+    return std::make_shared<open_exchange>(weak_from_this());
+}
+
+server::server(net::event_loop& loop, handler on_request)
+    : state_(std::make_unique<state>(loop, std::move(on_request)))
+{
+}
+
+server::~server()
+{
+    stop_listening();
+    state_->connections.clear();
+}
+
+auto server::listen(net::endpoint const& at) -> std::uint16_t
+{
+    auto address = sockaddr_in{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(at.port);
+    inet_pton(AF_INET, at.address.c_str(), &address.sin_addr);
+    auto const on_accept = [](evconnlistener*, evutil_socket_t fd, sockaddr*,
+                              int, void* arg)
+    {
+        auto& self = *static_cast<state*>(arg);
+        if (self.connections.size() >= self.limits.max_connections)
+        {
+            ::close(fd);
+            return;
+        }
+        auto it = std::make_shared<connection>(self, fd);
+        self.connections.emplace(it.get(), it);
+    };
+    state_->listener = evconnlistener_new_bind(
+        state_->loop.base(), on_accept, state_.get(),
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+        backlog, reinterpret_cast<sockaddr*>(&address), sizeof address);
+    if (state_->listener == nullptr)
+    {
+        throw std::runtime_error("cannot listen on " + net::to_string(at));
+    }
+    auto bound = sockaddr_in{};
+    auto n = socklen_t{sizeof bound};
+    getsockname(evconnlistener_get_fd(state_->listener),
+                reinterpret_cast<sockaddr*>(&bound), &n);
+    return ntohs(bound.sin_port);
+}
+
+void server::set_limits(server_limits const& it)
+{
+    state_->limits = it;
+}
+
+void server::close_after_answers()
+{
+    state_->closing = true;
+}
+
+void server::close_idle()
+{
+    auto const all = state_->connections;
+    for (auto const& [key, it] : all)
+    {
+        if (it->idle())
+        {
+            it->end_gently();
+        }
+    }
+}
+
+void server::stop_listening()
+{
+    if (state_->listener != nullptr)
+    {
+        evconnlistener_free(std::exchange(state_->listener, nullptr));
+    }
+}
+
+auto server::connections() const -> std::size_t
+{
+    return state_->connections.size();
+}
+
+auto server::open_exchanges() const -> std::size_t
+{
+    return state_->open;
+}
+
+} // namespace primrosedeal::http1
--- /dev/null
+++ b/src/metrics/gateway_metrics.cpp
@@ -0,0 +1,122 @@
+#include "metrics/gateway_metrics.hpp"
+
+#include <prometheus/text_serializer.h>
+
+namespace primrosedeal::metrics
+{
+
+namespace
+{
+
+auto counters(prometheus::Registry& in, char const* name, char const* help)
+    -> prometheus::Family<prometheus::Counter>&
+{
+    return prometheus::BuildCounter().Name(name).Help(help).Register(in);
+}
+
+auto histograms(prometheus::Registry& in, char const* name, char const* help)
+    -> prometheus::Family<prometheus::Histogram>&
+{
+    return prometheus::BuildHistogram().Name(name).Help(help).Register(in);
+}
+
+/// In seconds, from a plain call's time to a stream's.
+auto request_buckets() -> prometheus::Histogram::BucketBoundaries const&
+{
+    static auto const it = prometheus::Histogram::BucketBoundaries{
+        0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30};
+    return it;
+}
+
+} // namespace
+
+gateway_metrics::gateway_metrics()
+    : registry_(std::make_shared<prometheus::Registry>()),
+      requests_(counters(*registry_, "gateway_requests_total",
+                         "Requests ended, by kind and outcome.")),
+      request_time_(histograms(*registry_, "gateway_request_seconds",
+                               "Time from a request's arrival to its end.")),
+      refusals_(counters(*registry_, "gateway_refusals_total",
+                         "Requests that this host ended itself.")),
+      failures_(counters(*registry_, "gateway_attempt_failures_total",
+                         "Attempts without a usable answer.")),
+      pauses_(histograms(*registry_, "gateway_continuation_seconds",
+                         "Pause of a stream that went on elsewhere.")),
+      target_changes_(counters(*registry_, "gateway_target_changes_total",
+                               "Changes of belief about targets.")),
+      first_event_(histograms(*registry_, "gateway_first_event_seconds",
+                              "Time from arrival to the first event.")
+                       .Add({}, request_buckets())),
+      store_failures_(counters(*registry_, "gateway_store_failures_total",
+                               "Calls to the store without an answer.")
+                          .Add({})),
+      version_(prometheus::BuildGauge()
+                   .Name("gateway_configuration_version")
+                   .Help("Version in force.")
+                   .Register(*registry_)
+                   .Add({})),
+      dropped_lines_(prometheus::BuildGauge()
+                         .Name("gateway_log_lines_dropped")
+                         .Help("Log lines over the bound.")
+                         .Register(*registry_)
+                         .Add({}))
+{
+}
+
+void gateway_metrics::request_ended(std::string_view kind,
+                                    std::string_view outcome, duration took)
+{
+    requests_
+        .Add({{"kind", std::string{kind}}, {"outcome", std::string{outcome}}})
+        .Increment();
+    request_time_.Add({{"kind", std::string{kind}}}, request_buckets())
+        .Observe(to_seconds(took));
+}
+
+void gateway_metrics::refused(std::string_view reason)
+{
+    refusals_.Add({{"reason", std::string{reason}}}).Increment();
+}
+
+void gateway_metrics::attempt_failed(std::string_view how)
+{
+    failures_.Add({{"how", std::string{how}}}).Increment();
+}
+
+void gateway_metrics::stream_continued(bool from_copy, duration pause)
+{
+    pauses_.Add({{"from", from_copy ? "copy" : "prompt"}}, request_buckets())
+        .Observe(to_seconds(pause));
+}
+
+void gateway_metrics::first_event(duration since_arrival)
+{
+    first_event_.Observe(to_seconds(since_arrival));
+}
+
+void gateway_metrics::target_changed(std::string_view to)
+{
+    target_changes_.Add({{"to", std::string{to}}}).Increment();
+}
+
+void gateway_metrics::store_call_failed()
+{
+    store_failures_.Increment();
+}
+
+void gateway_metrics::configuration_version(std::uint64_t it)
+{
+    version_.Set(static_cast<double>(it));
+}
+
+void gateway_metrics::log_lines_dropped(std::uint64_t total)
+{
+    dropped_lines_.Set(static_cast<double>(total));
+}
+
+auto gateway_metrics::text() const -> std::string
+{
+    return prometheus::TextSerializer{}.Serialize(registry_->Collect());
+}
+
+} // namespace primrosedeal::metrics
--- /dev/null
+++ b/src/metrics/gateway_metrics.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "core/units.hpp"
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+/// What a gateway counts; docs/OPERATIONS.md explains each.
+namespace primrosedeal::metrics
+{
+
+class gateway_metrics
+{
+public:
+    gateway_metrics();
+
+    void request_ended(std::string_view kind, std::string_view outcome,
+                       duration took);
+    void refused(std::string_view reason);
+    void attempt_failed(std::string_view how);
+    void stream_continued(bool from_copy, duration pause);
+    void first_event(duration since_arrival);
+    void target_changed(std::string_view to);
+    void store_call_failed();
+    void configuration_version(std::uint64_t it);
+    void log_lines_dropped(std::uint64_t total);
+
+    /// Text form for the metrics address.
+    [[nodiscard]] auto text() const -> std::string;
+
+private:
+    std::shared_ptr<prometheus::Registry> registry_;
+    prometheus::Family<prometheus::Counter>& requests_;
+    prometheus::Family<prometheus::Histogram>& request_time_;
+    prometheus::Family<prometheus::Counter>& refusals_;
+    prometheus::Family<prometheus::Counter>& failures_;
+    prometheus::Family<prometheus::Histogram>& pauses_;
+    prometheus::Family<prometheus::Counter>& target_changes_;
+    prometheus::Histogram& first_event_;
+    prometheus::Counter& store_failures_;
+    prometheus::Gauge& version_;
+    prometheus::Gauge& dropped_lines_;
+};
+
+} // namespace primrosedeal::metrics
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -150,8 +150,10 @@
 
 auto event_loop::now() -> time_point
 {
+    // Unlike CLOCK_MONOTONIC, this clock counts the time that the host was
+    // suspended, so deadlines that passed meanwhile are seen to have passed.
     auto ts = timespec{};
-    clock_gettime(CLOCK_MONOTONIC, &ts);
+    clock_gettime(CLOCK_BOOTTIME, &ts);
     return time_point{std::chrono::duration_cast<duration>(
         std::chrono::seconds{ts.tv_sec} +
         std::chrono::nanoseconds{ts.tv_nsec})};
--- /dev/null
+++ b/src/routes/route_table.cpp
@@ -0,0 +1,119 @@
+#include "routes/route_table.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <numeric>
+
+// Prefixes begin and end with a slash, so the candidates for a path are its
+// parts up to each slash: a look-up costs one probe for each segment, however
+// many routes a host has.
+namespace primrosedeal::routes
+{
+
+namespace
+{
+
+auto lower(std::string_view text) -> std::string
+{
+    auto out = std::string{text};
+    std::transform(out.begin(), out.end(), out.begin(),
+                   [](unsigned char c)
+                   { return static_cast<char>(std::tolower(c)); });
+    return out;
+}
+
+} // namespace
+
+auto to_string(request_kind it) -> std::string_view
+{
+    switch (it)
+    {
+    case request_kind::idempotent:
+        return "idempotent";
+    case request_kind::non_idempotent:
+        return "non_idempotent";
+    case request_kind::streaming:
+        return "streaming";
+    }
+    return "unknown";
+}
+
+route_table::route_table(configuration it) : it_(std::move(it))
+{
+    for (auto const& route : it_.routes)
+    {
+        by_host_[lower(route.host)][route.path_prefix] = &route;
+    }
+    for (auto const& organisation : it_.organisations)
+    {
+        for (auto const& key : organisation.keys)
+        {
+            by_key_[key] = &organisation;
+        }
+    }
+    for (auto const& service : it_.services)
+    {
+        by_service_[service.id.value()] = &service;
+    }
+}
+
+auto route_table::match(std::string_view host, std::string_view target) const
+    -> route const*
+{
+    auto const found = by_host_.find(lower(host.substr(0, host.find(':'))));
+    if (found == by_host_.end())
+    {
+        return nullptr;
+    }
+    auto path = target.substr(0, target.find_first_of("?#"));
+    while (!path.empty())
+    {
+        auto const slash = path.rfind('/');
+        if (slash == std::string_view::npos)
+        {
+            return nullptr;
+        }
+        auto const it = found->second.find(std::string{path.substr(0, slash + 1)});
+        if (it != found->second.end())
+        {
+            return it->second;
+        }
+        path = path.substr(0, slash);
+    }
+    return nullptr;
+}
+
+auto route_table::holder_of(std::string_view key) const -> organisation const*
+{
+    auto const it = by_key_.find(std::string{key});
+    return it == by_key_.end() ? nullptr : it->second;
+}
+
+auto route_table::find(service_id const& id) const -> service const*
+{
+    auto const it = by_service_.find(id.value());
+    return it == by_service_.end() ? nullptr : it->second;
+}
+
+auto choose_service(route const& it, random_source& random) -> service_id const*
+{
+    auto const total = std::accumulate(
+        it.split.begin(), it.split.end(), std::uint64_t{0},
+        [](std::uint64_t sum, service_share const& s) { return sum + s.weight; });
+    if (total == 0)
+    {
+        return it.split.empty() ? nullptr : &it.split.front().service;
+    }
+    auto left = random.below(total);
+    for (auto const& share : it.split)
+    {
+        if (left < share.weight)
+        {
+            return &share.service;
+        }
+        left -= share.weight;
+    }
+    return &it.split.back().service;
+}
+
+} // namespace primrosedeal::routes
--- a/src/serve/claim_store.cpp
+++ b/src/serve/claim_store.cpp
@@ -13,19 +13,19 @@
 namespace
 {
 
-using platform::answer;
-using platform::call_purpose;
-using platform::store_revision;
-using platform::transaction_result;
-using platform::unchanged_since;
+using external::answer;
+using external::call_purpose;
+using external::store_revision;
+using external::transaction_result;
+using external::unchanged_since;
 
 /// Writes `value` only if `key` is as of `seen`; otherwise reads it.
 auto guarded_put(std::string const& key, std::string value, store_revision seen)
-    -> platform::transaction
+    -> external::transaction
 {
-    auto it = platform::transaction{};
+    auto it = external::transaction{};
     it.conditions = {unchanged_since{key, seen}};
-    it.then = {platform::put{key, std::move(value), {}}};
+    it.then = {external::put{key, std::move(value), {}}};
     it.read_otherwise = {key};
     return it;
 }
@@ -104,14 +104,14 @@
 
 void claim_store::read(order::read_claim const& it)
 {
-    auto request = platform::range_request{};
+    auto request = external::range_request{};
     request.key = claim_key(it.key);
     store_.range(
         call_purpose::claim, request,
-        [this, it](answer<platform::range_result> const& got)
+        [this, it](answer<external::range_result> const& got)
         {
             auto const* const result =
-                std::get_if<platform::range_result>(&got);
+                std::get_if<external::range_result>(&got);
             if (result == nullptr)
             {
                 on_answer_(order::claim_unread{it.key, it.nonce});
--- a/src/serve/claim_store.hpp
+++ b/src/serve/claim_store.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "order/order_messages.hpp"
-#include "platform/key_value.hpp"
+#include "external/key_value.hpp"
 
 #include <functional>
 #include <string>
@@ -14,7 +14,7 @@
 class claim_store
 {
 public:
-    claim_store(platform::key_value_service& store,
+    claim_store(external::key_value_service& store,
                 std::function<void(order::event)> on_answer)
         : store_(store), on_answer_(std::move(on_answer))
     {
@@ -29,9 +29,9 @@
     void read(order::read_claim const& it);
     void abandon(order::mark_abandoned const& it);
     void swap_abandoned(order::mark_abandoned const& it,
-                        platform::store_revision seen);
+                        external::store_revision seen);
 
-    platform::key_value_service& store_;
+    external::key_value_service& store_;
     std::function<void(order::event)> on_answer_;
 };
 
--- a/src/serve/configuration_watch.cpp
+++ b/src/serve/configuration_watch.cpp
@@ -26,7 +26,7 @@
 } // namespace
 
 configuration_watch::configuration_watch(net::event_loop& loop,
-                                         platform::key_value_service& store,
+                                         external::key_value_service& store,
                                          host_id self, std::uint64_t seed,
                                          configuration_watch_outputs outputs)
     : loop_(loop), store_(store), outputs_(std::move(outputs)), self_(self),
@@ -101,21 +101,21 @@
 {
     // The transaction writes nothing; it brings the value only if the head is
     // another than the one known (0: does not exist).
-    auto const known = it.only_if_not.value_or(platform::store_revision{0});
-    auto request = platform::transaction{};
+    auto const known = it.only_if_not.value_or(external::store_revision{0});
+    auto request = external::transaction{};
     auto const key = std::string{configuration::head_key};
-    request.conditions = {platform::unchanged_since{key, known}};
+    request.conditions = {external::unchanged_since{key, known}};
     request.read_otherwise = {key};
-    store_.commit(platform::call_purpose::configuration_read, request,
+    store_.commit(external::call_purpose::configuration_read, request,
                   [this, known](auto const& answer)
                   { on_head_answer(answer, known); });
 }
 
 void configuration_watch::on_head_answer(
-    platform::answer<platform::transaction_result> const& it,
-    platform::store_revision known)
+    external::answer<external::transaction_result> const& it,
+    external::store_revision known)
 {
-    auto const* const result = std::get_if<platform::transaction_result>(&it);
+    auto const* const result = std::get_if<external::transaction_result>(&it);
     if (result == nullptr)
     {
         follower_.on_store_failure(now());
@@ -140,18 +140,18 @@
 {
     // The head exists, so the condition fails and all parts are read by one
     // call.
-    auto request = platform::transaction{};
-    request.conditions = {platform::unchanged_since{
-        std::string{configuration::head_key}, platform::store_revision{0}}};
+    auto request = external::transaction{};
+    request.conditions = {external::unchanged_since{
+        std::string{configuration::head_key}, external::store_revision{0}}};
     for (auto const& name : it.names)
     {
         request.read_otherwise.push_back(configuration::part_key(name));
     }
-    store_.commit(platform::call_purpose::configuration_read, request,
+    store_.commit(external::call_purpose::configuration_read, request,
                   [this](auto const& answer)
                   {
                       auto const* const result =
-                          std::get_if<platform::transaction_result>(&answer);
+                          std::get_if<external::transaction_result>(&answer);
                       if (result == nullptr)
                       {
                           follower_.on_store_failure(now());
@@ -170,24 +170,24 @@
 
 void configuration_watch::perform_one(configuration::open_watch_step const& it)
 {
-    auto handlers = platform::watch_handlers{};
-    handlers.on_event = [this](platform::watch_event const& event)
+    auto handlers = external::watch_handlers{};
+    handlers.on_event = [this](external::watch_event const& event)
     {
         on_watch_event(event);
     };
     handlers.on_open = [] {
     };
-    handlers.on_end = [this](platform::call_failure const&)
+    handlers.on_end = [this](external::call_failure const&)
     {
         follower_.on_watch_end(now());
     };
-    auto range = platform::range_request{};
+    auto range = external::range_request{};
     range.key = configuration::head_key;
-    watch_ = store_.watch_range(platform::call_purpose::configuration_watch,
+    watch_ = store_.watch_range(external::call_purpose::configuration_watch,
                                 range, it.from, std::move(handlers));
 }
 
-void configuration_watch::on_watch_event(platform::watch_event const& it)
+void configuration_watch::on_watch_event(external::watch_event const& it)
 {
     if (it.value)
     {
--- a/src/serve/configuration_watch.hpp
+++ b/src/serve/configuration_watch.hpp
@@ -4,7 +4,7 @@
 #include "configuration/peer_form.hpp"
 #include "core/random.hpp"
 #include "net/event_loop.hpp"
-#include "platform/etcd_client.hpp"
+#include "external/etcd_client.hpp"
 #include "serve/messages.hpp"
 
 #include <functional>
@@ -37,7 +37,7 @@
 {
 public:
     configuration_watch(net::event_loop& loop,
-                        platform::key_value_service& store, host_id self,
+                        external::key_value_service& store, host_id self,
                         std::uint64_t seed,
                         configuration_watch_outputs outputs);
 
@@ -64,12 +64,12 @@
     void perform_one(configuration::ask_peer_step const& it);
     void perform_one(configuration::adopted_step const& it);
     void
-    on_head_answer(platform::answer<platform::transaction_result> const& it,
-                   platform::store_revision known);
-    void on_watch_event(platform::watch_event const& it);
+    on_head_answer(external::answer<external::transaction_result> const& it,
+                   external::store_revision known);
+    void on_watch_event(external::watch_event const& it);
 
     net::event_loop& loop_;
-    platform::key_value_service& store_;
+    external::key_value_service& store_;
     configuration_watch_outputs outputs_;
     host_id self_;
     configuration::follower follower_;
@@ -77,7 +77,7 @@
     std::map<host_id, revision> announced_;
     time_point next_reminder_{};
     random_source random_;
-    std::unique_ptr<platform::watch> watch_;
+    std::unique_ptr<external::watch> watch_;
     net::timer tick_;
 };
 
--- a/src/serve/configuration_watch_test.cpp
+++ b/src/serve/configuration_watch_test.cpp
@@ -12,46 +12,46 @@
 {
 
 /// A key-value service that is out.
-class store_that_is_out final : public platform::key_value_service
+class store_that_is_out final : public external::key_value_service
 {
 public:
-    void range(platform::call_purpose, platform::range_request const&,
-               platform::answer_handler<platform::range_result> done) override
+    void range(external::call_purpose, external::range_request const&,
+               external::answer_handler<external::range_result> done) override
     {
-        done(platform::call_failure{});
+        done(external::call_failure{});
     }
 
     void
-    commit(platform::call_purpose, platform::transaction const&,
-           platform::answer_handler<platform::transaction_result> done) override
+    commit(external::call_purpose, external::transaction const&,
+           external::answer_handler<external::transaction_result> done) override
     {
-        done(platform::call_failure{});
+        done(external::call_failure{});
     }
 
     void
-    grant_lease(platform::lease_id, std::chrono::seconds,
-                platform::answer_handler<platform::lease_grant> done) override
+    grant_lease(external::lease_id, std::chrono::seconds,
+                external::answer_handler<external::lease_grant> done) override
     {
-        done(platform::call_failure{});
+        done(external::call_failure{});
     }
 
     void
-    keep_alive(platform::lease_id,
-               platform::answer_handler<platform::lease_grant> done) override
+    keep_alive(external::lease_id,
+               external::answer_handler<external::lease_grant> done) override
     {
-        done(platform::call_failure{});
+        done(external::call_failure{});
     }
 
     void
-    revoke_lease(platform::lease_id,
-                 platform::answer_handler<platform::lease_grant> done) override
+    revoke_lease(external::lease_id,
+                 external::answer_handler<external::lease_grant> done) override
     {
-        done(platform::call_failure{});
+        done(external::call_failure{});
     }
 
-    auto watch_range(platform::call_purpose, platform::range_request const&,
-                     platform::store_revision, platform::watch_handlers)
-        -> std::unique_ptr<platform::watch> override
+    auto watch_range(external::call_purpose, external::range_request const&,
+                     external::store_revision, external::watch_handlers)
+        -> std::unique_ptr<external::watch> override
     {
         return nullptr;
     }
--- a/src/serve/control_plane.cpp
+++ b/src/serve/control_plane.cpp
@@ -20,9 +20,9 @@
 constexpr auto kept_until_replaced = std::chrono::seconds{0};
 
 auto etcd_settings_of(settings::host_settings const& from)
-    -> platform::etcd_settings
+    -> external::etcd_settings
 {
-    auto it = platform::etcd_settings{};
+    auto it = external::etcd_settings{};
     it.address = from.key_value;
     return it;
 }
@@ -58,7 +58,7 @@
                             it.start.value(), membership::urgency::urgent, "",
                             mark_lifetime);
                 },
-                [this](platform::host_list const& it)
+                [this](external::host_list const& it)
                 {
                     on_list(it);
                 }}),
@@ -128,7 +128,7 @@
     on_drained_();
 }
 
-void control_plane::on_list(platform::host_list const& it)
+void control_plane::on_list(external::host_list const& it)
 {
     auto peers = peers_changed{};
     for (auto const& each : it.entry_hosts)
@@ -316,10 +316,10 @@
         counters_.targets(std::string{target::to_string(state)},
                           count_targets(state));
     }
-    for (auto i = std::size_t{0}; i < platform::call_purpose_count; ++i)
+    for (auto i = std::size_t{0}; i < external::call_purpose_count; ++i)
     {
-        auto const purpose = static_cast<platform::call_purpose>(i);
-        counters_.key_value_calls(std::string{platform::to_string(purpose)},
+        auto const purpose = static_cast<external::call_purpose>(i);
+        counters_.key_value_calls(std::string{external::to_string(purpose)},
                                   store_.budget().counters(purpose).made);
     }
 }
--- a/src/serve/control_plane.hpp
+++ b/src/serve/control_plane.hpp
@@ -3,7 +3,7 @@
 #include "membership/task.hpp"
 #include "metrics/metrics.hpp"
 #include "net/event_loop.hpp"
-#include "platform/etcd_client.hpp"
+#include "external/etcd_client.hpp"
 #include "serve/claim_store.hpp"
 #include "serve/configuration_watch.hpp"
 #include "serve/messages.hpp"
@@ -61,7 +61,7 @@
     void take(usage_digest const& it);
     void take(drained const& it);
 
-    void on_list(platform::host_list const& it);
+    void on_list(external::host_list const& it);
     [[nodiscard]] auto answer_peer(std::string_view name) const
         -> std::optional<std::string>;
     void on_member(membership::member const& it);
@@ -83,7 +83,7 @@
     metrics::process_metrics& counters_;
     std::function<void(to_data)> to_data_;
     std::function<void()> on_drained_;
-    platform::etcd_client store_;
+    external::etcd_client store_;
     claim_store claims_;
     membership::membership_task members_;
     target_watch targets_;
--- a/src/serve/entry_host_test.cpp
+++ b/src/serve/entry_host_test.cpp
@@ -100,17 +100,17 @@
             configuration::read_yaml(fixture_configuration, "fixture");
         auto const encoded = configuration::encode(document);
         auto client =
-            platform::etcd_client{loop, {settings.key_value, 2s, {}, {}}};
-        auto write = platform::transaction{};
-        write.then.push_back(platform::put{
+            external::etcd_client{loop, {settings.key_value, 2s, {}, {}}};
+        auto write = external::transaction{};
+        write.then.push_back(external::put{
             std::string{configuration::head_key}, encoded.head, {}});
         for (auto const& [name, text] : encoded.parts)
         {
             write.then.push_back(
-                platform::put{configuration::part_key(name), text, {}});
+                external::put{configuration::part_key(name), text, {}});
         }
         auto written = false;
-        client.commit(platform::call_purpose::configuration_write, write,
+        client.commit(external::call_purpose::configuration_write, write,
                       [&](auto const&) { written = true; });
         run_until([&] { return written; });
     }
--- a/src/serve/target_watch.cpp
+++ b/src/serve/target_watch.cpp
@@ -22,13 +22,13 @@
 constexpr auto load_calls_per_round = std::size_t{8};
 constexpr auto call_timeout = duration{1s};
 
-auto to_description(platform::listed_target const& it) -> target::description
+auto to_description(external::listed_target const& it) -> target::description
 {
     return {it.id,    it.started, it.service,  it.address, it.domain,
             it.model, it.version, it.adapters, it.slots};
 }
 
-auto to_snapshot(platform::host_list const& it) -> target::list_snapshot
+auto to_snapshot(external::host_list const& it) -> target::list_snapshot
 {
     auto snapshot = target::list_snapshot{};
     snapshot.version = it.version;
@@ -103,9 +103,9 @@
 void target_watch::poll_list()
 {
     source_.read(
-        [this](platform::answer<platform::host_list> const& it)
+        [this](external::answer<external::host_list> const& it)
         {
-            if (auto const* const list = std::get_if<platform::host_list>(&it))
+            if (auto const* const list = std::get_if<external::host_list>(&it))
             {
                 on_list(*list);
             }
@@ -115,7 +115,7 @@
     list_timer_ = loop_.after(list_period - jitter, [this] { poll_list(); });
 }
 
-void target_watch::on_list(platform::host_list const& it)
+void target_watch::on_list(external::host_list const& it)
 {
     auto const before = table_.list_version();
     feed(to_snapshot(it));
--- a/src/serve/target_watch.hpp
+++ b/src/serve/target_watch.hpp
@@ -3,7 +3,7 @@
 #include "core/random.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_client.hpp"
-#include "platform/host_list.hpp"
+#include "external/host_list.hpp"
 #include "serve/messages.hpp"
 #include "target/table.hpp"
 
@@ -23,7 +23,7 @@
     std::function<void(targets_changed)> targets;
     std::function<void(load_reported)> load;
     std::function<void(target::leaving_mark)> spread;
-    std::function<void(platform::host_list const&)> listed;
+    std::function<void(external::host_list const&)> listed;
 };
 
 class target_watch
@@ -49,7 +49,7 @@
 private:
     void feed(target::event const& it);
     void poll_list();
-    void on_list(platform::host_list const& it);
+    void on_list(external::host_list const& it);
     void perform(target::spread_mark const& it);
     void perform(target::probe const& it);
     void perform(target::state_change const& it);
@@ -62,7 +62,7 @@
     net::event_loop& loop_;
     random_source random_;
     target_watch_outputs outputs_;
-    platform::http_host_list source_;
+    external::http_host_list source_;
     target::table table_;
     net::timer list_timer_;
     net::timer tick_timer_;
--- a/src/standins/key_value_json.cpp
+++ b/src/standins/key_value_json.cpp
@@ -1,6 +1,6 @@
 #include "standins/key_value_json.hpp"
 
-#include "platform/etcd_json.hpp"
+#include "external/etcd_json.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -12,8 +12,8 @@
 {
 
 using nlohmann::json;
-using platform::etcd::decode_base64;
-using platform::etcd::encode_base64;
+using external::etcd::decode_base64;
+using external::etcd::encode_base64;
 
 auto number(json const& it, char const* name) -> std::int64_t
 {
--- a/src/standins/key_value_store.hpp
+++ b/src/standins/key_value_store.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/units.hpp"
-#include "platform/key_value.hpp"
+#include "external/key_value.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -19,9 +19,9 @@
 namespace primrosedeal::standins
 {
 
-using platform::lease_id;
-using platform::store_revision;
-using platform::stored_value;
+using external::lease_id;
+using external::store_revision;
+using external::stored_value;
 
 /// Keys from `key` up to but without `end`; only `key` if `end` is empty.
 /// An `end` of one zero byte means all keys from `key` on.
--- a/src/standins/services_test.cpp
+++ b/src/standins/services_test.cpp
@@ -1,5 +1,5 @@
 #include "net/http_client.hpp"
-#include "platform/etcd_client.hpp"
+#include "external/etcd_client.hpp"
 #include "standins/key_value_standin.hpp"
 #include "standins/small_services.hpp"
 
@@ -22,15 +22,15 @@
     net::event_loop loop;
     key_value_standin service{loop};
     net::endpoint at{"127.0.0.1", 0};
-    std::unique_ptr<platform::etcd_client> client;
+    std::unique_ptr<external::etcd_client> client;
 
     fixture()
     {
         at.port = service.listen(at);
-        auto settings = platform::etcd_settings{};
+        auto settings = external::etcd_settings{};
         settings.address = at;
         settings.call_timeout = 5s;
-        client = std::make_unique<platform::etcd_client>(loop, settings);
+        client = std::make_unique<external::etcd_client>(loop, settings);
     }
 
     void run_for_at_most(duration limit)
@@ -39,12 +39,12 @@
         loop.run();
     }
 
-    auto commit(platform::transaction const& it)
-        -> platform::answer<platform::transaction_result>
+    auto commit(external::transaction const& it)
+        -> external::answer<external::transaction_result>
     {
-        auto got = platform::answer<platform::transaction_result>{
-            platform::call_failure{}};
-        client->commit(platform::call_purpose::claim, it,
+        auto got = external::answer<external::transaction_result>{
+            external::call_failure{}};
+        client->commit(external::call_purpose::claim, it,
                        [&](auto const& answer)
                        {
                            got = answer;
@@ -55,10 +55,10 @@
     }
 };
 
-auto create(std::string const& key) -> platform::transaction
+auto create(std::string const& key) -> external::transaction
 {
-    return {{platform::unchanged_since{key, {}}},
-            {platform::put{key, "v", {}}},
+    return {{external::unchanged_since{key, {}}},
+            {external::put{key, "v", {}}},
             {key}};
 }
 
@@ -117,9 +117,9 @@
 {
     auto const first = commit(create("k"));
     auto const second = commit(create("k"));
-    auto const* const done = std::get_if<platform::transaction_result>(&first);
+    auto const* const done = std::get_if<external::transaction_result>(&first);
     auto const* const refused =
-        std::get_if<platform::transaction_result>(&second);
+        std::get_if<external::transaction_result>(&second);
     BOOST_REQUIRE(done != nullptr);
     BOOST_REQUIRE(refused != nullptr);
     BOOST_TEST(done->succeeded);
@@ -134,33 +134,33 @@
 {
     service.set_fault({fault::lose_answer, std::nullopt});
     auto const lost = commit(create("k"));
-    auto const* const failure = std::get_if<platform::call_failure>(&lost);
+    auto const* const failure = std::get_if<external::call_failure>(&lost);
     BOOST_REQUIRE(failure != nullptr);
-    BOOST_TEST((failure->fault == platform::call_fault::lost));
+    BOOST_TEST((failure->fault == external::call_fault::lost));
     service.set_fault({});
     auto const again = commit(create("k"));
-    BOOST_TEST(!std::get<platform::transaction_result>(again).succeeded);
+    BOOST_TEST(!std::get<external::transaction_result>(again).succeeded);
 }
 
 BOOST_AUTO_TEST_CASE(tells_a_watch_what_is_written)
 {
     auto got = std::vector<std::string>{};
-    auto handlers = platform::watch_handlers{};
+    auto handlers = external::watch_handlers{};
     handlers.on_open = [&]
     {
-        client->commit(platform::call_purpose::claim, create("w1"),
+        client->commit(external::call_purpose::claim, create("w1"),
                        [](auto const&) {});
     };
-    handlers.on_event = [&](platform::watch_event const& it)
+    handlers.on_event = [&](external::watch_event const& it)
     {
         got.push_back(it.key);
         loop.stop();
     };
-    handlers.on_end = [&](platform::call_failure const&)
+    handlers.on_end = [&](external::call_failure const&)
     {
         loop.stop();
     };
-    auto const watch = client->watch_range(platform::call_purpose::claim,
+    auto const watch = client->watch_range(external::call_purpose::claim,
                                            {"w", "x", false}, {}, handlers);
     run_for_at_most(10s);
     BOOST_REQUIRE(got.size() == 1U);
@@ -173,11 +173,11 @@
     commit(create("k"));
     service.set_fault({fault::die, std::nullopt});
     auto const down = commit(create("k"));
-    auto const* const failure = std::get_if<platform::call_failure>(&down);
+    auto const* const failure = std::get_if<external::call_failure>(&down);
     BOOST_REQUIRE(failure != nullptr);
     service.set_fault({});
     auto const again = commit(create("k"));
-    BOOST_TEST(!std::get<platform::transaction_result>(again).succeeded);
+    BOOST_TEST(!std::get<external::transaction_result>(again).succeeded);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
