Send the last answer of a connection before half-closing it

Ruled out: the query's path, a missing Host header, the answer's framing. Change: half-close only with an empty output buffer.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -152,7 +152,7 @@
             return;
         }
         auto const ready = host_.table != nullptr && !host_.leaving_since;
-        from.reply({ready ? ok : unavailable, {}}, {}, false);
+        from.reply({ready ? ok : unavailable, {}}, {}, true);
     }
 
     void on_snapshot(std::vector<external::stored_value> const& it,
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -111,7 +111,7 @@
         }
         ending_ = true;
         arm(linger);
-        if (evbuffer_get_length(bufferevent_get_output(bev_)) == 0)
+        if (unsent() == 0)
         {
             half_close();
         }
@@ -149,7 +149,7 @@
         write({size, static_cast<std::size_t>(n)});
         write(bytes);
         write("\r\n");
-        if (evbuffer_get_length(bufferevent_get_output(bev_)) > max_unsent)
+        if (unsent() > max_unsent)
         {
             owner_.loop.post(
                 [self = weak_from_this()]
@@ -192,12 +192,20 @@
     static void on_written(bufferevent* /*bev*/, void* arg)
     {
         auto const self = static_cast<connection*>(arg)->shared_from_this();
-        if (self->ending_)
+        // The call may date from before the last answer was queued.
+        if (self->ending_ && self->unsent() == 0)
         {
             self->half_close();
         }
     }
 
+    [[nodiscard]] auto unsent() const -> std::size_t
+    {
+        return bev_ == nullptr
+                   ? 0
+                   : evbuffer_get_length(bufferevent_get_output(bev_));
+    }
+
     static void on_event(bufferevent* /*bev*/, short /*what*/, void* arg)
     {
         auto const self = static_cast<connection*>(arg)->shared_from_this();
