Go on from a copy only after an event; leave a reading target once

Ruled out: missing room for copies; false alarms between events. Change: no copy is assumed before an event; a target that still takes connections is left once per request, and only while a new reading can be in time.

--- a/src/dispatch/stream_watch.cpp
+++ b/src/dispatch/stream_watch.cpp
@@ -37,12 +37,12 @@
 auto before_first_event(watch_limits const& limits, stream_facts const& it,
                         time_point now) -> watch_step
 {
-    auto const left = std::max(it.first_event_due - it.sent_at, duration{0});
-    auto const leave_at =
-        it.sent_at + part_of(left, limits.first_patience);
-    // Once the first event is late anyway, moving would only read the prompt
-    // again; the probes go on.
-    if (now >= leave_at && now < it.first_event_due)
+    auto const leave_at = it.sent_at + limits.first_patience;
+    // Moving costs a whole reading of the prompt, so it is tried once and
+    // only while that can be in time; the probes go on.
+    auto const may_leave = !it.moved_before &&
+                           leave_at + limits.time_to_read <= it.first_event_due;
+    if (may_leave && now >= leave_at)
     {
         return leave_target{};
     }
@@ -53,8 +53,7 @@
     {
         return probe_target{};
     }
-    return keep_waiting{now < leave_at ? std::min(probe_at, leave_at)
-                                       : probe_at};
+    return keep_waiting{may_leave ? std::min(probe_at, leave_at) : probe_at};
 }
 
 } // namespace
--- a/src/dispatch/stream_watch.hpp
+++ b/src/dispatch/stream_watch.hpp
@@ -29,8 +29,8 @@
     time_point first_event_due{};
     /// The prompt needs no reading: its copy is at the target.
     bool warm = false;
-    /// Its target's domain has just lost several targets.
-    bool domain_in_doubt = false;
+    /// Another target has been left already while it read the prompt.
+    bool moved_before = false;
 };
 
 struct keep_waiting
@@ -60,9 +60,11 @@
     /// Silence before the first event that is probed, and how often.
     duration first_probe_after = 500ms;
     duration first_probe_period = 300ms;
-    /// Part of the time to the first event's due time after which a silent
-    /// target is left; a prompt read elsewhere must still be in time.
-    double first_patience = 0.55;
+    /// Silence before the first event after which a target that takes
+    /// connections is left, once in a request: two long prompts may be ahead.
+    duration first_patience = 2300ms;
+    /// A prompt read elsewhere must still be in time.
+    duration time_to_read = 1600ms;
     /// Silence before the first event of a stream that goes on at a copy.
     duration warm_patience = 450ms;
 };
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -240,6 +240,7 @@
     out.watch.gap_objective = route.gap_objective;
     out.watch.first_event_due = admitted_.objective_at;
     out.watch.warm = warm;
+    out.watch.moved_before = moved_while_reading_;
     auto const last_run = state_.runs + 1 >= state_.max_runs;
     if (route.kind == routes::request_kind::idempotent && !last_run)
     {
@@ -319,6 +320,7 @@
         current_->began = true;
         host_.loads.began(current_->target.id, facts_.size);
     }
+    current_->has_event = true;
     if (it.id && last_event_ && *it.id <= *last_event_)
     {
         // The client has it from an earlier attempt.
@@ -333,7 +335,7 @@
     else if (attempts_ > 1 && last_event_at_ && interrupted_)
     {
         interrupted_ = false;
-        host_.metrics.stream_continued(current_->warm, now - *last_event_at_);
+        log_continued(now - *last_event_at_);
     }
     if (it.id)
     {
@@ -343,6 +345,17 @@
     client_->send(it.bytes);
 }
 
+void relay::log_continued(duration pause)
+{
+    host_.metrics.stream_continued(current_->warm, pause);
+    log::write(log::level::info, "stream_continued",
+               {{"request", facts_.id.value()},
+                {"attempt", std::to_string(attempts_)},
+                {"target", current_->target.id.value()},
+                {"from_copy", current_->warm ? "true" : "false"},
+                {"pause_ms", milliseconds(pause)}});
+}
+
 void relay::on_stream_end(time_point now)
 {
     host_.doubts.note(current_->target.id, current_->target.domain,
@@ -396,8 +409,11 @@
     {
         error_answer_ = std::move(answer);
     }
-    copy_ = may_have_run(how) ? current_->copy : std::nullopt;
-    interrupted_ = true;
+    // Targets copy a run's memory from its first event on.
+    copy_ = current_->has_event ? current_->copy : std::nullopt;
+    moved_while_reading_ |=
+        how == attempt_failure::silent && !current_->has_event;
+    interrupted_ = state_.answer_begun;
     leave_target();
     retry_or_end(now);
 }
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -37,7 +37,9 @@
         std::optional<directory::listed_target> copy;
         /// It goes on from a copy of its memory.
         bool warm = false;
+        /// Its prompt counts as read.
         bool began = false;
+        bool has_event = false;
         std::unique_ptr<attempt> io;
     };
 
@@ -54,6 +56,7 @@
         -> std::optional<directory::listed_target>;
     void on_event(http1::response_head const& head, http1::stream_event it,
                   time_point now);
+    void log_continued(duration pause);
     void on_stream_end(time_point now);
     void on_answer(target_answer const& it, time_point now);
     void on_failure(dispatch::attempt_failure how,
@@ -85,6 +88,7 @@
     std::uint32_t attempts_ = 0;
     /// The stream has failed and not gone on yet.
     bool interrupted_ = false;
+    bool moved_while_reading_ = false;
     net::timer deadline_;
 };
 
