Move a stream whose copy is lost and give it another

Cause: logs show continuations without a copy because the copy's target had crashed before its own; each reads the prompt again, a second and a half. Ruled out: room for copies, refusals of them. Change: losing the copy's target (own evidence, its domain's, or the store's) copies the run to a new target, stops it there and sends it on with a new copy. A newer process at an address ends the older target's entry. Two losses cast doubt on a domain.

--- a/src/directory/target_directory.cpp
+++ b/src/directory/target_directory.cpp
@@ -181,12 +181,30 @@
         return;
     }
     held.it = next;
+    drop_predecessors(next, out);
     auto const to = next.leaving ? change_kind::leaving
                     : returned   ? change_kind::returned
                                  : change_kind::added;
     out.push_back({it.id, to});
 }
 
+void target_directory::drop_predecessors(listed_target const& it, changes& out)
+{
+    std::erase_if(entries_,
+                  [&](auto const& other)
+                  {
+                      auto const& old = other.second.it;
+                      auto const over = old.id != it.id &&
+                                        old.address == it.address &&
+                                        old.born < it.born;
+                      if (over)
+                      {
+                          out.push_back({old.id, change_kind::gone});
+                      }
+                      return over;
+                  });
+}
+
 void target_directory::remove(target_id const& id, time_point now, changes& out)
 {
     auto const it = entries_.find(id);
--- a/src/directory/target_directory.hpp
+++ b/src/directory/target_directory.hpp
@@ -132,6 +132,8 @@
     void on(target_replaced const& it, time_point now, changes& out);
     void put(listed_target const& it, changes& out);
     void remove(target_id const& id, time_point now, changes& out);
+    /// Drops earlier processes that had the address of `it`.
+    void drop_predecessors(listed_target const& it, changes& out);
     void rebuild();
 
     std::map<target_id, entry> entries_;
--- a/src/dispatch/suspicion.hpp
+++ b/src/dispatch/suspicion.hpp
@@ -49,7 +49,7 @@
     /// Time that a target without room is left alone.
     duration busy_pause = 30ms;
     /// Targets of a domain lost within `domain_window` that cast doubt on it.
-    std::size_t losses_for_doubt = 3;
+    std::size_t losses_for_doubt = 2;
     duration domain_window = 500ms;
     duration domain_doubt = 900ms;
     /// Share of failed answers, over the last ones, that sets a target aside.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -290,10 +290,22 @@
             if (it.to == directory::change_kind::gone)
             {
                 host_.doubts.forget(it.id);
+                tell_relays(it.id);
             }
         }
     }
 
+    /// Streams whose copy was there need another.
+    void tell_relays(target_id const& gone)
+    {
+        auto const now = net::event_loop::now();
+        auto const all = host_.relays;
+        for (auto const& [key, it] : all)
+        {
+            it->on_target_lost(gone, now);
+        }
+    }
+
     auto own_state() -> peer_state
     {
         return {follower_.in_contact(), entries_};
--- a/src/gateway/protocol.hpp
+++ b/src/gateway/protocol.hpp
@@ -32,12 +32,30 @@
     dispatch::work_size size;
 };
 
-/// A copy of a running request's memory at a target.
+/// A copy of a running request's memory.
 struct kept_copy
 {
+    /// The target that names the copy.
     net::endpoint at;
-    /// The run whose memory it is.
+    /// The run itself for a copy that grows with it, else a handle.
+    std::string name;
+};
+
+/// Asks a target to copy a run's memory to another one.
+struct move_order
+{
     request_id run;
+    net::endpoint to;
+    /// The run stops, so that nothing is missing from the copy.
+    bool stop = false;
+};
+
+struct move_answer
+{
+    /// The copy is complete at the destination.
+    bool copied = false;
+    /// Name of the memory that was copied or is kept at the source.
+    std::optional<std::string> handle;
 };
 
 /// What an attempt adds to the client's request.
@@ -104,6 +122,10 @@
     [[nodiscard]] virtual auto read_answer(http1::response_head const& it,
                                            request_id const& id) const
         -> answer_facts = 0;
+    [[nodiscard]] virtual auto make_move(move_order const& it) const
+        -> http1::request = 0;
+    [[nodiscard]] virtual auto read_move(net::http_response const& it) const
+        -> move_answer = 0;
     [[nodiscard]] virtual auto is_readiness_query(std::string_view target) const
         -> bool = 0;
 
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -24,6 +24,8 @@
 constexpr auto call_patience_part = 0.6;
 /// How soon a client may come back when no target had room.
 constexpr auto retry_after_busy = duration{100ms};
+/// A copy of a long prompt takes some ten milliseconds; others may be ahead.
+constexpr auto move_timeout = duration{1500ms};
 /// Most urgent and least urgent class of a target.
 constexpr auto most_urgent = 0;
 constexpr auto least_urgent = 9;
@@ -187,22 +189,23 @@
 {
     if (auto const copy = target_of_copy(now))
     {
-        send(*copy, true, now);
+        send(*copy, kept_copy{copy->address, facts_.id.value()}, now);
         return;
     }
     auto const target =
         dispatch::place(view(), placement(), now, host_.random);
     if (target)
     {
-        send(*target, false, now);
+        send(*target, {}, now);
         return;
     }
     end_unserved(refusal_reason::no_target,
                  dispatch::final_status(state_, now), now);
 }
 
-auto relay::plan_attempt(directory::listed_target const& target, bool warm,
-                         time_point now) -> attempt_plan
+auto relay::plan_attempt(directory::listed_target const& target,
+                         std::optional<kept_copy> const& from, time_point now)
+    -> attempt_plan
 {
     auto const& route = *admitted_.route;
     auto spec = attempt_spec{};
@@ -210,10 +213,7 @@
     spec.time_left = admitted_.give_up_at - now;
     spec.organisation = admitted_.organisation;
     spec.resume_after = last_event_;
-    if (warm)
-    {
-        spec.continue_from = kept_copy{target.address, facts_.id};
-    }
+    spec.continue_from = from;
     if (admitted_.service->engine)
     {
         auto const resumed = attempts_ > 0 ? 1 : 0;
@@ -239,7 +239,7 @@
     out.streaming = streaming();
     out.watch.gap_objective = route.gap_objective;
     out.watch.first_event_due = admitted_.objective_at;
-    out.watch.warm = warm;
+    out.watch.warm = from.has_value();
     out.watch.moved_before = moved_while_reading_;
     auto const last_run = state_.runs + 1 >= state_.max_runs;
     if (route.kind == routes::request_kind::idempotent && !last_run)
@@ -249,9 +249,10 @@
     return out;
 }
 
-void relay::send(directory::listed_target const& target, bool warm,
-                 time_point now)
+void relay::send(directory::listed_target const& target,
+                 std::optional<kept_copy> const& from, time_point now)
 {
+    auto const warm = from.has_value();
     current_.emplace();
     current_->target = target;
     current_->warm = warm;
@@ -262,7 +263,7 @@
         current_->copy = dispatch::place_copy(view(), placement(), target, now,
                                               host_.random);
     }
-    auto plan = plan_attempt(target, warm, now);
+    auto plan = plan_attempt(target, from, now);
     ++attempts_;
     met_.push_back(target.id);
     auto const load = host_.loads.of(target.id);
@@ -378,6 +379,16 @@
                        time_point now)
 {
     auto const target = current_->target;
+    if (relocation_ && relocation_->stopping &&
+        how == attempt_failure::broken)
+    {
+        // The run was told to stop; it goes on where its memory is.
+        relocation_->stream_ended = true;
+        current_->io.reset();
+        continue_moved(now);
+        return;
+    }
+    relocation_.reset();
     auto const worse = host_.doubts.note(target.id, target.domain,
                                          evidence_of(how), now);
     host_.metrics.attempt_failed(to_string(how));
@@ -410,12 +421,158 @@
         error_answer_ = std::move(answer);
     }
     // Targets copy a run's memory from its first event on.
-    copy_ = current_->has_event ? current_->copy : std::nullopt;
+    copy_ = current_->has_event && !current_->copy_lost ? current_->copy
+                                                        : std::nullopt;
     moved_while_reading_ |=
         how == attempt_failure::silent && !current_->has_event;
     interrupted_ = state_.answer_begun;
     leave_target();
     retry_or_end(now);
+    if (worse)
+    {
+        warn_others(target, now);
+    }
+}
+
+void relay::warn_others(directory::listed_target const& lost, time_point now)
+{
+    auto const in_doubt = host_.doubts.doubts(lost.domain, now);
+    // Relays may end or start another attempt while they are told.
+    auto const all = host_.relays;
+    for (auto const& [key, it] : all)
+    {
+        it->on_target_lost(lost.id, now);
+        if (in_doubt)
+        {
+            it->on_domain_in_doubt(lost.domain);
+        }
+    }
+}
+
+void relay::on_target_lost(target_id const& id, time_point now)
+{
+    if (current_ && current_->copy && current_->copy->id == id &&
+        !current_->copy_lost)
+    {
+        current_->copy_lost = true;
+        relocate(now);
+    }
+}
+
+void relay::on_domain_in_doubt(domain_id const& domain)
+{
+    if (!current_ || !current_->copy || current_->copy_lost ||
+        current_->copy->domain != domain)
+    {
+        return;
+    }
+    auto const& copy = *current_->copy;
+    host_.prober.probe(copy.address,
+                       [self = weak_from_this(), id = copy.id](bool alive)
+                       {
+                           auto const it = self.lock();
+                           if (it && !alive)
+                           {
+                               it->on_target_lost(id, net::event_loop::now());
+                           }
+                       });
+}
+
+// The copy of a stream is given with its request, so a stream whose copy is
+// lost gets another one only by going on as a new attempt: its memory is
+// copied while it runs, then it is stopped and sent on to the copy.
+void relay::relocate(time_point now)
+{
+    auto const& engine = admitted_.service->engine;
+    if (!engine || !engine->moves_runs || !current_->has_event || relocation_)
+    {
+        return;
+    }
+    auto const to = dispatch::place_copy(view(), placement(), current_->target,
+                                         now, host_.random);
+    if (!to)
+    {
+        return;
+    }
+    relocation_.emplace();
+    relocation_->from = current_->target;
+    relocation_->to = *to;
+    log::write(log::level::info, "stream_moving",
+               {{"request", facts_.id.value()},
+                {"from", current_->target.id.value()},
+                {"to", to->id.value()},
+                {"lost_copy", current_->copy->id.value()}});
+    order_move(false);
+}
+
+void relay::order_move(bool stop)
+{
+    auto& it = *relocation_;
+    it.stopping = stop;
+    it.call = std::make_unique<http1::fetch>(
+        host_.loop, it.from.address,
+        host_.wire.make_move({facts_.id, it.to.address, stop}), move_timeout,
+        [this](std::optional<net::http_response> const& answer, bool)
+        { on_moved(answer, net::event_loop::now()); });
+}
+
+void relay::on_moved(std::optional<net::http_response> const& it,
+                     time_point now)
+{
+    auto const answer = it ? host_.wire.read_move(*it) : move_answer{};
+    if (relocation_->stopping)
+    {
+        relocation_->answer = answer;
+        continue_moved(now);
+        return;
+    }
+    if (!answer.copied)
+    {
+        log::write(log::level::info, "stream_not_moved",
+                   {{"request", facts_.id.value()},
+                    {"status", it ? std::to_string(it->status) : "none"}});
+        relocation_.reset();
+        return;
+    }
+    auto const spent =
+        host_.retries.retry(admitted_.service->id,
+                            admitted_.organisation.value_or(organisation_id{}));
+    if (spent != retry::spent::no)
+    {
+        relocation_.reset();
+        return;
+    }
+    order_move(true);
+}
+
+void relay::continue_moved(time_point now)
+{
+    auto const stopped = relocation_->stream_ended;
+    auto const answer = relocation_->answer;
+    if (!answer)
+    {
+        return;
+    }
+    if (!answer->handle)
+    {
+        // The run may go on; if it stopped, its stream's end comes as a loss.
+        relocation_.reset();
+        if (stopped)
+        {
+            on_failure(attempt_failure::broken, {}, now);
+        }
+        return;
+    }
+    if (!stopped)
+    {
+        return;
+    }
+    auto const it = std::move(*relocation_);
+    relocation_.reset();
+    interrupted_ = true;
+    leave_target();
+    send(answer->copied ? it.to : it.from,
+         kept_copy{it.from.address, *answer->handle}, now);
 }
 
 void relay::retry_or_end(time_point now)
@@ -485,6 +642,7 @@
 
 void relay::leave_target()
 {
+    relocation_.reset();
     if (!current_)
     {
         return;
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -29,7 +29,24 @@
     relay(host_state& host, http1::request message,
           std::shared_ptr<http1::exchange> client, time_point now);
 
+    /// `id` is lost, or `domain` has lost several targets: a stream whose copy
+    /// may have been there gets another one.
+    void on_target_lost(target_id const& id, time_point now);
+    void on_domain_in_doubt(domain_id const& domain);
+
 private:
+    /// A move of the run to another target, with a new copy.
+    struct relocation
+    {
+        directory::listed_target from;
+        directory::listed_target to;
+        bool stopping = false;
+        /// The run's stream has ended at the source.
+        bool stream_ended = false;
+        std::optional<move_answer> answer;
+        std::unique_ptr<http1::fetch> call;
+    };
+
     /// The attempt that is under way.
     struct current
     {
@@ -40,16 +57,18 @@
         /// Its prompt counts as read.
         bool began = false;
         bool has_event = false;
+        bool copy_lost = false;
         std::unique_ptr<attempt> io;
     };
 
     void begin(time_point now);
     void refuse(refusal const& it, time_point now);
     void try_next(time_point now);
-    void send(directory::listed_target const& target, bool warm,
-              time_point now);
+    void send(directory::listed_target const& target,
+              std::optional<kept_copy> const& from, time_point now);
     [[nodiscard]] auto plan_attempt(directory::listed_target const& target,
-                                    bool warm, time_point now) -> attempt_plan;
+                                    std::optional<kept_copy> const& from,
+                                    time_point now) -> attempt_plan;
     [[nodiscard]] auto view() const -> dispatch::placement_view;
     [[nodiscard]] auto placement() const -> dispatch::placement_request;
     [[nodiscard]] auto target_of_copy(time_point now) const
@@ -66,6 +85,12 @@
     void retry_or_end(time_point now);
     void end_unserved(refusal_reason why, int status, time_point now);
     void leave_target();
+    /// Tells the other relays of a loss that may concern their copies.
+    void warn_others(directory::listed_target const& lost, time_point now);
+    void relocate(time_point now);
+    void order_move(bool stop);
+    void on_moved(std::optional<net::http_response> const& it, time_point now);
+    void continue_moved(time_point now);
     void finish(std::string_view outcome, int status, time_point now);
     [[nodiscard]] auto streaming() const -> bool;
 
@@ -81,6 +106,7 @@
     std::optional<current> current_;
     /// Where the memory of the last attempt was copied to.
     std::optional<directory::listed_target> copy_;
+    std::optional<relocation> relocation_;
     std::vector<target_id> met_;
     std::optional<std::uint64_t> last_event_;
     std::optional<time_point> last_event_at_;
--- a/src/routes/configuration.hpp
+++ b/src/routes/configuration.hpp
@@ -68,6 +68,8 @@
     token_count memory;
     /// Running requests can be copied to a second target as they grow.
     bool keeps_backups = false;
+    /// Running requests can be moved to a second target.
+    bool moves_runs = false;
 };
 
 struct service
