End the process at its stop; refuse streams a leaving host cannot finish

Cause: log4cplus's destructor waits for its thread pool, so a stopped process stayed until it was killed (a trial printed up to the destructor of the log); a stream was taken 6 s after SIGTERM and cut; a retry account for each organisation refused further attempts that the fleet's bound allowed. Ruled out: the loop's end, the relays' destructors. Change: the library is not shut down; streams that cannot end within the grace get 503 at once; one account for each service.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -6,6 +6,7 @@
 #include <absl/flags/usage_config.h>
 
 #include <algorithm>
+#include <cstdlib>
 #include <exception>
 #include <iostream>
 #include <string>
@@ -36,6 +37,15 @@
     return it->run({words.begin() + 1, words.end()});
 }
 
+/// Ends the process without the static destructors, of which log4cplus's
+/// waits for the threads of its pool.
+[[noreturn]] void end_process(int code)
+{
+    std::cout.flush();
+    std::cerr.flush();
+    std::_Exit(code);
+}
+
 /// `--help` shows our flags, which live in src/cli.
 void configure_help()
 {
@@ -60,7 +70,7 @@
         net::initialise_process();
         auto const words =
             std::vector<std::string>{parsed.begin() + 1, parsed.end()};
-        return static_cast<int>(run_command(words));
+        end_process(static_cast<int>(run_command(words)));
     }
     catch (std::exception const& e)
     {
--- /dev/null
+++ b/src/dispatch/shutdown.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "core/units.hpp"
+
+/// Which requests a host that has been told to stop still takes.
+///
+/// Load pattern: hosts are restarted one after the other while clients go on
+/// using the connections they have. A stream that cannot end before the
+/// process is killed would break in the middle; its client is better off
+/// with another host at once, as long as the request has not run.
+namespace primrosedeal::dispatch
+{
+
+/// Usual time of finished streams, from this host's own.
+class usual_time
+{
+public:
+    explicit usual_time(duration first_guess) : usual_(first_guess) {}
+
+    void observe(duration took)
+    {
+        constexpr auto weight = 8;
+        usual_ += (took - usual_) / weight;
+    }
+
+    [[nodiscard]] auto value() const -> duration
+    {
+        return usual_;
+    }
+
+private:
+    duration usual_;
+};
+
+/// Kept of the grace for the last bytes of answers to leave.
+constexpr auto grace_margin = duration{500ms};
+
+/// Whether work that takes `expected` ends before a host that was told to
+/// stop at `since` has to be gone.
+constexpr auto may_finish(time_point since, duration grace, duration expected,
+                          time_point now) -> bool
+{
+    return now + expected <= since + grace - grace_margin;
+}
+
+} // namespace primrosedeal::dispatch
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -24,14 +24,12 @@
 constexpr auto peer_period = duration{500ms};
 /// Time for the balancer to see that this host takes no new connections.
 constexpr auto balancer_notice = duration{2500ms};
-/// Kept of the grace for the last answers to leave.
-constexpr auto grace_margin = duration{500ms};
 /// Hosts assumed until the store tells how many there are.
-constexpr auto assumed_hosts = std::size_t{16};
+constexpr auto assumed_hosts = std::size_t{8};
 /// Descriptors left to the store, peers, files and targets' connections.
 constexpr auto reserved_descriptors = std::size_t{600};
 /// Part of the fleet's allowance of further attempts that hosts use.
-constexpr auto allowance_used = 0.85;
+constexpr auto allowance_used = 0.95;
 
 constexpr auto ok = 200;
 constexpr auto unavailable = 503;
@@ -389,7 +387,7 @@
             return;
         }
         clients_.close_idle();
-        auto const over = since >= host_.settings.shutdown_grace - grace_margin;
+        auto const over = since >= host_.settings.shutdown_grace - dispatch::grace_margin;
         if (over || (host_.relays.empty() && clients_.connections() == 0))
         {
             loop_.stop();
--- a/src/gateway/host_state.hpp
+++ b/src/gateway/host_state.hpp
@@ -3,6 +3,7 @@
 #include "core/random.hpp"
 #include "directory/target_directory.hpp"
 #include "dispatch/load_book.hpp"
+#include "dispatch/shutdown.hpp"
 #include "dispatch/suspicion.hpp"
 #include "gateway/connect_prober.hpp"
 #include "gateway/protocol.hpp"
@@ -21,6 +22,10 @@
 
 class relay;
 
+/// Time of a stream assumed before one has ended here: several hundred
+/// tokens at the engines' pace under load.
+constexpr auto first_stream_time = duration{6s};
+
 struct host_state
 {
     host_state(net::event_loop& on, protocol const& names, host_settings its,
@@ -42,6 +47,7 @@
     connect_prober prober;
     metrics::gateway_metrics metrics;
     std::map<relay*, std::shared_ptr<relay>> relays;
+    dispatch::usual_time stream_time{first_stream_time};
     /// Set at SIGTERM.
     std::optional<time_point> leaving_since;
 };
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -4,6 +4,7 @@
 #include "log/log.hpp"
 
 #include <algorithm>
+#include <utility>
 
 // The decisions are in `admit`, `dispatch` and `routes`; this file carries
 // them out and logs each with the inputs that decided it.
@@ -26,6 +27,12 @@
 constexpr auto retry_after_busy = duration{100ms};
 /// A copy of a long prompt takes some ten milliseconds; others may be ahead.
 constexpr auto move_timeout = duration{1500ms};
+/// Moves tried for one request, and the time between a failed one and the
+/// next: a target that has no room may have some soon.
+constexpr auto max_moves = 6U;
+constexpr auto move_pause = duration{300ms};
+/// A client of a leaving host reaches another one with its next connection.
+constexpr auto retry_after_leaving = duration{10ms};
 /// Most urgent and least urgent class of a target.
 constexpr auto most_urgent = 0;
 constexpr auto least_urgent = 9;
@@ -118,13 +125,24 @@
     }
     admitted_ = std::get<admitted>(verdict);
     auto const& route = *admitted_.route;
+    auto const expected =
+        streaming() ? host_.stream_time.value() : route.objective;
+    if (host_.leaving_since &&
+        !dispatch::may_finish(*host_.leaving_since,
+                              host_.settings.shutdown_grace, expected, now))
+    {
+        constexpr auto unavailable = 503;
+        refuse({unavailable, refusal_reason::leaving, retry_after_leaving},
+               now);
+        return;
+    }
     state_.kind = route.kind;
     state_.resumable = route.resumable;
     state_.max_runs = route.max_attempts;
     state_.give_up_at = admitted_.give_up_at;
     last_event_ = facts_.resume_after;
-    host_.retries.request(admitted_.service->id,
-                          admitted_.organisation.value_or(organisation_id{}));
+    // The bound is one over all organisations of a service.
+    host_.retries.request(admitted_.service->id, organisation_id{});
     client_->on_gone(
         [self = weak_from_this()]
         {
@@ -321,7 +339,10 @@
         current_->began = true;
         host_.loads.began(current_->target.id, facts_.size);
     }
-    current_->has_event = true;
+    if (!std::exchange(current_->has_event, true))
+    {
+        move_if_unprotected(now);
+    }
     if (it.id && last_event_ && *it.id <= *last_event_)
     {
         // The client has it from an earlier attempt.
@@ -330,6 +351,7 @@
     if (!state_.answer_begun)
     {
         state_.answer_begun = true;
+        first_event_after_ = now - arrived_at_;
         host_.metrics.first_event(now - arrived_at_);
         client_->start(forwarded(head));
     }
@@ -342,6 +364,7 @@
     {
         last_event_ = it.id;
     }
+    longest_pause_ = std::max(longest_pause_, now - last_event_at_.value_or(now));
     last_event_at_ = now;
     client_->send(it.bytes);
 }
@@ -362,6 +385,7 @@
     host_.doubts.note(current_->target.id, current_->target.domain,
                       evidence::answered, now);
     leave_target();
+    host_.stream_time.observe(now - arrived_at_);
     client_->finish();
     finish("complete", success, now);
 }
@@ -484,10 +508,12 @@
 void relay::relocate(time_point now)
 {
     auto const& engine = admitted_.service->engine;
-    if (!engine || !engine->moves_runs || !current_->has_event || relocation_)
+    if (!engine || !engine->moves_runs || !current_->has_event || relocation_ ||
+        moves_ >= max_moves)
     {
         return;
     }
+    ++moves_;
     auto const to = dispatch::place_copy(view(), placement(), current_->target,
                                          now, host_.random);
     if (!to)
@@ -505,6 +531,14 @@
     order_move(false);
 }
 
+void relay::move_if_unprotected(time_point now)
+{
+    if (current_ && current_->copy_lost)
+    {
+        relocate(now);
+    }
+}
+
 void relay::order_move(bool stop)
 {
     auto& it = *relocation_;
@@ -532,11 +566,12 @@
                    {{"request", facts_.id.value()},
                     {"status", it ? std::to_string(it->status) : "none"}});
         relocation_.reset();
+        move_again_ = host_.loop.after(
+            move_pause, [this] { move_if_unprotected(net::event_loop::now()); });
         return;
     }
     auto const spent =
-        host_.retries.retry(admitted_.service->id,
-                            admitted_.organisation.value_or(organisation_id{}));
+        host_.retries.retry(admitted_.service->id, organisation_id{});
     if (spent != retry::spent::no)
     {
         relocation_.reset();
@@ -587,8 +622,7 @@
         return;
     }
     auto const spent =
-        host_.retries.retry(admitted_.service->id,
-                            admitted_.organisation.value_or(organisation_id{}));
+        host_.retries.retry(admitted_.service->id, organisation_id{});
     if (spent != retry::spent::no)
     {
         end_unserved(refusal_reason::retry_budget,
@@ -670,6 +704,8 @@
                 {"attempts", std::to_string(attempts_)},
                 {"runs", std::to_string(state_.runs)},
                 {"took_ms", milliseconds(now - arrived_at_)},
+                {"first_event_ms", milliseconds(first_event_after_)},
+                {"longest_pause_ms", milliseconds(longest_pause_)},
                 {"last_event",
                  last_event_ ? std::to_string(*last_event_) : "none"}});
     // The caller may still be inside this object.
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -88,6 +88,7 @@
     /// Tells the other relays of a loss that may concern their copies.
     void warn_others(directory::listed_target const& lost, time_point now);
     void relocate(time_point now);
+    void move_if_unprotected(time_point now);
     void order_move(bool stop);
     void on_moved(std::optional<net::http_response> const& it, time_point now);
     void continue_moved(time_point now);
@@ -110,11 +111,15 @@
     std::vector<target_id> met_;
     std::optional<std::uint64_t> last_event_;
     std::optional<time_point> last_event_at_;
+    duration first_event_after_{};
+    duration longest_pause_{};
     std::optional<target_answer> error_answer_;
     std::uint32_t attempts_ = 0;
     /// The stream has failed and not gone on yet.
     bool interrupted_ = false;
     bool moved_while_reading_ = false;
+    std::uint32_t moves_ = 0;
+    net::timer move_again_;
     net::timer deadline_;
 };
 
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -145,13 +145,22 @@
 
 } // namespace
 
-struct scope::state
+namespace
 {
-    log4cplus::Initializer initializer;
-};
 
-scope::scope(level least, int fd) : state_(new state)
+/// Never destroyed: log4cplus would join its thread pool, which waits for
+/// good where threads are not scheduled any more. Nothing is buffered here.
+void initialise_library()
+{
+    static auto* const it = new log4cplus::Initializer;
+    static_cast<void>(it);
+}
+
+} // namespace
+
+scope::scope(level least, int fd)
 {
+    initialise_library();
     auto root = log4cplus::Logger::getRoot();
     root.removeAllAppenders();
     root.addAppender(log4cplus::SharedAppenderPtr{new bounded_appender(fd)});
@@ -161,7 +170,6 @@
 scope::~scope()
 {
     log4cplus::Logger::getRoot().removeAllAppenders();
-    delete state_;
 }
 
 auto format_line(level how, std::string_view event,
--- a/src/log/log.hpp
+++ b/src/log/log.hpp
@@ -38,10 +38,6 @@
     scope(scope const&) = delete;
     auto operator=(scope const&) -> scope& = delete;
     ~scope();
-
-private:
-    struct state;
-    state* state_;
 };
 
 /// Input cannot forge a line: values are escaped, and cut where a line would
