Hosts tell each other their loads, losses and attempts by datagram

Ruled out: targets' own reports (priced, and read by all hosts at once). Change: digests of state several times a second; placement counts the others' work; the allowance is shared by what all have spent; a target another host lost is taken later and copies there are checked.

--- a/src/dispatch/load_book.cpp
+++ b/src/dispatch/load_book.cpp
@@ -15,6 +15,7 @@
 
 void load_book::sent(target_id const& id, work_size const& it)
 {
+    ++changes_;
     auto& load = loads_[id];
     ++load.requests;
     load.unread_tokens += it.prompt.value();
@@ -23,11 +24,13 @@
 
 void load_book::began(target_id const& id, work_size const& it)
 {
+    ++changes_;
     loads_[id].unread_tokens -= it.prompt.value();
 }
 
 void load_book::ended(target_id const& id, work_size const& it, bool began)
 {
+    ++changes_;
     auto& load = loads_[id];
     --load.requests;
     load.unread_tokens -= began ? 0 : it.prompt.value();
@@ -40,11 +43,13 @@
 
 void load_book::copy_added(target_id const& id, work_size const& it)
 {
+    ++changes_;
     loads_[id].memory_tokens += whole(it);
 }
 
 void load_book::copy_dropped(target_id const& id, work_size const& it)
 {
+    ++changes_;
     auto& load = loads_[id];
     load.memory_tokens -= whole(it);
     if (load.requests == 0 && load.memory_tokens == 0)
--- a/src/dispatch/load_book.hpp
+++ b/src/dispatch/load_book.hpp
@@ -43,8 +43,20 @@
 
     [[nodiscard]] auto of(target_id const& id) const -> target_load;
 
+    [[nodiscard]] auto all() const -> std::map<target_id, target_load> const&
+    {
+        return loads_;
+    }
+
+    /// Grows with every change.
+    [[nodiscard]] auto changes() const -> std::uint64_t
+    {
+        return changes_;
+    }
+
 private:
     std::map<target_id, target_load> loads_;
+    std::uint64_t changes_ = 0;
 };
 
 } // namespace primrosedeal::dispatch
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -15,6 +15,15 @@
 using rank = std::tuple<int, bool, std::uint64_t, std::uint64_t, bool,
                         std::uint64_t>;
 
+auto whole_load(placement_view const& view, target_id const& id) -> target_load
+{
+    auto const own = view.loads.of(id);
+    auto const others = view.others.load_of(id);
+    return {own.requests + others.requests,
+            own.unread_tokens + others.unread_tokens,
+            own.memory_tokens + others.memory_tokens};
+}
+
 auto has_room(target_load const& load, directory::listed_target const& target,
               placement_request const& it) -> bool
 {
@@ -33,7 +42,7 @@
              directory::listed_target const& target, time_point now,
              random_source& random) -> rank
 {
-    auto const load = view.loads.of(target.id);
+    auto const load = whole_load(view, target.id);
     auto const where = view.doubts.of(target.id, target.domain, now);
     auto const plain = it.size.prompt.value() == 0;
     return {static_cast<int>(where),
@@ -73,7 +82,7 @@
 {
     return best(view, it, now, random,
                 [&](directory::listed_target const& target)
-                { return has_room(view.loads.of(target.id), target, it); });
+                { return has_room(whole_load(view, target.id), target, it); });
 }
 
 auto place_copy(placement_view const& view, placement_request const& it,
@@ -86,7 +95,7 @@
         return target.id != primary.id && !met(it, target.id) &&
                view.doubts.of(target.id, target.domain, now) ==
                    standing::trusted &&
-               has_room(view.loads.of(target.id), target, it);
+               has_room(whole_load(view, target.id), target, it);
     };
     auto elsewhere = it;
     auto found = best(view, elsewhere, now, random,
--- a/src/dispatch/placement.hpp
+++ b/src/dispatch/placement.hpp
@@ -5,6 +5,7 @@
 #include "directory/target_directory.hpp"
 #include "dispatch/load_book.hpp"
 #include "dispatch/suspicion.hpp"
+#include "fleet/fleet_view.hpp"
 
 #include <optional>
 #include <span>
@@ -13,10 +14,10 @@
 /// Which target takes a piece of work, and which one keeps its copy.
 ///
 /// Load pattern: long prompts, about a second of prefill each, arrive at many
-/// hosts that do not see each other's; two prompts at one target delay both
-/// and slow every stream there. Work goes where this host has the least
-/// prefill outstanding, then the least memory, with ties broken at random so
-/// that hosts which know the same do not choose the same. A copy goes to
+/// hosts; two prompts at one target delay both and slow every stream there.
+/// Work goes where all hosts together have the least prefill outstanding,
+/// then the least memory, with ties broken at random so that hosts which know
+/// the same do not choose the same. A copy goes to
 /// another failure domain, since domains fail as a whole.
 namespace primrosedeal::dispatch
 {
@@ -37,6 +38,8 @@
     std::vector<directory::listed_target> const& targets;
     suspicion const& doubts;
     load_book const& loads;
+    /// What other hosts have running.
+    fleet::fleet_view const& others;
 };
 
 /// The target for new work; nothing if none has room. Targets that were met
--- a/src/dispatch/suspicion.cpp
+++ b/src/dispatch/suspicion.cpp
@@ -95,7 +95,10 @@
     {
         return standing::avoided;
     }
-    return doubts(domain, now) ? standing::doubtful : standing::trusted;
+    auto const hinted =
+        it != records_.end() && now < it->second.doubtful_until;
+    return hinted || doubts(domain, now) ? standing::doubtful
+                                         : standing::trusted;
 }
 
 auto suspicion::doubts(domain_id const& domain, time_point now) const -> bool
@@ -104,6 +107,11 @@
     return it != doubted_until_.end() && now < it->second;
 }
 
+void suspicion::hint(target_id const& id, time_point now)
+{
+    records_[id].doubtful_until = now + limits_.hint_doubt;
+}
+
 void suspicion::forget(target_id const& id)
 {
     records_.erase(id);
--- a/src/dispatch/suspicion.hpp
+++ b/src/dispatch/suspicion.hpp
@@ -52,6 +52,8 @@
     std::size_t losses_for_doubt = 2;
     duration domain_window = 500ms;
     duration domain_doubt = 900ms;
+    /// Time that another host's finding counts.
+    duration hint_doubt = 900ms;
     /// Share of failed answers, over the last ones, that sets a target aside.
     double failure_share = 0.6;
     std::uint32_t answers_remembered = 8;
@@ -73,6 +75,10 @@
     [[nodiscard]] auto doubts(domain_id const& domain, time_point now) const
         -> bool;
 
+    /// Another host found the target unreachable. It may be the only one, so
+    /// the target is merely taken later than others for a while.
+    void hint(target_id const& id, time_point now);
+
     /// Forgets a target that is gone.
     void forget(target_id const& id);
 
@@ -84,6 +90,7 @@
         double failed_share = 0;
         std::uint32_t answers = 0;
         time_point avoided_until{};
+        time_point doubtful_until{};
     };
 
     struct loss
--- /dev/null
+++ b/src/fleet/digest.cpp
@@ -0,0 +1,87 @@
+#include "fleet/digest.hpp"
+
+#include <msgpack.hpp>
+
+#include <exception>
+#include <tuple>
+
+namespace primrosedeal::fleet
+{
+
+namespace
+{
+
+using load_row = std::tuple<std::string, std::uint32_t, std::uint64_t,
+                            std::uint64_t>;
+using count_row = std::tuple<std::string, std::uint64_t, std::uint64_t>;
+using fields = std::tuple<std::string, std::uint64_t, std::uint64_t,
+                          std::vector<load_row>, std::vector<count_row>,
+                          std::vector<std::string>>;
+
+auto pack(fields const& it) -> std::string
+{
+    auto buf = msgpack::sbuffer{};
+    msgpack::pack(buf, it);
+    return {buf.data(), buf.size()};
+}
+
+} // namespace
+
+auto encode(digest const& it) -> std::string
+{
+    auto out = fields{it.host.value(), it.start.value(), it.sequence, {}, {},
+                      {}};
+    for (auto const& [id, load] : it.loads)
+    {
+        std::get<3>(out).emplace_back(id.value(), load.requests,
+                                      load.unread_tokens, load.memory_tokens);
+    }
+    for (auto const& [id, count] : it.counts)
+    {
+        std::get<4>(out).emplace_back(id.value(), count.requests,
+                                      count.further_attempts);
+    }
+    for (auto const& id : it.lost)
+    {
+        std::get<5>(out).push_back(id.value());
+    }
+    auto bytes = pack(out);
+    while (bytes.size() > max_digest_bytes && !std::get<3>(out).empty())
+    {
+        std::get<3>(out).resize(std::get<3>(out).size() / 2);
+        bytes = pack(out);
+    }
+    return bytes;
+}
+
+auto decode_digest(std::string const& bytes) -> std::optional<digest>
+{
+    try
+    {
+        auto const handle = msgpack::unpack(bytes.data(), bytes.size());
+        auto const it = handle.get().as<fields>();
+        auto out = digest{};
+        out.host = host_id{std::get<0>(it)};
+        out.start = incarnation{std::get<1>(it)};
+        out.sequence = std::get<2>(it);
+        for (auto const& [id, requests, unread, memory] : std::get<3>(it))
+        {
+            out.loads[target_id{id}] = {requests, unread, memory};
+        }
+        for (auto const& [id, requests, further] : std::get<4>(it))
+        {
+            out.counts[service_id{id}] = {requests, further};
+        }
+        for (auto const& id : std::get<5>(it))
+        {
+            out.lost.emplace_back(id);
+        }
+        return out;
+    }
+    catch (std::exception const&)
+    {
+        return std::nullopt;
+    }
+}
+
+} // namespace primrosedeal::fleet
--- /dev/null
+++ b/src/fleet/digest.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "core/ids.hpp"
+#include "dispatch/load_book.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// What one host tells all others several times a second.
+///
+/// Every number is a state and not a change, so a lost or late digest is made
+/// good by the next one.
+namespace primrosedeal::fleet
+{
+
+/// Requests and further attempts for one service since the host's start.
+struct service_count
+{
+    std::uint64_t requests = 0;
+    std::uint64_t further_attempts = 0;
+};
+
+struct digest
+{
+    host_id host;
+    /// Start of the process; its counts begin anew with it.
+    incarnation start;
+    /// Grows with every digest of a process.
+    std::uint64_t sequence = 0;
+    /// What the host has running at each target; absent: nothing.
+    std::map<target_id, dispatch::target_load> loads;
+    std::map<service_id, service_count> counts;
+    /// Targets that the host has just found unreachable or silent.
+    std::vector<target_id> lost;
+};
+
+/// Largest digest in bytes; one datagram. What does not fit is left out.
+constexpr auto max_digest_bytes = std::size_t{8} << 10U;
+
+auto encode(digest const& it) -> std::string;
+
+/// Nothing if `bytes` are not a digest.
+auto decode_digest(std::string const& bytes) -> std::optional<digest>;
+
+} // namespace primrosedeal::fleet
--- /dev/null
+++ b/src/fleet/fleet_view.cpp
@@ -0,0 +1,193 @@
+#include "fleet/fleet_view.hpp"
+
+#include <algorithm>
+
+namespace primrosedeal::fleet
+{
+
+namespace
+{
+
+/// Part of the allowance that is used: digests are some ten milliseconds old,
+/// and in a loss all hosts spend at once.
+constexpr auto usable_part = 0.8;
+constexpr auto sample_period = duration{1s};
+
+auto whole_seconds(time_point it) -> std::int64_t
+{
+    return std::chrono::duration_cast<std::chrono::seconds>(
+               it.time_since_epoch())
+        .count();
+}
+
+} // namespace
+
+auto fleet_view::take(digest const& it, time_point now) -> bool
+{
+    auto& held = hosts_[it.host];
+    auto const& last = held.last;
+    if (it.start < last.start ||
+        (it.start == last.start && it.sequence <= last.sequence))
+    {
+        return false;
+    }
+    if (last.start < it.start)
+    {
+        held.samples.clear();
+    }
+    remove_loads(last);
+    held.last = it;
+    held.heard_at = now;
+    add_loads(it);
+    if (held.samples.empty() || now - held.samples.back().at >= sample_period)
+    {
+        held.samples.push_back({now, it.counts});
+    }
+    while (held.samples.size() > 1 &&
+           now - held.samples[1].at >= attempt_window)
+    {
+        held.samples.pop_front();
+    }
+    return true;
+}
+
+void fleet_view::expire(time_point now)
+{
+    std::erase_if(hosts_,
+                  [&](auto const& it)
+                  {
+                      auto const over =
+                          now - it.second.heard_at > silence_limit;
+                      if (over)
+                      {
+                          remove_loads(it.second.last);
+                      }
+                      return over;
+                  });
+}
+
+void fleet_view::remove_loads(digest const& it)
+{
+    for (auto const& [id, load] : it.loads)
+    {
+        auto& sum = loads_[id];
+        sum.requests -= load.requests;
+        sum.unread_tokens -= load.unread_tokens;
+        sum.memory_tokens -= load.memory_tokens;
+        if (sum.requests == 0 && sum.memory_tokens == 0)
+        {
+            loads_.erase(id);
+        }
+    }
+}
+
+void fleet_view::add_loads(digest const& it)
+{
+    for (auto const& [id, load] : it.loads)
+    {
+        auto& sum = loads_[id];
+        sum.requests += load.requests;
+        sum.unread_tokens += load.unread_tokens;
+        sum.memory_tokens += load.memory_tokens;
+    }
+}
+
+auto fleet_view::load_of(target_id const& id) const -> dispatch::target_load
+{
+    auto const it = loads_.find(id);
+    return it == loads_.end() ? dispatch::target_load{} : it->second;
+}
+
+auto fleet_view::recent(service_id const& id, time_point now) const
+    -> service_count
+{
+    auto out = service_count{};
+    for (auto const& [host, held] : hosts_)
+    {
+        auto const latest = held.last.counts.find(id);
+        if (latest == held.last.counts.end())
+        {
+            continue;
+        }
+        auto before = service_count{};
+        for (auto const& old : held.samples)
+        {
+            if (now - old.at < attempt_window)
+            {
+                break;
+            }
+            auto const found = old.counts.find(id);
+            before = found == old.counts.end() ? before : found->second;
+        }
+        out.requests += latest->second.requests - before.requests;
+        out.further_attempts +=
+            latest->second.further_attempts - before.further_attempts;
+    }
+    return out;
+}
+
+auto own_counts::slot(service_id const& id, time_point now) -> service_count&
+{
+    auto& recent = seconds_[id];
+    auto const present = whole_seconds(now);
+    if (recent.empty() || recent.back().at != present)
+    {
+        recent.push_back({present, {}});
+    }
+    auto const window = attempt_window / duration{1s};
+    while (recent.front().at < present - window)
+    {
+        recent.pop_front();
+    }
+    return recent.back().count;
+}
+
+void own_counts::request(service_id const& id, time_point now)
+{
+    ++slot(id, now).requests;
+    ++totals_[id].requests;
+}
+
+void own_counts::further_attempt(service_id const& id, time_point now)
+{
+    ++slot(id, now).further_attempts;
+    ++totals_[id].further_attempts;
+}
+
+auto own_counts::recent(service_id const& id, time_point now) const
+    -> service_count
+{
+    auto out = service_count{};
+    auto const found = seconds_.find(id);
+    if (found == seconds_.end())
+    {
+        return out;
+    }
+    auto const oldest = whole_seconds(now) - attempt_window / duration{1s};
+    for (auto const& it : found->second)
+    {
+        if (it.at >= oldest)
+        {
+            out.requests += it.count.requests;
+            out.further_attempts += it.count.further_attempts;
+        }
+    }
+    return out;
+}
+
+auto may_attempt(attempt_allowance const& allowance, service_count const& own,
+                 service_count const& others, std::size_t heard) -> bool
+{
+    auto const known = std::max(allowance.hosts, heard + 1);
+    auto const part =
+        static_cast<double>(heard + 1) / static_cast<double>(known);
+    auto const requests = static_cast<double>(own.requests + others.requests);
+    auto const spent =
+        static_cast<double>(own.further_attempts + others.further_attempts);
+    auto const allowed =
+        usable_part *
+        (allowance.ratio * requests + allowance.slack * part);
+    return spent + 1 <= allowed;
+}
+
+} // namespace primrosedeal::fleet
--- /dev/null
+++ b/src/fleet/fleet_view.hpp
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "core/ids.hpp"
+#include "core/units.hpp"
+#include "fleet/digest.hpp"
+
+#include <cstddef>
+#include <deque>
+#include <map>
+
+/// What the other hosts have running and have spent, from their digests.
+///
+/// Load pattern: hosts that choose targets by their own work alone send
+/// several long prompts to one target while others idle, and hosts that share
+/// an allowance by equal parts run out of theirs in a failure domain's loss
+/// while most of it is unused.
+namespace primrosedeal::fleet
+{
+
+/// A host that has not been heard of for so long counts as gone: its requests
+/// have ended with it, and its part of an allowance is not known.
+constexpr auto silence_limit = duration{2500ms};
+
+/// Span over which further attempts are bounded.
+constexpr auto attempt_window = duration{10s};
+
+class fleet_view
+{
+public:
+    /// Returns false for a digest that is older than one seen before.
+    auto take(digest const& it, time_point now) -> bool;
+
+    /// Drops hosts that fell silent. Call about every second.
+    void expire(time_point now);
+
+    /// What all other hosts have running at `id`.
+    [[nodiscard]] auto load_of(target_id const& id) const
+        -> dispatch::target_load;
+
+    /// Requests and further attempts of all others within `attempt_window`.
+    [[nodiscard]] auto recent(service_id const& id, time_point now) const
+        -> service_count;
+
+    /// Other hosts that are heard of.
+    [[nodiscard]] auto heard() const -> std::size_t
+    {
+        return hosts_.size();
+    }
+
+private:
+    struct sample
+    {
+        time_point at;
+        std::map<service_id, service_count> counts;
+    };
+
+    struct peer
+    {
+        digest last;
+        time_point heard_at{};
+        /// About one a second, oldest first; the first is out of the window.
+        std::deque<sample> samples;
+    };
+
+    void remove_loads(digest const& it);
+    void add_loads(digest const& it);
+
+    std::map<host_id, peer> hosts_;
+    std::map<target_id, dispatch::target_load> loads_;
+};
+
+/// Counts of this host over the same window.
+class own_counts
+{
+public:
+    void request(service_id const& id, time_point now);
+    void further_attempt(service_id const& id, time_point now);
+
+    [[nodiscard]] auto recent(service_id const& id, time_point now) const
+        -> service_count;
+
+    /// Since the start, for the digest.
+    [[nodiscard]] auto totals() const
+        -> std::map<service_id, service_count> const&
+    {
+        return totals_;
+    }
+
+private:
+    struct second
+    {
+        std::int64_t at = 0;
+        service_count count;
+    };
+
+    auto slot(service_id const& id, time_point now) -> service_count&;
+
+    std::map<service_id, service_count> totals_;
+    std::map<service_id, std::deque<second>> seconds_;
+};
+
+/// The bound on attempts beyond each request's first, over all hosts.
+struct attempt_allowance
+{
+    /// Part of the requests in the window, and a number besides.
+    double ratio = 0.8;
+    double slack = 150;
+    /// Hosts of the fleet, this one included.
+    std::size_t hosts = 1;
+};
+
+/// Whether this host may make one more attempt. Hosts that are not heard of
+/// may be spending their parts, so those are left to them.
+auto may_attempt(attempt_allowance const& allowance, service_count const& own,
+                 service_count const& others, std::size_t heard) -> bool;
+
+} // namespace primrosedeal::fleet
--- /dev/null
+++ b/src/gateway/digest_exchange.cpp
@@ -0,0 +1,103 @@
+#include "gateway/digest_exchange.hpp"
+
+#include <event2/event.h>
+#include <event2/util.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <stdexcept>
+#include <string>
+
+namespace primrosedeal::gateway
+{
+
+namespace
+{
+
+/// Datagrams taken before the loop serves other events.
+constexpr auto datagrams_at_once = 64;
+
+auto to_sockaddr(net::endpoint const& it) -> sockaddr_in
+{
+    auto out = sockaddr_in{};
+    out.sin_family = AF_INET;
+    out.sin_port = htons(it.port);
+    inet_pton(AF_INET, it.address.c_str(), &out.sin_addr);
+    return out;
+}
+
+} // namespace
+
+digest_exchange::digest_exchange(
+    net::event_loop& loop, std::function<void(fleet::digest const&)> on_digest)
+    : loop_(loop), on_digest_(std::move(on_digest))
+{
+}
+
+digest_exchange::~digest_exchange()
+{
+    if (readable_ != nullptr)
+    {
+        event_free(readable_);
+    }
+    if (fd_ >= 0)
+    {
+        ::close(fd_);
+    }
+}
+
+void digest_exchange::open(net::endpoint const& at)
+{
+    fd_ = ::socket(AF_INET, SOCK_DGRAM, 0);
+    auto const address = to_sockaddr(at);
+    if (fd_ < 0 || evutil_make_socket_nonblocking(fd_) != 0 ||
+        ::bind(fd_, reinterpret_cast<sockaddr const*>(&address),
+               sizeof address) != 0)
+    {
+        throw std::runtime_error("cannot bind to " + net::to_string(at));
+    }
+    readable_ = event_new(
+        loop_.base(), fd_, EV_READ | EV_PERSIST,
+        [](evutil_socket_t, short, void* arg)
+        { static_cast<digest_exchange*>(arg)->receive(); },
+        this);
+    event_add(readable_, nullptr);
+}
+
+void digest_exchange::receive()
+{
+    auto buf = std::string(fleet::max_digest_bytes, '\0');
+    for (auto i = 0; i < datagrams_at_once; ++i)
+    {
+        auto const n = ::recv(fd_, buf.data(), buf.size(), 0);
+        if (n <= 0)
+        {
+            return;
+        }
+        auto const it = fleet::decode_digest(
+            buf.substr(0, static_cast<std::size_t>(n)));
+        if (it)
+        {
+            on_digest_(*it);
+        }
+    }
+}
+
+void digest_exchange::send(fleet::digest const& it,
+                           std::set<net::endpoint> const& to)
+{
+    auto const bytes = fleet::encode(it);
+    for (auto const& peer : to)
+    {
+        auto const address = to_sockaddr(peer);
+        // A datagram that does not leave is as good as one that is lost.
+        static_cast<void>(::sendto(
+            fd_, bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL,
+            reinterpret_cast<sockaddr const*>(&address), sizeof address));
+    }
+}
+
+} // namespace primrosedeal::gateway
--- /dev/null
+++ b/src/gateway/digest_exchange.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "fleet/digest.hpp"
+#include "net/event_loop.hpp"
+#include "net/http_message.hpp"
+
+#include <functional>
+#include <map>
+#include <set>
+
+struct event;
+
+/// Carries digests between hosts as datagrams. Losing some does no harm.
+namespace primrosedeal::gateway
+{
+
+class digest_exchange
+{
+public:
+    digest_exchange(net::event_loop& loop,
+                    std::function<void(fleet::digest const&)> on_digest);
+    digest_exchange(digest_exchange const&) = delete;
+    auto operator=(digest_exchange const&) -> digest_exchange& = delete;
+    ~digest_exchange();
+
+    /// Throws std::runtime_error with the address if it cannot bind.
+    void open(net::endpoint const& at);
+
+    void send(fleet::digest const& it,
+              std::set<net::endpoint> const& to);
+
+private:
+    void receive();
+
+    net::event_loop& loop_;
+    std::function<void(fleet::digest const&)> on_digest_;
+    int fd_ = -1;
+    event* readable_ = nullptr;
+};
+
+} // namespace primrosedeal::gateway
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.hpp"
 
 #include "core/overloaded.hpp"
+#include "gateway/digest_exchange.hpp"
 #include "gateway/host_state.hpp"
 #include "gateway/peer_exchange.hpp"
 #include "gateway/relay.hpp"
@@ -10,6 +11,8 @@
 
 #include <csignal>
 #include <random>
+#include <set>
+#include <utility>
 
 // One loop carries everything: a host has a part of one core, and a second
 // thread would only add switches.
@@ -24,12 +27,12 @@
 constexpr auto peer_period = duration{500ms};
 /// Time for the balancer to see that this host takes no new connections.
 constexpr auto balancer_notice = duration{2500ms};
-/// Hosts assumed until the store tells how many there are.
-constexpr auto assumed_hosts = std::size_t{8};
 /// Descriptors left to the store, peers, files and targets' connections.
 constexpr auto reserved_descriptors = std::size_t{600};
-/// Part of the fleet's allowance of further attempts that hosts use.
-constexpr auto allowance_used = 0.95;
+/// Between digests while there is something new, and at most: a prompt takes
+/// about a second to read, so others see it in good time.
+constexpr auto digest_period = duration{40ms};
+constexpr auto longest_digest_period = duration{1s};
 
 constexpr auto ok = 200;
 constexpr auto unavailable = 503;
@@ -42,17 +45,6 @@
     return (std::uint64_t{device()} << word) | device();
 }
 
-auto budget_of(host_settings const& it, std::size_t hosts)
-    -> retry::budget_settings
-{
-    auto out = retry::budget_settings{};
-    out.ratio = it.retry_ratio * allowance_used;
-    out.reserve = std::max(
-        2.0, it.retry_slack * allowance_used / static_cast<double>(hosts));
-    out.max_saved = out.reserve;
-    return out;
-}
-
 class gateway_process
 {
 public:
@@ -60,8 +52,7 @@
                     settings_source reload, protocol const& wire,
                     external::key_value_service& store)
         : loop_(loop), reload_(std::move(reload)), store_(store),
-          host_(loop, wire, settings, budget_of(settings, assumed_hosts),
-                random_seed()),
+          host_(loop, wire, settings, random_seed()),
           clients_(loop, [this](http1::request it,
                                 std::shared_ptr<http1::exchange> client)
                    { on_request(std::move(it), std::move(client)); }),
@@ -75,6 +66,8 @@
           peers_(loop, {settings.host, net::to_string(settings.store)},
                  [this] { return own_state(); },
                  [this](peer_state const& it) { on_peer_state(it); }),
+          digests_(loop, [this](fleet::digest const& it)
+                   { on_digest(it, net::event_loop::now()); }),
           follower_(loop, store, host_.random, follower_handlers())
     {
     }
@@ -86,6 +79,7 @@
         readiness_.listen(at.readiness);
         metrics_.listen(at.metrics);
         peers_.listen(at.peers);
+        digests_.open(at.digests);
         apply_limits();
         log::write(log::level::info, "started",
                    {{"host", at.host.value()},
@@ -100,6 +94,7 @@
         register_host();
         tick();
         ask_peers();
+        send_digest();
         loop_.run();
         auto const left = host_.relays.size();
         log::write(log::level::info, "stopped",
@@ -221,9 +216,64 @@
     void know_host(host_entry const& it)
     {
         peers_.know(it.id, it.peers);
-        host_.retries.configure(
-            budget_of(host_.settings, std::max<std::size_t>(
-                                          peers_.known_hosts(), 1)));
+        host_.known_hosts = std::max<std::size_t>(peers_.known().size(), 1);
+    }
+
+    void on_digest(fleet::digest const& it, time_point now)
+    {
+        if (it.host == host_.settings.host || !host_.others.take(it, now))
+        {
+            return;
+        }
+        auto const all = host_.relays;
+        for (auto const& id : it.lost)
+        {
+            host_.doubts.hint(id, now);
+            for (auto const& [key, relay] : all)
+            {
+                relay->on_target_in_doubt(id);
+            }
+        }
+    }
+
+    void send_digest()
+    {
+        auto const now = net::event_loop::now();
+        auto const news = host_.loads.changes() != told_changes_ ||
+                          !host_.just_lost.empty();
+        if (news || now - told_at_ >= longest_digest_period)
+        {
+            told_changes_ = host_.loads.changes();
+            told_at_ = now;
+            digests_.send(own_digest(), digest_peers());
+        }
+        digest_timer_ = loop_.after(digest_period, [this] { send_digest(); });
+    }
+
+    auto own_digest() -> fleet::digest
+    {
+        auto out = fleet::digest{};
+        out.host = host_.settings.host;
+        out.start = start_;
+        out.sequence = ++digest_sequence_;
+        out.loads = host_.loads.all();
+        out.counts = host_.counts.totals();
+        out.lost = std::exchange(host_.just_lost, {});
+        return out;
+    }
+
+    /// Every host takes digests at the same port.
+    auto digest_peers() const -> std::set<net::endpoint>
+    {
+        auto out = std::set<net::endpoint>{};
+        for (auto const& [id, at] : peers_.known())
+        {
+            if (id != host_.settings.host)
+            {
+                out.insert({at.address, host_.settings.digests.port});
+            }
+        }
+        return out;
     }
 
     void adopt(configuration_entry const& it)
@@ -359,6 +409,7 @@
     {
         auto const now = net::event_loop::now();
         log_changes(host_.targets.expire(now));
+        host_.others.expire(now);
         host_.metrics.log_lines_dropped(log::dropped_lines());
         if (host_.leaving_since)
         {
@@ -425,6 +476,15 @@
     http1::server readiness_;
     http1::server metrics_;
     peer_exchange peers_;
+    digest_exchange digests_;
+    incarnation start_{static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch())
+            .count())};
+    std::uint64_t digest_sequence_ = 0;
+    std::uint64_t told_changes_ = 0;
+    time_point told_at_{};
+    net::timer digest_timer_;
     store_follower follower_;
     std::map<std::string, std::string> entries_;
     net::timer tick_timer_;
--- a/src/gateway/host_state.hpp
+++ b/src/gateway/host_state.hpp
@@ -10,7 +10,7 @@
 #include "gateway/settings.hpp"
 #include "metrics/gateway_metrics.hpp"
 #include "net/event_loop.hpp"
-#include "retry/budget.hpp"
+#include "fleet/fleet_view.hpp"
 #include "routes/route_table.hpp"
 
 #include <map>
@@ -22,6 +22,9 @@
 
 class relay;
 
+/// Hosts assumed until the store tells how many there are.
+constexpr auto assumed_hosts = std::size_t{8};
+
 /// Time of a stream assumed before one has ended here: several hundred
 /// tokens at the engines' pace under load.
 constexpr auto first_stream_time = duration{6s};
@@ -29,10 +32,26 @@
 struct host_state
 {
     host_state(net::event_loop& on, protocol const& names, host_settings its,
-               retry::budget_settings const& budget, std::uint64_t seed)
+               std::uint64_t seed)
         : loop(on), wire(names), settings(std::move(its)), random(seed),
-          retries(budget), prober(on)
+          prober(on)
+    {
+    }
+
+    /// Whether one more attempt for `service` stays within the bound that all
+    /// hosts share; counts it if so.
+    auto take_attempt(service_id const& service, time_point now) -> bool
     {
+        auto const allowance = fleet::attempt_allowance{
+            settings.retry_ratio, settings.retry_slack, known_hosts};
+        auto const allowed = fleet::may_attempt(
+            allowance, counts.recent(service, now), others.recent(service, now),
+            others.heard());
+        if (allowed)
+        {
+            counts.further_attempt(service, now);
+        }
+        return allowed;
     }
 
     net::event_loop& loop;
@@ -43,7 +62,11 @@
     directory::target_directory targets;
     dispatch::suspicion doubts;
     dispatch::load_book loads;
-    retry::budget retries;
+    fleet::fleet_view others;
+    fleet::own_counts counts;
+    std::size_t known_hosts = assumed_hosts;
+    /// Found unreachable since the last digest.
+    std::vector<target_id> just_lost;
     connect_prober prober;
     metrics::gateway_metrics metrics;
     std::map<relay*, std::shared_ptr<relay>> relays;
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -155,11 +155,6 @@
     }
 }
 
-auto peer_exchange::known_hosts() const -> std::size_t
-{
-    return peers_.size();
-}
-
 void peer_exchange::ask(std::vector<net::endpoint> const& seeds,
                         net::endpoint const& self, random_source& random)
 {
--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -50,7 +50,11 @@
     void know(host_id const& id, std::optional<net::endpoint> const& at);
 
     /// Hosts known from the store, this one included.
-    [[nodiscard]] auto known_hosts() const -> std::size_t;
+    [[nodiscard]] auto known() const
+        -> std::map<host_id, net::endpoint> const&
+    {
+        return peers_;
+    }
 
     /// Asks a few peers, drawn from the known ones and from `seeds`.
     void ask(std::vector<net::endpoint> const& seeds, net::endpoint const& self,
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -141,8 +141,7 @@
     state_.max_runs = route.max_attempts;
     state_.give_up_at = admitted_.give_up_at;
     last_event_ = facts_.resume_after;
-    // The bound is one over all organisations of a service.
-    host_.retries.request(admitted_.service->id, organisation_id{});
+    host_.counts.request(admitted_.service->id, now);
     client_->on_gone(
         [self = weak_from_this()]
         {
@@ -177,7 +176,7 @@
 auto relay::view() const -> dispatch::placement_view
 {
     return {host_.targets.usable(admitted_.service->id), host_.doubts,
-            host_.loads};
+            host_.loads, host_.others};
 }
 
 auto relay::placement() const -> dispatch::placement_request
@@ -285,6 +284,7 @@
     ++attempts_;
     met_.push_back(target.id);
     auto const load = host_.loads.of(target.id);
+    auto const others = host_.others.load_of(target.id);
     log::write(
         log::level::info, "request_sent",
         {{"request", facts_.id.value()},
@@ -295,6 +295,8 @@
          {"copy", current_->copy ? current_->copy->id.value() : ""},
          {"own_requests_there", std::to_string(load.requests)},
          {"own_unread_tokens_there", std::to_string(load.unread_tokens)},
+         {"others_unread_tokens_there", std::to_string(others.unread_tokens)},
+         {"hosts_heard", std::to_string(host_.others.heard())},
          {"configuration", std::to_string(table_->version().value())},
          {"time_left_ms", milliseconds(admitted_.give_up_at - now)}});
     host_.loads.sent(target.id, facts_.size);
@@ -460,6 +462,7 @@
 
 void relay::warn_others(directory::listed_target const& lost, time_point now)
 {
+    host_.just_lost.push_back(lost.id);
     auto const in_doubt = host_.doubts.doubts(lost.domain, now);
     // Relays may end or start another attempt while they are told.
     auto const all = host_.relays;
@@ -485,8 +488,23 @@
 
 void relay::on_domain_in_doubt(domain_id const& domain)
 {
-    if (!current_ || !current_->copy || current_->copy_lost ||
-        current_->copy->domain != domain)
+    if (current_ && current_->copy && current_->copy->domain == domain)
+    {
+        check_copy();
+    }
+}
+
+void relay::on_target_in_doubt(target_id const& id)
+{
+    if (current_ && current_->copy && current_->copy->id == id)
+    {
+        check_copy();
+    }
+}
+
+void relay::check_copy()
+{
+    if (current_->copy_lost)
     {
         return;
     }
@@ -570,9 +588,7 @@
             move_pause, [this] { move_if_unprotected(net::event_loop::now()); });
         return;
     }
-    auto const spent =
-        host_.retries.retry(admitted_.service->id, organisation_id{});
-    if (spent != retry::spent::no)
+    if (!host_.take_attempt(admitted_.service->id, now))
     {
         relocation_.reset();
         return;
@@ -621,9 +637,7 @@
                      end->status, now);
         return;
     }
-    auto const spent =
-        host_.retries.retry(admitted_.service->id, organisation_id{});
-    if (spent != retry::spent::no)
+    if (!host_.take_attempt(admitted_.service->id, now))
     {
         end_unserved(refusal_reason::retry_budget,
                      dispatch::final_status(state_, now), now);
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -33,6 +33,8 @@
     /// may have been there gets another one.
     void on_target_lost(target_id const& id, time_point now);
     void on_domain_in_doubt(domain_id const& domain);
+    /// Another host found `id` unreachable.
+    void on_target_in_doubt(target_id const& id);
 
 private:
     /// A move of the run to another target, with a new copy.
@@ -87,6 +89,7 @@
     void leave_target();
     /// Tells the other relays of a loss that may concern their copies.
     void warn_others(directory::listed_target const& lost, time_point now);
+    void check_copy();
     void relocate(time_point now);
     void move_if_unprotected(time_point now);
     void order_move(bool stop);
--- a/src/gateway/settings.hpp
+++ b/src/gateway/settings.hpp
@@ -22,6 +22,8 @@
     net::endpoint readiness;
     /// Where other hosts ask for the state this one holds.
     net::endpoint peers;
+    /// Where this host and all others take digests, as datagrams.
+    net::endpoint digests;
     net::endpoint metrics;
     net::endpoint store;
     /// Peers known before the store answers; they may be stale.
