Patience from seen reading times; further attempts by their worth

Ruled out: lost digests (hosts_heard in the lines is complete outside cuts). Change: patience in expected reading times; moves may use half of the allowance, answers 0.8, continuations 0.9; an attempt counts once one has reached a target; fewest running requests before memory.

--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -4,7 +4,8 @@
 #include <tuple>
 
 // Candidates are compared by a tuple, most important first: standing, whether
-// the request met them, outstanding prefill, load, and the domain last. Bytes
+// the request met them, outstanding prefill, running requests (each is slowed
+// while a prompt is read beside it), memory, and the domain last. Bytes
 // between domains cost little beside a prompt that waits behind another.
 namespace primrosedeal::dispatch
 {
@@ -12,8 +13,8 @@
 namespace
 {
 
-using rank = std::tuple<int, bool, std::uint64_t, std::uint64_t, bool,
-                        std::uint64_t>;
+using rank = std::tuple<int, bool, std::uint64_t, std::uint64_t,
+                        std::uint64_t, bool, std::uint64_t>;
 
 auto whole_load(placement_view const& view, target_id const& id) -> target_load
 {
@@ -48,7 +49,8 @@
     return {static_cast<int>(where),
             met(it, target.id),
             load.unread_tokens,
-            plain ? load.requests : load.memory_tokens,
+            load.requests,
+            plain ? 0 : load.memory_tokens,
             target.domain != it.own_domain,
             random()};
 }
--- a/src/dispatch/shutdown.hpp
+++ b/src/dispatch/shutdown.hpp
@@ -11,27 +11,6 @@
 namespace primrosedeal::dispatch
 {
 
-/// Usual time of finished streams, from this host's own.
-class usual_time
-{
-public:
-    explicit usual_time(duration first_guess) : usual_(first_guess) {}
-
-    void observe(duration took)
-    {
-        constexpr auto weight = 8;
-        usual_ += (took - usual_) / weight;
-    }
-
-    [[nodiscard]] auto value() const -> duration
-    {
-        return usual_;
-    }
-
-private:
-    duration usual_;
-};
-
 /// Kept of the grace for the last bytes of answers to leave.
 constexpr auto grace_margin = duration{500ms};
 
--- a/src/dispatch/stream_watch.cpp
+++ b/src/dispatch/stream_watch.cpp
@@ -37,11 +37,15 @@
 auto before_first_event(watch_limits const& limits, stream_facts const& it,
                         time_point now) -> watch_step
 {
-    auto const leave_at = it.sent_at + limits.first_patience;
-    // Moving costs a whole reading of the prompt, so it is tried once and
-    // only while that can be in time; the probes go on.
-    auto const may_leave = !it.moved_before &&
-                           leave_at + limits.time_to_read <= it.first_event_due;
+    // Moving costs a whole reading of the prompt, so it is tried once; the
+    // probes go on.
+    auto const early =
+        it.sent_at + part_of(it.expected_first, limits.first_patience);
+    auto const in_time =
+        early + part_of(it.expected_first, limits.time_to_read) <=
+        it.first_event_due;
+    auto const leave_at = in_time ? early : it.first_event_due;
+    auto const may_leave = !it.moved_before && leave_at > it.sent_at;
     if (may_leave && now >= leave_at)
     {
         return leave_target{};
--- a/src/dispatch/stream_watch.hpp
+++ b/src/dispatch/stream_watch.hpp
@@ -29,6 +29,8 @@
     time_point first_event_due{};
     /// The prompt needs no reading: its copy is at the target.
     bool warm = false;
+    /// Usual time to the first event of such a prompt.
+    duration expected_first{};
     /// Another target has been left already while it read the prompt.
     bool moved_before = false;
 };
@@ -60,11 +62,13 @@
     /// Silence before the first event that is probed, and how often.
     duration first_probe_after = 500ms;
     duration first_probe_period = 300ms;
-    /// Silence before the first event after which a target that takes
-    /// connections is left, once in a request: two long prompts may be ahead.
-    duration first_patience = 2300ms;
-    /// A prompt read elsewhere must still be in time.
-    duration time_to_read = 1600ms;
+    /// Silence before the first event, in expected times to it, after which
+    /// a target that takes connections is left, once in a request. Where a
+    /// prompt read elsewhere could not be in time any more, the target is
+    /// left when the event is due.
+    double first_patience = 2.2;
+    /// Expected times that reading elsewhere is allowed.
+    double time_to_read = 1.3;
     /// Silence before the first event of a stream that goes on at a copy.
     duration warm_patience = 450ms;
 };
--- a/src/fleet/fleet_view.cpp
+++ b/src/fleet/fleet_view.cpp
@@ -8,9 +8,22 @@
 namespace
 {
 
-/// Part of the allowance that is used: digests are some ten milliseconds old,
-/// and in a loss all hosts spend at once.
-constexpr auto usable_part = 0.8;
+/// Part of the allowance that a purpose may use up. Not the whole: digests
+/// are some ten milliseconds old, and in a loss all hosts spend at once.
+auto usable_part(attempt_purpose it) -> double
+{
+    switch (it)
+    {
+    case attempt_purpose::protection:
+        return 0.5;
+    case attempt_purpose::answer:
+        return 0.8;
+    case attempt_purpose::continuation:
+        return 0.9;
+    }
+    return 0;
+}
+
 constexpr auto sample_period = duration{1s};
 
 auto whole_seconds(time_point it) -> std::int64_t
@@ -175,8 +188,9 @@
     return out;
 }
 
-auto may_attempt(attempt_allowance const& allowance, service_count const& own,
-                 service_count const& others, std::size_t heard) -> bool
+auto may_attempt(attempt_allowance const& allowance, attempt_purpose purpose,
+                 service_count const& own, service_count const& others,
+                 std::size_t heard) -> bool
 {
     auto const known = std::max(allowance.hosts, heard + 1);
     auto const part =
@@ -185,7 +199,7 @@
     auto const spent =
         static_cast<double>(own.further_attempts + others.further_attempts);
     auto const allowed =
-        usable_part *
+        usable_part(purpose) *
         (allowance.ratio * requests + allowance.slack * part);
     return spent + 1 <= allowed;
 }
--- a/src/fleet/fleet_view.hpp
+++ b/src/fleet/fleet_view.hpp
@@ -109,9 +109,22 @@
     std::size_t hosts = 1;
 };
 
+/// What a further attempt is for, the most valuable last. Each may use a
+/// larger part of the allowance than those before it.
+enum class attempt_purpose
+{
+    /// A stream that runs gets another copy.
+    protection,
+    /// A request that has had no answer.
+    answer,
+    /// A stream that has begun goes on.
+    continuation,
+};
+
 /// Whether this host may make one more attempt. Hosts that are not heard of
 /// may be spending their parts, so those are left to them.
-auto may_attempt(attempt_allowance const& allowance, service_count const& own,
-                 service_count const& others, std::size_t heard) -> bool;
+auto may_attempt(attempt_allowance const& allowance, attempt_purpose purpose,
+                 service_count const& own, service_count const& others,
+                 std::size_t heard) -> bool;
 
 } // namespace primrosedeal::fleet
--- a/src/gateway/host_state.hpp
+++ b/src/gateway/host_state.hpp
@@ -4,6 +4,7 @@
 #include "directory/target_directory.hpp"
 #include "dispatch/load_book.hpp"
 #include "dispatch/shutdown.hpp"
+#include "dispatch/usual_time.hpp"
 #include "dispatch/suspicion.hpp"
 #include "gateway/connect_prober.hpp"
 #include "gateway/protocol.hpp"
@@ -40,13 +41,14 @@
 
     /// Whether one more attempt for `service` stays within the bound that all
     /// hosts share; counts it if so.
-    auto take_attempt(service_id const& service, time_point now) -> bool
+    auto take_attempt(service_id const& service, fleet::attempt_purpose purpose,
+                      time_point now) -> bool
     {
         auto const allowance = fleet::attempt_allowance{
             settings.retry_ratio, settings.retry_slack, known_hosts};
         auto const allowed = fleet::may_attempt(
-            allowance, counts.recent(service, now), others.recent(service, now),
-            others.heard());
+            allowance, purpose, counts.recent(service, now),
+            others.recent(service, now), others.heard());
         if (allowed)
         {
             counts.further_attempt(service, now);
@@ -71,6 +73,7 @@
     metrics::gateway_metrics metrics;
     std::map<relay*, std::shared_ptr<relay>> relays;
     dispatch::usual_time stream_time{first_stream_time};
+    dispatch::reading_time reading_time;
     /// Set at SIGTERM.
     std::optional<time_point> leaving_since;
 };
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -258,6 +258,8 @@
     out.watch.first_event_due = admitted_.objective_at;
     out.watch.warm = from.has_value();
     out.watch.moved_before = moved_while_reading_;
+    out.watch.expected_first =
+        host_.reading_time.expect(facts_.size.prompt.value());
     auto const last_run = state_.runs + 1 >= state_.max_runs;
     if (route.kind == routes::request_kind::idempotent && !last_run)
     {
@@ -272,6 +274,7 @@
     auto const warm = from.has_value();
     current_.emplace();
     current_->target = target;
+    current_->sent_at = now;
     current_->warm = warm;
     copy_.reset();
     auto const& engine = admitted_.service->engine;
@@ -340,6 +343,8 @@
     {
         current_->began = true;
         host_.loads.began(current_->target.id, facts_.size);
+        host_.reading_time.observe(facts_.size.prompt.value(),
+                                   now - current_->sent_at);
     }
     if (!std::exchange(current_->has_event, true))
     {
@@ -433,6 +438,7 @@
     {
         host_.targets.handle(directory::target_replaced{target.id}, now);
     }
+    arrivals_ += how == attempt_failure::not_connected ? 0 : 1;
     if (may_have_run(how))
     {
         state_.may_have_run = true;
@@ -588,7 +594,8 @@
             move_pause, [this] { move_if_unprotected(net::event_loop::now()); });
         return;
     }
-    if (!host_.take_attempt(admitted_.service->id, now))
+    if (!host_.take_attempt(admitted_.service->id,
+                            fleet::attempt_purpose::protection, now))
     {
         relocation_.reset();
         return;
@@ -637,7 +644,12 @@
                      end->status, now);
         return;
     }
-    if (!host_.take_attempt(admitted_.service->id, now))
+    auto const purpose = state_.answer_begun
+                             ? fleet::attempt_purpose::continuation
+                             : fleet::attempt_purpose::answer;
+    // A request that has reached no target yet has its first attempt left.
+    if (arrivals_ > 0 &&
+        !host_.take_attempt(admitted_.service->id, purpose, now))
     {
         end_unserved(refusal_reason::retry_budget,
                      dispatch::final_status(state_, now), now);
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -56,6 +56,7 @@
         std::optional<directory::listed_target> copy;
         /// It goes on from a copy of its memory.
         bool warm = false;
+        time_point sent_at{};
         /// Its prompt counts as read.
         bool began = false;
         bool has_event = false;
@@ -118,6 +119,8 @@
     duration longest_pause_{};
     std::optional<target_answer> error_answer_;
     std::uint32_t attempts_ = 0;
+    /// Attempts that reached a target and failed there.
+    std::uint32_t arrivals_ = 0;
     /// The stream has failed and not gone on yet.
     bool interrupted_ = false;
     bool moved_while_reading_ = false;
