Queue a request only once its connection is made

The connect timeout fired in the loop pass in which the connection had come about and libevent had sent the queued request; the attempt counted as not connected and was repeated elsewhere (12.300 s reaches the target, 12.301 s cut, on a host with 0.12 cores). Ruled out: a repeat by the attempt policy (it saw not_connected). Change: the bytes are queued by the handler that cancels the timeout.

--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace primrosedeal::http1
 {
@@ -89,8 +90,7 @@
             return;
         }
         bufferevent_setcb(bev, on_read, nullptr, on_event, this);
-        auto const bytes = serialise(message);
-        bufferevent_write(bev, bytes.data(), bytes.size());
+        unsent = serialise(message);
         bufferevent_enable(bev, EV_READ | EV_WRITE);
         auto const at = to_sockaddr(to);
         if (bufferevent_socket_connect(
@@ -129,10 +129,8 @@
             auto const on = 1;
             setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_NODELAY, &on,
                        sizeof on);
-            if (self.events.on_connected)
-            {
-                self.events.on_connected();
-            }
+            auto const bytes = std::exchange(self.unsent, {});
+            bufferevent_write(bev, bytes.data(), bytes.size());
             return;
         }
         self.on_closed((what & BEV_EVENT_EOF) != 0);
@@ -219,6 +217,9 @@
 
     call_events events;
     response_parser parser;
+    /// Queued by the handler that cancels the connect timeout and not before:
+    /// libevent could send it on a connection that has just timed out.
+    std::string unsent;
     bufferevent* bev;
     net::timer deadline;
     bool connected = false;
--- a/src/http1/client.hpp
+++ b/src/http1/client.hpp
@@ -35,7 +35,6 @@
 /// `on_complete` or `on_error` is the last to run.
 struct call_events
 {
-    std::function<void()> on_connected;
     std::function<void(response_head)> on_head;
     std::function<void(std::string_view)> on_body;
     std::function<void()> on_complete;
