--- /dev/null
+++ b/src/directory/target_directory_test.cpp
@@ -0,0 +1,140 @@
+#include "directory/target_directory.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+namespace primrosedeal::directory
+{
+
+namespace
+{
+
+auto at(int ms) -> time_point
+{
+    return time_point{std::chrono::milliseconds{ms}};
+}
+
+auto target(std::string id, std::uint64_t born = 1, bool leaving = false,
+            std::uint16_t port = 1) -> listed_target
+{
+    auto out = listed_target{};
+    out.id = target_id{std::move(id)};
+    out.born = incarnation{born};
+    out.service = service_id{"s"};
+    out.address = {"10.0.0.1", port};
+    out.domain = domain_id{"d"};
+    out.leaving = leaving;
+    return out;
+}
+
+struct known_targets
+{
+    auto tell(event const& it, int ms) -> std::vector<change>
+    {
+        return directory.handle(it, at(ms));
+    }
+
+    void write(listed_target const& it, int ms = 0)
+    {
+        tell(entry_written{it.id, it}, ms);
+    }
+
+    [[nodiscard]] auto takes(std::string const& id) const -> bool
+    {
+        return directory.takes_new_work(target_id{id});
+    }
+
+    target_directory directory;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(a_target)
+
+BOOST_FIXTURE_TEST_CASE(takes_work_from_its_entry_on, known_targets)
+{
+    write(target("a"));
+    BOOST_TEST(takes("a"));
+    BOOST_TEST(directory.usable(service_id{"s"}).size() == 1U);
+    BOOST_TEST(directory.usable(service_id{"other"}).empty());
+}
+
+BOOST_AUTO_TEST_SUITE(that_leaves)
+
+BOOST_FIXTURE_TEST_CASE(takes_no_more_work_whatever_comes_later, known_targets)
+{
+    write(target("a"));
+    write(target("a", 1, true), 1);
+    BOOST_TEST(!takes("a"));
+    write(target("a"), 2);
+    BOOST_TEST(!takes("a"));
+    tell(all_entries{{target("a")}}, 3);
+    BOOST_TEST(!takes("a"));
+}
+
+BOOST_FIXTURE_TEST_CASE(takes_work_again_as_a_new_process, known_targets)
+{
+    write(target("a", 1, true));
+    write(target("a", 2), 1);
+    BOOST_TEST(takes("a"));
+}
+
+BOOST_FIXTURE_TEST_CASE(is_not_brought_back_by_a_late_heartbeat, known_targets)
+{
+    write(target("a", 2));
+    write(target("a", 1, true), 1);
+    BOOST_TEST(takes("a"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(whose_entry_goes)
+
+BOOST_FIXTURE_TEST_CASE(is_gone_at_once_while_the_store_is_sound, known_targets)
+{
+    write(target("a"));
+    tell(entry_removed{target_id{"a"}}, 1);
+    BOOST_TEST(!takes("a"));
+}
+
+BOOST_FIXTURE_TEST_CASE(is_gone_if_its_entry_cannot_be_read, known_targets)
+{
+    write(target("a"));
+    tell(entry_written{target_id{"a"}, std::nullopt}, 1);
+    BOOST_TEST(!takes("a"));
+}
+
+BOOST_FIXTURE_TEST_CASE(is_kept_for_a_grace_after_an_outage, known_targets)
+{
+    write(target("a"));
+    write(target("b", 1, false, 2));
+    tell(store_lost{}, 100);
+    tell(store_regained{}, 5000);
+    tell(all_entries{{}}, 5000);
+    BOOST_TEST(takes("a"));
+    write(target("b", 1, false, 2), 6000);
+    directory.expire(at(5000) + lapse_grace);
+    BOOST_TEST(!takes("a"));
+    BOOST_TEST(takes("b"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_CASE(ends_where_a_newer_one_has_its_address, known_targets)
+{
+    write(target("a", 1));
+    write(target("b", 2));
+    BOOST_TEST(!takes("a"));
+    BOOST_TEST(takes("b"));
+}
+
+BOOST_FIXTURE_TEST_CASE(is_left_when_another_one_answers_for_it, known_targets)
+{
+    write(target("a"));
+    tell(target_replaced{target_id{"a"}}, 1);
+    write(target("a"), 2);
+    BOOST_TEST(!takes("a"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace primrosedeal::directory
--- /dev/null
+++ b/src/dispatch/dispatch_test.cpp
@@ -0,0 +1,240 @@
+#include "dispatch/attempt_policy.hpp"
+#include "dispatch/shutdown.hpp"
+#include "dispatch/stream_watch.hpp"
+#include "dispatch/suspicion.hpp"
+#include "dispatch/usual_time.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+namespace primrosedeal::dispatch
+{
+
+namespace
+{
+
+auto at(int ms) -> time_point
+{
+    return time_point{std::chrono::milliseconds{ms}};
+}
+
+auto const domain = domain_id{"d"};
+
+auto state_of(routes::request_kind kind) -> request_state
+{
+    auto out = request_state{};
+    out.kind = kind;
+    out.max_runs = 2;
+    out.give_up_at = at(1000);
+    return out;
+}
+
+auto gives_up_with(request_state const& it, int ms) -> int
+{
+    auto const step = after_failure(it, at(ms));
+    auto const* const end = std::get_if<give_up>(&step);
+    return end == nullptr ? 0 : end->status;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(a_failed_attempt)
+
+BOOST_AUTO_TEST_SUITE(of_a_call_that_may_run_once)
+
+BOOST_AUTO_TEST_CASE(is_repeated_only_where_nothing_ran)
+{
+    auto it = state_of(routes::request_kind::non_idempotent);
+    it.refusals = 1;
+    BOOST_TEST(gives_up_with(it, 0) == 0);
+    it.may_have_run = true;
+    it.runs = 1;
+    BOOST_TEST(gives_up_with(it, 0) == 502);
+    BOOST_TEST(gives_up_with(it, 1000) == 504);
+}
+
+BOOST_AUTO_TEST_CASE(promises_that_it_did_not_run_only_if_so)
+{
+    for (auto const how :
+         {attempt_failure::not_connected, attempt_failure::not_executed,
+          attempt_failure::misdirected, attempt_failure::broken,
+          attempt_failure::silent, attempt_failure::target_error,
+          attempt_failure::damaged})
+    {
+        auto it = state_of(routes::request_kind::non_idempotent);
+        it.may_have_run = may_have_run(how);
+        constexpr auto not_run = 503;
+        BOOST_TEST((final_status(it, at(0)) == not_run) == !it.may_have_run);
+    }
+    BOOST_TEST(may_have_run(attempt_failure::silent));
+    BOOST_TEST(!may_have_run(attempt_failure::not_connected));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(is_repeated_within_the_routes_bound_and_deadline)
+{
+    auto it = state_of(routes::request_kind::idempotent);
+    it.may_have_run = true;
+    it.runs = 1;
+    BOOST_TEST(gives_up_with(it, 0) == 0);
+    it.runs = 2;
+    BOOST_TEST(gives_up_with(it, 0) == 502);
+    it.runs = 1;
+    BOOST_TEST(gives_up_with(it, 990) == 502);
+    it.refusals = max_refusals;
+    BOOST_TEST(gives_up_with(it, 0) == 502);
+}
+
+BOOST_AUTO_TEST_CASE(of_a_stream_is_repeated_only_if_it_can_go_on)
+{
+    auto it = state_of(routes::request_kind::streaming);
+    it.may_have_run = true;
+    it.runs = 1;
+    BOOST_TEST(gives_up_with(it, 0) == 502);
+    it.resumable = true;
+    BOOST_TEST(gives_up_with(it, 0) == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_silent_stream)
+
+BOOST_AUTO_TEST_CASE(is_probed_before_it_is_left_and_left_in_time)
+{
+    auto it = stream_facts{};
+    it.gap_objective = 700ms;
+    it.last_event = at(0);
+    auto const limits = watch_limits{};
+    BOOST_TEST(std::holds_alternative<keep_waiting>(
+        check_stream(limits, it, at(100))));
+    BOOST_TEST(std::holds_alternative<probe_target>(
+        check_stream(limits, it, at(200))));
+    it.probed_at = at(200);
+    BOOST_TEST(std::holds_alternative<keep_waiting>(
+        check_stream(limits, it, at(200))));
+    BOOST_TEST(std::holds_alternative<leave_target>(
+        check_stream(limits, it, at(420))));
+}
+
+BOOST_AUTO_TEST_CASE(waits_for_its_prompt_and_is_left_once)
+{
+    auto it = stream_facts{};
+    it.sent_at = at(0);
+    it.first_event_due = at(4500);
+    it.expected_first = 1000ms;
+    it.probed_at = at(2100);
+    auto const limits = watch_limits{};
+    BOOST_TEST(std::holds_alternative<keep_waiting>(
+        check_stream(limits, it, at(2190))));
+    BOOST_TEST(std::holds_alternative<leave_target>(
+        check_stream(limits, it, at(2210))));
+    it.moved_before = true;
+    BOOST_TEST(!std::holds_alternative<leave_target>(
+        check_stream(limits, it, at(2210))));
+}
+
+// Targets were left while they read, too late to be in time elsewhere: the
+// prompt was read twice and its first event was late all the same.
+BOOST_AUTO_TEST_CASE(is_not_left_where_reading_elsewhere_would_be_late)
+{
+    auto it = stream_facts{};
+    it.sent_at = at(0);
+    it.first_event_due = at(4500);
+    it.expected_first = 1500ms;
+    it.probed_at = at(3300);
+    auto const limits = watch_limits{};
+    BOOST_TEST(!std::holds_alternative<leave_target>(
+        check_stream(limits, it, at(3400))));
+    it.probed_at = at(4500);
+    BOOST_TEST(std::holds_alternative<leave_target>(
+        check_stream(limits, it, at(4500))));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_target_in_doubt)
+
+BOOST_AUTO_TEST_CASE(is_avoided_longer_each_time_and_trusted_once_it_answers)
+{
+    auto it = suspicion{};
+    auto const id = target_id{"a"};
+    it.note(id, domain, evidence::unreachable, at(0));
+    BOOST_TEST((it.of(id, domain, at(399)) == standing::avoided));
+    BOOST_TEST((it.of(id, domain, at(401)) == standing::trusted));
+    it.note(id, domain, evidence::unreachable, at(2000));
+    BOOST_TEST((it.of(id, domain, at(2799)) == standing::avoided));
+    it.note(id, domain, evidence::answered, at(2800));
+    BOOST_TEST((it.of(id, domain, at(2801)) == standing::trusted));
+}
+
+BOOST_AUTO_TEST_CASE(casts_doubt_on_its_domain_only_with_others)
+{
+    auto it = suspicion{};
+    auto const other = target_id{"c"};
+    it.note(target_id{"a"}, domain, evidence::unreachable, at(0));
+    it.note(target_id{"a"}, domain, evidence::unreachable, at(10));
+    BOOST_TEST((it.of(other, domain, at(20)) == standing::trusted));
+    it.note(target_id{"b"}, domain, evidence::silent, at(30));
+    BOOST_TEST((it.of(other, domain, at(40)) == standing::doubtful));
+    BOOST_TEST(
+        (it.of(other, domain_id{"elsewhere"}, at(40)) == standing::trusted));
+    BOOST_TEST((it.of(other, domain, at(1000)) == standing::trusted));
+}
+
+// One service fails a steady seventh of its calls while it is well.
+BOOST_AUTO_TEST_CASE(is_not_avoided_for_a_steady_share_of_errors)
+{
+    auto it = suspicion{};
+    auto const id = target_id{"a"};
+    constexpr auto calls = 700;
+    for (auto i = 0; i < calls; ++i)
+    {
+        it.note(id, domain, i % 7 == 0 ? evidence::failed : evidence::answered,
+                at(i));
+        BOOST_TEST((it.of(id, domain, at(i)) == standing::trusted));
+    }
+    for (auto i = 0; i < 12; ++i)
+    {
+        it.note(id, domain, evidence::failed, at(calls + i));
+    }
+    BOOST_TEST((it.of(id, domain, at(calls + 12)) == standing::avoided));
+}
+
+BOOST_AUTO_TEST_CASE(by_another_host_is_only_taken_later)
+{
+    auto it = suspicion{};
+    auto const id = target_id{"a"};
+    it.hint(id, at(0));
+    BOOST_TEST((it.of(id, domain, at(1)) == standing::doubtful));
+    BOOST_TEST((it.of(id, domain, at(901)) == standing::trusted));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_leaving_host)
+
+BOOST_AUTO_TEST_CASE(takes_what_ends_before_it_has_to_go)
+{
+    BOOST_TEST(may_finish(at(0), 8s, 6s, at(1400)));
+    BOOST_TEST(!may_finish(at(0), 8s, 6s, at(1600)));
+    BOOST_TEST(may_finish(at(0), 8s, 100ms, at(7300)));
+}
+
+BOOST_AUTO_TEST_CASE(knows_usual_times_from_what_it_has_seen)
+{
+    auto stream = usual_time{6s};
+    auto reading = reading_time{};
+    for (auto i = 0; i < 200; ++i)
+    {
+        stream.observe(9s);
+        reading.observe(5000, 1s);
+    }
+    BOOST_TEST((stream.value() > 8900ms && stream.value() <= 9s));
+    auto const expected = reading.expect(2500);
+    BOOST_TEST((expected > 490ms && expected < 510ms));
+    BOOST_TEST((reading.expect(1) == duration{200ms}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace primrosedeal::dispatch
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -3,18 +3,22 @@
 #include <algorithm>
 #include <tuple>
 
-// Candidates are compared by a tuple, most important first: standing, whether
-// the request met them, outstanding prefill, running requests (each is slowed
-// while a prompt is read beside it), memory, and the domain last. Bytes
-// between domains cost little beside a prompt that waits behind another.
+// Candidates are ranked by standing, whether the request met them, and
+// outstanding prefill. Of those that rank first two are drawn, and the one with
+// fewer running requests (each is slowed while a prompt is read beside it),
+// less memory in use or in the own domain is taken. The best of all would be
+// the same for every host that has not yet heard of the others' last choices.
 namespace primrosedeal::dispatch
 {
 
 namespace
 {
 
-using rank = std::tuple<int, bool, std::uint64_t, std::uint64_t,
-                        std::uint64_t, bool, std::uint64_t>;
+/// What a candidate must not be worse in than any other.
+using rank = std::tuple<int, bool, std::uint64_t>;
+
+/// What two candidates of the same rank are compared by.
+using preference = std::tuple<std::uint64_t, std::uint64_t, bool>;
 
 auto whole_load(placement_view const& view, target_id const& id) -> target_load
 {
@@ -40,19 +44,20 @@
 }
 
 auto rank_of(placement_view const& view, placement_request const& it,
-             directory::listed_target const& target, time_point now,
-             random_source& random) -> rank
+             directory::listed_target const& target, time_point now) -> rank
 {
-    auto const load = whole_load(view, target.id);
     auto const where = view.doubts.of(target.id, target.domain, now);
+    return {static_cast<int>(where), met(it, target.id),
+            whole_load(view, target.id).unread_tokens};
+}
+
+auto preference_of(placement_view const& view, placement_request const& it,
+                   directory::listed_target const& target) -> preference
+{
+    auto const load = whole_load(view, target.id);
     auto const plain = it.size.prompt.value() == 0;
-    return {static_cast<int>(where),
-            met(it, target.id),
-            load.unread_tokens,
-            load.requests,
-            plain ? 0 : load.memory_tokens,
-            target.domain != it.own_domain,
-            random()};
+    return {load.requests, plain ? 0 : load.memory_tokens,
+            target.domain != it.own_domain};
 }
 
 template <class Allowed>
@@ -60,20 +65,34 @@
           time_point now, random_source& random, Allowed const& allowed)
     -> std::optional<directory::listed_target>
 {
-    auto found = std::optional<std::pair<rank, directory::listed_target>>{};
+    auto lowest = std::optional<rank>{};
+    auto ties = std::vector<directory::listed_target const*>{};
     for (auto const& target : view.targets)
     {
         if (!allowed(target))
         {
             continue;
         }
-        auto const its = rank_of(view, it, target, now, random);
-        if (!found || its < found->first)
+        auto const its = rank_of(view, it, target, now);
+        if (!lowest || its < *lowest)
+        {
+            lowest = its;
+            ties.clear();
+        }
+        if (its == *lowest)
         {
-            found.emplace(its, target);
+            ties.push_back(&target);
         }
     }
-    return found ? std::optional{std::move(found->second)} : std::nullopt;
+    if (ties.empty())
+    {
+        return std::nullopt;
+    }
+    auto const* const one = ties[random.below(ties.size())];
+    auto const* const two = ties[random.below(ties.size())];
+    return preference_of(view, it, *two) < preference_of(view, it, *one)
+               ? *two
+               : *one;
 }
 
 } // namespace
@@ -99,13 +118,12 @@
                    standing::trusted &&
                has_room(whole_load(view, target.id), target, it);
     };
-    auto elsewhere = it;
-    auto found = best(view, elsewhere, now, random,
+    auto found = best(view, it, now, random,
                       [&](directory::listed_target const& target) {
                           return usable(target) &&
                                  target.domain != primary.domain;
                       });
-    return found ? found : best(view, elsewhere, now, random, usable);
+    return found ? found : best(view, it, now, random, usable);
 }
 
 } // namespace primrosedeal::dispatch
--- /dev/null
+++ b/src/dispatch/placement_replay_test.cpp
@@ -0,0 +1,290 @@
+#include "dispatch/placement.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <functional>
+
+// Replays long prompts that arrive at many hosts against engines that read
+// one prompt at a time. Hosts hear of each other's work after a lag.
+namespace primrosedeal::dispatch
+{
+
+namespace
+{
+
+constexpr auto host_count = std::size_t{8};
+constexpr auto target_count = std::size_t{36};
+constexpr auto domain_count = std::size_t{4};
+/// Half of the digests' period, the way between domains, and as much again
+/// for a busy host.
+constexpr auto digest_lag = duration{23ms};
+constexpr auto us_per_token = 200;
+constexpr auto stream_time = duration{5s};
+
+struct arrival
+{
+    time_point at;
+    std::size_t host = 0;
+    work_size size;
+};
+
+/// Poisson arrivals of `per_second` prompts, doubled in the third second.
+auto recorded_rush(double per_second) -> std::vector<arrival>
+{
+    auto random = random_source{20261204};
+    auto out = std::vector<arrival>{};
+    auto now = time_point{};
+    constexpr auto end = time_point{20s};
+    while (now < end)
+    {
+        auto const rush = now >= time_point{3s} && now < time_point{6s};
+        auto const rate = rush ? 2 * per_second : per_second;
+        auto const gap = -std::log(1 - random.unit()) / rate;
+        now += duration{static_cast<duration::rep>(gap * 1e6)};
+        out.push_back({now, random.below(host_count),
+                       {token_count{3500 + random.below(3000)},
+                        token_count{650}}});
+    }
+    return out;
+}
+
+auto engines() -> std::vector<directory::listed_target>
+{
+    auto out = std::vector<directory::listed_target>{};
+    for (auto i = std::size_t{0}; i < target_count; ++i)
+    {
+        auto it = directory::listed_target{};
+        it.id = target_id{"t" + std::to_string(i)};
+        it.domain = domain_id{"d" + std::to_string(i % domain_count)};
+        it.slots = 64;
+        out.push_back(it);
+    }
+    return out;
+}
+
+using choice = std::function<std::size_t(
+    std::vector<directory::listed_target> const&, arrival const&,
+    load_book const& own, fleet::fleet_view const& others, random_source&)>;
+
+/// Waiting time before each prompt's reading begins, longest last.
+auto replay(std::vector<arrival> const& arrivals, choice const& choose)
+    -> std::vector<duration>
+{
+    struct pending
+    {
+        time_point at;
+        std::size_t host;
+        std::size_t target;
+        work_size size;
+        int stage;
+    };
+    auto const later = [](pending const& a, pending const& b)
+    {
+        return a.at > b.at;
+    };
+    auto const targets = engines();
+    auto books = std::vector<load_book>(host_count);
+    auto views = std::vector<fleet::fleet_view>(host_count);
+    auto sequences = std::vector<std::uint64_t>(host_count);
+    auto free_at = std::vector<time_point>(target_count);
+    auto queue = std::vector<pending>{};
+    auto digests = std::deque<std::pair<time_point, fleet::digest>>{};
+    auto random = random_source{7};
+    auto out = std::vector<duration>{};
+
+    auto const tell = [&](std::size_t host, time_point now)
+    {
+        auto it = fleet::digest{};
+        it.host = host_id{"h" + std::to_string(host)};
+        it.start = incarnation{1};
+        it.sequence = ++sequences[host];
+        it.loads = books[host].all();
+        digests.emplace_back(now + digest_lag, it);
+    };
+    auto const deliver = [&](time_point now)
+    {
+        while (!digests.empty() && digests.front().first <= now)
+        {
+            auto const& it = digests.front().second;
+            for (auto host = std::size_t{0}; host < host_count; ++host)
+            {
+                if (it.host != host_id{"h" + std::to_string(host)})
+                {
+                    views[host].take(it, now);
+                }
+            }
+            digests.pop_front();
+        }
+    };
+    auto const advance = [&](time_point now)
+    {
+        while (!queue.empty() && queue.front().at <= now)
+        {
+            std::pop_heap(queue.begin(), queue.end(), later);
+            auto it = queue.back();
+            queue.pop_back();
+            auto const& id = targets[it.target].id;
+            if (it.stage == 0)
+            {
+                books[it.host].began(id, it.size);
+                queue.push_back({it.at + stream_time, it.host, it.target,
+                                 it.size, 1});
+                std::push_heap(queue.begin(), queue.end(), later);
+            }
+            else
+            {
+                books[it.host].ended(id, it.size, true);
+            }
+            tell(it.host, it.at);
+        }
+    };
+
+    for (auto const& it : arrivals)
+    {
+        advance(it.at);
+        deliver(it.at);
+        auto const target =
+            choose(targets, it, books[it.host], views[it.host], random);
+        books[it.host].sent(targets[target].id, it.size);
+        tell(it.host, it.at);
+        auto const starts = std::max(free_at[target], it.at);
+        auto const reading = duration{static_cast<duration::rep>(
+            it.size.prompt.value() * us_per_token)};
+        free_at[target] = starts + reading;
+        out.push_back(starts - it.at);
+        queue.push_back({starts + reading, it.host, target, it.size, 0});
+        std::push_heap(queue.begin(), queue.end(), later);
+    }
+    std::sort(out.begin(), out.end());
+    return out;
+}
+
+auto by_placement(bool hear_others) -> choice
+{
+    return [hear_others](std::vector<directory::listed_target> const& targets,
+                         arrival const& it, load_book const& own,
+                         fleet::fleet_view const& others, random_source& random)
+               -> std::size_t
+    {
+        static auto const deaf = fleet::fleet_view{};
+        static auto const trust = suspicion{};
+        auto request = placement_request{};
+        request.size = it.size;
+        request.target_memory = 55000;
+        auto const view =
+            placement_view{targets, trust, own, hear_others ? others : deaf};
+        auto const chosen = place(view, request, it.at, random);
+        BOOST_REQUIRE(chosen);
+        return std::stoul(chosen->id.value().substr(1));
+    };
+}
+
+auto at_random(std::vector<directory::listed_target> const& targets,
+               arrival const& /*it*/, load_book const& /*own*/,
+               fleet::fleet_view const& /*others*/, random_source& random)
+    -> std::size_t
+{
+    return random.below(targets.size());
+}
+
+auto round_robin() -> choice
+{
+    return [next = std::vector<std::size_t>(host_count)](
+               std::vector<directory::listed_target> const& targets,
+               arrival const& it, load_book const&, fleet::fleet_view const&,
+               random_source&) mutable
+    {
+        // Hosts start alike and so meet at the same targets.
+        return next[it.host]++ % targets.size();
+    };
+}
+
+auto share_over(std::vector<duration> const& waits, duration limit) -> double
+{
+    auto const over = waits.end() -
+                      std::upper_bound(waits.begin(), waits.end(), limit);
+    return static_cast<double>(over) / static_cast<double>(waits.size());
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(a_rush_of_long_prompts)
+
+BOOST_AUTO_TEST_CASE(hardly_waits_where_hosts_hear_of_each_other)
+{
+    auto const arrivals = recorded_rush(9.4);
+    auto const heard = replay(arrivals, by_placement(true));
+    auto const deaf = replay(arrivals, by_placement(false));
+    auto const random = replay(arrivals, at_random);
+    auto const turns = replay(arrivals, round_robin());
+    // At half of the engines' reading speed nobody needs to wait for long.
+    constexpr auto stated_limit = duration{500ms};
+    constexpr auto stated_share = 0.02;
+    BOOST_TEST_MESSAGE("late: heard " << share_over(heard, stated_limit)
+                                      << ", deaf "
+                                      << share_over(deaf, stated_limit)
+                                      << ", random "
+                                      << share_over(random, stated_limit)
+                                      << ", turns "
+                                      << share_over(turns, stated_limit));
+    BOOST_TEST(share_over(heard, stated_limit) <= stated_share);
+    BOOST_TEST(share_over(deaf, stated_limit) > stated_share);
+    BOOST_TEST(share_over(random, stated_limit) > stated_share);
+    BOOST_TEST(share_over(turns, stated_limit) > stated_share);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_copy)
+
+BOOST_AUTO_TEST_CASE(lies_in_another_domain_and_never_at_a_doubtful_target)
+{
+    auto const targets = engines();
+    auto doubts = suspicion{};
+    auto const loads = load_book{};
+    auto const others = fleet::fleet_view{};
+    auto random = random_source{3};
+    auto const now = time_point{1s};
+    doubts.note(target_id{"t1"}, domain_id{"d1"}, evidence::unreachable, now);
+    doubts.note(target_id{"t5"}, domain_id{"d1"}, evidence::unreachable, now);
+    auto const view = placement_view{targets, doubts, loads, others};
+    auto request = placement_request{};
+    request.size = {token_count{5000}, token_count{650}};
+    request.target_memory = 55000;
+    for (auto i = 0; i < 200; ++i)
+    {
+        auto const primary = place(view, request, now, random);
+        BOOST_REQUIRE(primary);
+        auto const copy = place_copy(view, request, *primary, now, random);
+        BOOST_REQUIRE(copy);
+        BOOST_TEST(copy->domain != primary->domain);
+        BOOST_TEST(copy->domain != domain_id{"d1"});
+    }
+}
+
+BOOST_AUTO_TEST_CASE(counts_as_load_where_it_lies)
+{
+    auto targets = engines();
+    targets.resize(1);
+    auto const doubts = suspicion{};
+    auto loads = load_book{};
+    auto const others = fleet::fleet_view{};
+    auto random = random_source{3};
+    auto request = placement_request{};
+    request.size = {token_count{5000}, token_count{650}};
+    request.target_memory = 12000;
+    auto const view = placement_view{targets, doubts, loads, others};
+    loads.copy_added(targets.front().id, request.size);
+    BOOST_TEST(place(view, request, time_point{}, random).has_value());
+    loads.copy_added(targets.front().id, request.size);
+    BOOST_TEST(!place(view, request, time_point{}, random).has_value());
+    loads.copy_dropped(targets.front().id, request.size);
+    BOOST_TEST(place(view, request, time_point{}, random).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace primrosedeal::dispatch
--- a/src/fleet/digest.cpp
+++ b/src/fleet/digest.cpp
@@ -18,6 +18,11 @@
                           std::vector<load_row>, std::vector<count_row>,
                           std::vector<std::string>>;
 
+// Bounds against bytes that announce more than a datagram can hold.
+constexpr auto max_rows = std::size_t{4096};
+constexpr auto max_text = std::size_t{1024};
+constexpr auto max_depth = std::size_t{4};
+
 auto pack(fields const& it) -> std::string
 {
     auto buf = msgpack::sbuffer{};
@@ -58,7 +63,9 @@
 {
     try
     {
-        auto const handle = msgpack::unpack(bytes.data(), bytes.size());
+        auto const handle = msgpack::unpack(
+            bytes.data(), bytes.size(), nullptr, nullptr,
+            msgpack::unpack_limit(max_rows, 0, max_text, 0, 0, max_depth));
         auto const it = handle.get().as<fields>();
         auto out = digest{};
         out.host = host_id{std::get<0>(it)};
--- /dev/null
+++ b/src/fleet/fleet_test.cpp
@@ -0,0 +1,197 @@
+#include "fleet/fleet_view.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+namespace primrosedeal::fleet
+{
+
+namespace
+{
+
+auto const service = service_id{"s"};
+
+auto at(int ms) -> time_point
+{
+    return time_point{std::chrono::milliseconds{ms}};
+}
+
+auto make_digest(int host, std::uint64_t sequence) -> digest
+{
+    auto out = digest{};
+    out.host = host_id{"h" + std::to_string(host)};
+    out.start = incarnation{1};
+    out.sequence = sequence;
+    return out;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(a_digest)
+
+BOOST_AUTO_TEST_CASE(survives_its_journey)
+{
+    rc::check(
+        [](std::string const& host, std::uint64_t start,
+           std::map<std::string, std::uint32_t> const& loads,
+           std::vector<std::string> const& lost)
+        {
+            auto it = digest{};
+            it.host = host_id{host};
+            it.start = incarnation{start};
+            it.sequence = 3;
+            for (auto const& [id, n] : loads)
+            {
+                it.loads[target_id{id}] = {n, n + 1U, n + 2U};
+            }
+            it.counts[service] = {5, 6};
+            for (auto const& id : lost)
+            {
+                it.lost.emplace_back(id);
+            }
+            auto const out = decode_digest(encode(it));
+            RC_ASSERT(out.has_value());
+            RC_ASSERT(out->host == it.host);
+            RC_ASSERT(out->start == it.start);
+            RC_ASSERT(out->loads.size() == it.loads.size());
+            RC_ASSERT(out->lost == it.lost);
+            RC_ASSERT(out->counts.at(service).further_attempts == 6);
+        });
+}
+
+BOOST_AUTO_TEST_CASE(that_is_none_is_refused)
+{
+    rc::check(
+        [](std::string const& bytes)
+        {
+            auto const it = decode_digest(bytes);
+            RC_ASSERT(!it || !bytes.empty());
+        });
+    BOOST_TEST(!decode_digest("").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_view)
+
+BOOST_AUTO_TEST_CASE(holds_the_newest_digest_of_each_host)
+{
+    auto it = fleet_view{};
+    auto const id = target_id{"t"};
+    auto first = make_digest(1, 1);
+    first.loads[id] = {2, 100, 200};
+    auto second = make_digest(1, 2);
+    second.loads[id] = {1, 0, 100};
+    BOOST_TEST(it.take(second, at(0)));
+    BOOST_TEST(!it.take(first, at(1)));
+    BOOST_TEST(it.load_of(id).requests == 1U);
+    auto other = make_digest(2, 1);
+    other.loads[id] = {3, 30, 300};
+    it.take(other, at(2));
+    BOOST_TEST(it.load_of(id).requests == 4U);
+    BOOST_TEST(it.load_of(id).memory_tokens == 400U);
+}
+
+BOOST_AUTO_TEST_CASE(forgets_a_host_that_fell_silent)
+{
+    auto it = fleet_view{};
+    auto const id = target_id{"t"};
+    auto first = make_digest(1, 1);
+    first.loads[id] = {2, 100, 200};
+    it.take(first, at(0));
+    it.expire(at(2500));
+    BOOST_TEST(it.heard() == 1U);
+    it.expire(at(2501));
+    BOOST_TEST(it.heard() == 0U);
+    BOOST_TEST(it.load_of(id).requests == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(counts_what_others_spent_within_the_window)
+{
+    auto it = fleet_view{};
+    for (auto second = 0; second <= 30; ++second)
+    {
+        auto d = make_digest(1, static_cast<std::uint64_t>(second) + 1);
+        d.counts[service] = {static_cast<std::uint64_t>(second) * 10,
+                             static_cast<std::uint64_t>(second) * 2};
+        it.take(d, at(second * 1000));
+    }
+    auto const recent = it.recent(service, at(30000));
+    BOOST_TEST(recent.requests == 100U);
+    BOOST_TEST(recent.further_attempts == 20U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(the_allowance)
+
+BOOST_AUTO_TEST_CASE(is_never_exceeded_by_all_hosts_that_hear_nothing)
+{
+    constexpr auto hosts = std::size_t{8};
+    auto const allowance = attempt_allowance{0.8, 150, hosts};
+    auto total = 0;
+    for (auto host = std::size_t{0}; host < hosts; ++host)
+    {
+        auto own = service_count{10, 0};
+        while (may_attempt(allowance, attempt_purpose::continuation, own, {},
+                           0))
+        {
+            ++own.further_attempts;
+            ++total;
+        }
+    }
+    BOOST_TEST(total <= 0.8 * 10 * hosts + 150);
+}
+
+// A failure domain is lost: the host that serves the most clients there needs
+// far more than its equal part, the others need next to nothing.
+BOOST_AUTO_TEST_CASE(serves_the_host_that_needs_it_in_a_domains_loss)
+{
+    constexpr auto hosts = std::size_t{8};
+    auto const allowance = attempt_allowance{0.8, 150, hosts};
+    constexpr auto broken_streams = 60U;
+    auto own = service_count{20, 0};
+    auto const others = service_count{74, 10};
+    auto alone = service_count{20, 0};
+    for (auto i = 0U; i < broken_streams; ++i)
+    {
+        own.further_attempts +=
+            may_attempt(allowance, attempt_purpose::continuation, own, others,
+                        hosts - 1)
+                ? 1
+                : 0;
+        alone.further_attempts +=
+            may_attempt(allowance, attempt_purpose::continuation, alone, {}, 0)
+                ? 1
+                : 0;
+    }
+    BOOST_TEST(own.further_attempts == broken_streams);
+    BOOST_TEST(alone.further_attempts < broken_streams);
+}
+
+BOOST_AUTO_TEST_CASE(is_kept_for_streams_that_broke_before_those_that_run)
+{
+    auto const allowance = attempt_allowance{0.8, 150, 1};
+    auto own = service_count{0, 0};
+    while (may_attempt(allowance, attempt_purpose::protection, own, {}, 0))
+    {
+        ++own.further_attempts;
+    }
+    BOOST_TEST(own.further_attempts <= 75U);
+    BOOST_TEST(
+        may_attempt(allowance, attempt_purpose::continuation, own, {}, 0));
+}
+
+BOOST_AUTO_TEST_CASE(comes_back_as_the_window_moves_on)
+{
+    auto it = own_counts{};
+    it.request(service, at(0));
+    it.further_attempt(service, at(0));
+    BOOST_TEST(it.recent(service, at(9000)).further_attempts == 1U);
+    BOOST_TEST(it.recent(service, at(12000)).further_attempts == 0U);
+    BOOST_TEST(it.totals().at(service).further_attempts == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace primrosedeal::fleet
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -31,7 +31,7 @@
 constexpr auto reserved_descriptors = std::size_t{600};
 /// Between digests while there is something new, and at most: a prompt takes
 /// about a second to read, so others see it in good time.
-constexpr auto digest_period = duration{40ms};
+constexpr auto digest_period = duration{20ms};
 constexpr auto longest_digest_period = duration{1s};
 
 constexpr auto ok = 200;
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -28,6 +28,8 @@
 /// A state that is larger is not sent.
 constexpr auto max_state_bytes = std::size_t{2} << 20U;
 
+constexpr auto max_entries = std::size_t{16384};
+
 auto limits() -> membership::session_limits
 {
     auto out = membership::session_limits{};
@@ -52,7 +54,9 @@
 {
     try
     {
-        auto const handle = msgpack::unpack(bytes.data(), bytes.size());
+        auto const handle = msgpack::unpack(
+            bytes.data(), bytes.size(), nullptr, nullptr,
+            msgpack::unpack_limit(2, max_entries, max_state_bytes, 0, 0, 3));
         auto const fields =
             handle.get().as<std::tuple<bool, std::map<std::string, std::string>>>();
         return peer_state{std::get<0>(fields), std::get<1>(fields)};
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -628,9 +628,14 @@
     auto const it = std::move(*relocation_);
     relocation_.reset();
     interrupted_ = true;
+    auto const& next = answer->copied ? it.to : it.from;
+    if (!host_.targets.takes_new_work(next.id))
+    {
+        on_failure(attempt_failure::broken, {}, now);
+        return;
+    }
     leave_target();
-    send(answer->copied ? it.to : it.from,
-         kept_copy{it.from.address, *answer->handle}, now);
+    send(next, kept_copy{it.from.address, *answer->handle}, now);
 }
 
 void relay::retry_or_end(time_point now)
--- /dev/null
+++ b/src/http1/connection_test.cpp
@@ -0,0 +1,242 @@
+#include "http1/client.hpp"
+#include "http1/server.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <event2/event.h>
+#include <event2/thread.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <string>
+
+namespace primrosedeal::http1
+{
+
+namespace
+{
+
+auto const local = net::endpoint{"127.0.0.1", 0};
+
+/// Long enough to be a failure of the test and not of the machine.
+constexpr auto patience = duration{20s};
+
+auto get(std::string target) -> request
+{
+    return {"GET", std::move(target), {{"Host", "h"}}, {}, true};
+}
+
+/// A server and its loop; `run_until` drives both ends.
+struct world
+{
+    world()
+    {
+        net::initialise_process();
+    }
+
+    template <class Done>
+    void run_until(Done const& done)
+    {
+        auto const end = net::event_loop::now() + patience;
+        while (!done() && net::event_loop::now() < end)
+        {
+            auto const tick = loop.after(5ms, [] {});
+            event_base_loop(loop.base(), EVLOOP_ONCE);
+        }
+        BOOST_REQUIRE(done());
+    }
+
+    net::event_loop loop;
+};
+
+/// Bytes that a plain socket gets for `sent` until its peer's end.
+auto talk(world& it, std::uint16_t port, std::string const& sent) -> std::string
+{
+    auto const fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    auto to = sockaddr_in{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(port);
+    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    BOOST_REQUIRE(::connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) ==
+                  0);
+    BOOST_REQUIRE(::send(fd, sent.data(), sent.size(), 0) ==
+                  static_cast<ssize_t>(sent.size()));
+    auto out = std::string{};
+    auto ended = false;
+    it.run_until(
+        [&]
+        {
+            char buf[4096];
+            auto const n = ::recv(fd, buf, sizeof buf, MSG_DONTWAIT);
+            if (n > 0)
+            {
+                out.append(buf, static_cast<std::size_t>(n));
+            }
+            ended = n == 0;
+            return ended;
+        });
+    ::close(fd);
+    return out;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(the_clients_side)
+
+BOOST_FIXTURE_TEST_CASE(sends_the_last_answer_before_it_ends_a_connection,
+                        world)
+{
+    auto it = server{loop, [](request const&, std::shared_ptr<exchange> const&
+                                                  client)
+                     { client->reply({200, {}}, "whole", true); }};
+    auto const port = it.listen(local);
+    auto const got = talk(*this, port, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    BOOST_TEST(got.starts_with("HTTP/1.1 200 OK\r\n"));
+    BOOST_TEST(got.ends_with("\r\n\r\nwhole"));
+}
+
+BOOST_FIXTURE_TEST_CASE(answers_hostile_heads_and_hands_none_over, world)
+{
+    auto handed = 0;
+    auto it = server{loop,
+                     [&](request const&, std::shared_ptr<exchange> const& c)
+                     {
+                         ++handed;
+                         c->reply({200, {}}, {}, true);
+                     }};
+    auto limits = server_limits{};
+    limits.sizes.head = 512;
+    it.set_limits(limits);
+    auto const port = it.listen(local);
+    auto const smuggled =
+        talk(*this, port,
+             "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+             "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /b HTTP/1.1\r\n");
+    BOOST_TEST(smuggled.starts_with("HTTP/1.1 400 "));
+    auto const large = talk(*this, port,
+                            "GET /a HTTP/1.1\r\nHost: h\r\nX: " +
+                                std::string(600, 'a') + "\r\n\r\n");
+    BOOST_TEST(large.starts_with("HTTP/1.1 431 "));
+    BOOST_TEST(handed == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(ends_a_head_that_comes_too_slowly, world)
+{
+    auto it = server{loop, [](request const&, std::shared_ptr<exchange> const&)
+                     { BOOST_ERROR("a partial request was handed over"); }};
+    auto limits = server_limits{};
+    limits.head_timeout = 50ms;
+    it.set_limits(limits);
+    auto const port = it.listen(local);
+    auto const got = talk(*this, port, "GET /a HTTP/1.1\r\nHo");
+    BOOST_TEST(got.starts_with("HTTP/1.1 408 "));
+}
+
+BOOST_FIXTURE_TEST_CASE(makes_an_aborted_answer_look_incomplete, world)
+{
+    auto it = server{loop, [](request const&, std::shared_ptr<exchange> const&
+                                                  client)
+                     {
+                         client->start({200, {}});
+                         client->send("part");
+                         client->abort();
+                     }};
+    auto const port = it.listen(local);
+    auto const got = talk(*this, port, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    BOOST_TEST(got.ends_with("4\r\npart\r\n"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(the_targets_side)
+
+BOOST_FIXTURE_TEST_CASE(tells_how_far_a_call_got, world)
+{
+    auto it = server{loop, [](request const& r, std::shared_ptr<exchange> const&
+                                                    client)
+                     {
+                         if (r.target == "/cut")
+                         {
+                             client->start({200, {}});
+                             client->send("part");
+                             client->abort();
+                             return;
+                         }
+                         client->reply({200, {}}, "whole", false);
+                     }};
+    auto const at = net::endpoint{"127.0.0.1", it.listen(local)};
+    auto error = std::optional<call_error>{};
+    auto complete = false;
+    auto events = call_events{};
+    events.on_complete = [&]
+    {
+        complete = true;
+    };
+    events.on_error = [&](call_error why)
+    {
+        error = why;
+    };
+    {
+        auto const call = client_call{loop, at, get("/"), patience, events};
+        run_until([&] { return complete; });
+    }
+    {
+        auto const call = client_call{loop, at, get("/cut"), patience, events};
+        run_until([&] { return error.has_value(); });
+        BOOST_TEST((*error == call_error::truncated));
+    }
+    it.stop_listening();
+    error.reset();
+    auto const call = client_call{loop, at, get("/"), patience, events};
+    run_until([&] { return error.has_value(); });
+    BOOST_TEST((*error == call_error::not_connected));
+    BOOST_TEST(!call.may_have_sent());
+}
+
+// A busy host found the connect timeout due in the same pass of the loop in
+// which the connection had come about, and the request already on its way.
+BOOST_FIXTURE_TEST_CASE(sends_nothing_on_a_connection_that_timed_out, world)
+{
+    auto runs = 0;
+    auto it = server{loop,
+                     [&](request const&, std::shared_ptr<exchange> const& c)
+                     {
+                         ++runs;
+                         c->reply({200, {}}, {}, true);
+                     }};
+    auto const at = net::endpoint{"127.0.0.1", it.listen(local)};
+    auto reported_unsent = 0;
+    auto ended = 0;
+    constexpr auto tries = 200;
+    for (auto i = 0; i < tries; ++i)
+    {
+        auto events = call_events{};
+        auto over = false;
+        events.on_complete = [&]
+        {
+            over = true;
+        };
+        events.on_error = [&](call_error why)
+        {
+            over = true;
+            reported_unsent += why == call_error::not_connected ? 1 : 0;
+        };
+        auto const call = client_call{loop, at, get("/"), 100us, events};
+        // The host stands still until connection and timeout are both due.
+        ::usleep(300);
+        run_until([&] { return over; });
+        ++ended;
+    }
+    auto settled = false;
+    auto const settle = loop.after(100ms, [&] { settled = true; });
+    run_until([&] { return settled; });
+    BOOST_TEST(ended == tries);
+    BOOST_TEST(runs + reported_unsent == tries);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace primrosedeal::http1
--- /dev/null
+++ b/src/http1/message_test.cpp
@@ -0,0 +1,236 @@
+#include "http1/event_splitter.hpp"
+#include "http1/message.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+namespace primrosedeal::http1
+{
+
+namespace
+{
+
+struct parsed
+{
+    std::optional<request> message;
+    parse_error error = parse_error::none;
+    std::string rest;
+};
+
+/// Feeds `bytes` in pieces of `step`.
+auto parse(std::string const& bytes, std::size_t step = 1,
+           parse_limits const& limits = {}) -> parsed
+{
+    auto parser = request_parser{};
+    auto at = std::size_t{0};
+    while (at < bytes.size() && !parser.complete() &&
+           parser.error() == parse_error::none)
+    {
+        auto const piece = std::string_view{bytes}.substr(at, step);
+        at += parser.feed(piece, limits);
+    }
+    auto out = parsed{};
+    out.error = parser.error();
+    if (parser.complete())
+    {
+        out.message = parser.take();
+        out.rest = bytes.substr(at);
+    }
+    return out;
+}
+
+auto with_head(std::string const& lines) -> std::string
+{
+    return "POST /a/b?c HTTP/1.1\r\nHost: h\r\n" + lines + "\r\n";
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(a_request)
+
+BOOST_AUTO_TEST_SUITE(is_taken_whole)
+
+BOOST_AUTO_TEST_CASE(whatever_pieces_it_comes_in)
+{
+    auto const bytes = with_head("Content-Length: 5\r\nX-A: 1\r\n") + "hello" +
+                       "GET /next/ HTTP/1.1\r\nHost: h\r\n\r\n";
+    rc::check(
+        [&]
+        {
+            auto const step =
+                *rc::gen::inRange<std::size_t>(1, bytes.size());
+            auto const it = parse(bytes, step);
+            RC_ASSERT(it.message.has_value());
+            RC_ASSERT(it.message->method == "POST");
+            RC_ASSERT(it.message->target == "/a/b?c");
+            RC_ASSERT(it.message->body == "hello");
+            RC_ASSERT(it.rest.starts_with("GET /next/"));
+        });
+}
+
+BOOST_AUTO_TEST_CASE(with_a_body_in_chunks)
+{
+    auto const it = parse(with_head("Transfer-Encoding: chunked\r\n") +
+                          "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\nrest");
+    BOOST_REQUIRE(it.message);
+    BOOST_TEST(it.message->body == "abcde");
+    BOOST_TEST(it.rest == "rest");
+}
+
+BOOST_AUTO_TEST_CASE(with_an_upgrade_that_is_not_taken_up)
+{
+    auto const it = parse(with_head(
+        "Connection: upgrade\r\nUpgrade: x\r\nContent-Length: 2\r\n") + "ab");
+    BOOST_REQUIRE(it.message);
+    BOOST_TEST(it.message->body == "ab");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(is_refused)
+
+BOOST_AUTO_TEST_CASE(when_its_length_is_ambiguous)
+{
+    auto const cases = {
+        "Content-Length: 3\r\nContent-Length: 4\r\n",
+        "Content-Length: 3\r\nContent-Length: 3\r\n",
+        "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: xchunked\r\n",
+        "Transfer-Encoding : chunked\r\n",
+        "Content-Length: +3\r\n",
+        "Content-Length: 0x3\r\n",
+        "Content-Length: -1\r\n",
+    };
+    for (auto const* const it : cases)
+    {
+        BOOST_TEST_CONTEXT(it)
+        {
+            auto const out = parse(with_head(it) + "0\r\n\r\nGET / HTTP/1.1");
+            BOOST_TEST((out.error == parse_error::malformed));
+            BOOST_TEST(!out.message);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(when_its_head_is_malformed)
+{
+    auto const cases = {
+        std::string{"POST /a HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n"},
+        std::string{"POST a HTTP/1.1\r\nHost: a\r\n\r\n"},
+        std::string{"POST http://h/a HTTP/1.1\r\nHost: a\r\n\r\n"},
+        std::string{"CONNECT h:1 HTTP/1.1\r\nHost: a\r\n\r\n"},
+        std::string{"POST /a HTTP/2.0\r\nHost: a\r\n\r\n"},
+        std::string{"POST /a HTTP/1.1\r\nHo st: a\r\n\r\n"},
+        std::string{"POST /a HTTP/1.1\r\nX: a\x01\r\nHost: a\r\n\r\n"},
+        std::string{"\x16\x03\x01 not http"},
+    };
+    for (auto const& it : cases)
+    {
+        BOOST_TEST_CONTEXT(it)
+        {
+            BOOST_TEST((parse(it).error == parse_error::malformed));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(when_its_head_or_body_is_too_large)
+{
+    auto limits = parse_limits{};
+    limits.head = 200;
+    limits.body = 10;
+    auto const long_head =
+        with_head("X-Long: " + std::string(300, 'a') + "\r\n");
+    BOOST_TEST((parse(long_head, 7, limits).error ==
+                parse_error::head_too_large));
+    auto const sized = with_head("Content-Length: 11\r\n");
+    BOOST_TEST(
+        (parse(sized, 7, limits).error == parse_error::body_too_large));
+    auto const chunked = with_head("Transfer-Encoding: chunked\r\n") +
+                         "b\r\nabcdefghijk\r\n0\r\n\r\n";
+    BOOST_TEST(
+        (parse(chunked, 7, limits).error == parse_error::body_too_large));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(an_answer)
+
+BOOST_AUTO_TEST_CASE(ends_at_its_length_and_what_follows_is_no_part_of_it)
+{
+    auto parser = response_parser{false};
+    auto const it = parser.feed("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
+                                "okHTTP/1.1 200 OK\r\n\r\n");
+    BOOST_TEST(it.complete);
+    BOOST_TEST(it.body == "ok");
+    BOOST_TEST(!parser.feed("more").complete);
+}
+
+BOOST_AUTO_TEST_CASE(without_a_length_is_complete_only_at_a_close_in_good_order)
+{
+    auto parser = response_parser{false};
+    auto const it = parser.feed("HTTP/1.1 200 OK\r\n\r\npart");
+    BOOST_TEST(!it.complete);
+    BOOST_TEST(it.until_close);
+    BOOST_TEST(parser.feed_end().complete);
+}
+
+BOOST_AUTO_TEST_CASE(that_is_cut_inside_its_length_is_not_complete)
+{
+    auto parser = response_parser{false};
+    parser.feed("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart");
+    BOOST_TEST(!parser.feed_end().complete);
+}
+
+BOOST_AUTO_TEST_CASE(follows_interim_answers)
+{
+    auto parser = response_parser{false};
+    auto const it = parser.feed("HTTP/1.1 100 Continue\r\n\r\n"
+                                "HTTP/1.1 204 No Content\r\n\r\n");
+    BOOST_REQUIRE(it.head);
+    BOOST_TEST(it.head->status == 204);
+    BOOST_TEST(it.complete);
+}
+
+BOOST_AUTO_TEST_CASE(that_is_not_http_is_malformed)
+{
+    auto parser = response_parser{false};
+    BOOST_TEST(parser.feed("garbage").malformed);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_stream_of_events)
+
+BOOST_AUTO_TEST_CASE(is_cut_into_whole_events_whatever_pieces_it_comes_in)
+{
+    auto const bytes = std::string{"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"
+                                   "data: c\n\nid: 4\ndata"};
+    rc::check(
+        [&]
+        {
+            auto const step =
+                *rc::gen::inRange<std::size_t>(1, bytes.size());
+            auto splitter = event_splitter{};
+            auto joined = std::string{};
+            auto ids = std::vector<std::uint64_t>{};
+            for (auto at = std::size_t{0}; at < bytes.size(); at += step)
+            {
+                for (auto const& it : splitter.feed(bytes.substr(at, step)))
+                {
+                    joined += it.bytes;
+                    ids.push_back(it.id.value_or(0));
+                }
+            }
+            RC_ASSERT(joined + splitter.rest() == bytes);
+            RC_ASSERT((ids == std::vector<std::uint64_t>{1, 2, 0}));
+        });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace primrosedeal::http1
