--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -14,6 +14,9 @@
 namespace
 {
 
+/// Targets drawn of those that rank first.
+constexpr auto drawn = std::size_t{4};
+
 /// What a candidate must not be worse in than any other.
 using rank = std::tuple<int, bool, std::uint64_t>;
 
@@ -88,11 +91,16 @@
     {
         return std::nullopt;
     }
-    auto const* const one = ties[random.below(ties.size())];
-    auto const* const two = ties[random.below(ties.size())];
-    return preference_of(view, it, *two) < preference_of(view, it, *one)
-               ? *two
-               : *one;
+    auto const* chosen = ties[random.below(ties.size())];
+    for (auto i = std::size_t{1}; i < drawn; ++i)
+    {
+        auto const* const other = ties[random.below(ties.size())];
+        if (preference_of(view, it, *other) < preference_of(view, it, *chosen))
+        {
+            chosen = other;
+        }
+    }
+    return *chosen;
 }
 
 } // namespace
--- a/src/fleet/digest.cpp
+++ b/src/fleet/digest.cpp
@@ -16,7 +16,7 @@
 using count_row = std::tuple<std::string, std::uint64_t, std::uint64_t>;
 using fields = std::tuple<std::string, std::uint64_t, std::uint64_t,
                           std::vector<load_row>, std::vector<count_row>,
-                          std::vector<std::string>>;
+                          std::vector<std::string>, std::vector<std::string>>;
 
 // Bounds against bytes that announce more than a datagram can hold.
 constexpr auto max_rows = std::size_t{4096};
@@ -30,12 +30,29 @@
     return {buf.data(), buf.size()};
 }
 
+/// Returns false if all lists are empty.
+auto halve_longest_list(fields& it) -> bool
+{
+    auto& loads = std::get<3>(it);
+    auto& lost = std::get<5>(it);
+    auto& replaced = std::get<6>(it);
+    if (loads.size() >= lost.size() && loads.size() >= replaced.size())
+    {
+        auto const any = !loads.empty();
+        loads.resize(loads.size() / 2);
+        return any;
+    }
+    auto& longer = lost.size() > replaced.size() ? lost : replaced;
+    longer.resize(longer.size() / 2);
+    return true;
+}
+
 } // namespace
 
 auto encode(digest const& it) -> std::string
 {
     auto out = fields{it.host.value(), it.start.value(), it.sequence, {}, {},
-                      {}};
+                      {}, {}};
     for (auto const& [id, load] : it.loads)
     {
         std::get<3>(out).emplace_back(id.value(), load.requests,
@@ -50,10 +67,13 @@
     {
         std::get<5>(out).push_back(id.value());
     }
+    for (auto const& id : it.replaced)
+    {
+        std::get<6>(out).push_back(id.value());
+    }
     auto bytes = pack(out);
-    while (bytes.size() > max_digest_bytes && !std::get<3>(out).empty())
+    while (bytes.size() > max_digest_bytes && halve_longest_list(out))
     {
-        std::get<3>(out).resize(std::get<3>(out).size() / 2);
         bytes = pack(out);
     }
     return bytes;
@@ -83,6 +103,10 @@
         {
             out.lost.emplace_back(id);
         }
+        for (auto const& id : std::get<6>(it))
+        {
+            out.replaced.emplace_back(id);
+        }
         return out;
     }
     catch (std::exception const&)
--- a/src/fleet/digest.hpp
+++ b/src/fleet/digest.hpp
@@ -35,6 +35,8 @@
     std::map<service_id, service_count> counts;
     /// Targets that the host has just found unreachable or silent.
     std::vector<target_id> lost;
+    /// Targets whose address another one has answered at: they are gone.
+    std::vector<target_id> replaced;
 };
 
 /// Largest digest in bytes; one datagram. What does not fit is left out.
--- a/src/fleet/fleet_test.cpp
+++ b/src/fleet/fleet_test.cpp
@@ -40,14 +40,24 @@
             it.host = host_id{host};
             it.start = incarnation{start};
             it.sequence = 3;
+            constexpr auto most = std::size_t{20};
             for (auto const& [id, n] : loads)
             {
+                if (it.loads.size() == most)
+                {
+                    break;
+                }
                 it.loads[target_id{id}] = {n, n + 1U, n + 2U};
             }
             it.counts[service] = {5, 6};
             for (auto const& id : lost)
             {
+                if (it.lost.size() == most)
+                {
+                    break;
+                }
                 it.lost.emplace_back(id);
+                it.replaced.emplace_back(id + "'");
             }
             auto const out = decode_digest(encode(it));
             RC_ASSERT(out.has_value());
@@ -55,10 +65,30 @@
             RC_ASSERT(out->start == it.start);
             RC_ASSERT(out->loads.size() == it.loads.size());
             RC_ASSERT(out->lost == it.lost);
+            RC_ASSERT(out->replaced == it.replaced);
             RC_ASSERT(out->counts.at(service).further_attempts == 6);
         });
 }
 
+BOOST_AUTO_TEST_CASE(fits_a_datagram_whatever_it_holds)
+{
+    auto it = make_digest(1, 1);
+    constexpr auto many = 2000;
+    for (auto i = 0; i < many; ++i)
+    {
+        auto const id = target_id{"target-" + std::to_string(i)};
+        it.loads[id] = {1, 2, 3};
+        it.lost.push_back(id);
+        it.replaced.push_back(id);
+    }
+    auto const bytes = encode(it);
+    BOOST_TEST(bytes.size() <= max_digest_bytes);
+    auto const out = decode_digest(bytes);
+    BOOST_REQUIRE(out);
+    BOOST_TEST(!out->loads.empty());
+    BOOST_TEST(!out->lost.empty());
+}
+
 BOOST_AUTO_TEST_CASE(that_is_none_is_refused)
 {
     rc::check(
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -225,6 +225,10 @@
         {
             return;
         }
+        for (auto const& id : it.replaced)
+        {
+            note_targets(directory::target_replaced{id}, now);
+        }
         auto const all = host_.relays;
         for (auto const& id : it.lost)
         {
@@ -240,7 +244,8 @@
     {
         auto const now = net::event_loop::now();
         auto const news = host_.loads.changes() != told_changes_ ||
-                          !host_.just_lost.empty();
+                          !host_.just_lost.empty() ||
+                          !host_.just_replaced.empty();
         if (news || now - told_at_ >= longest_digest_period)
         {
             told_changes_ = host_.loads.changes();
@@ -259,6 +264,7 @@
         out.loads = host_.loads.all();
         out.counts = host_.counts.totals();
         out.lost = std::exchange(host_.just_lost, {});
+        out.replaced = std::exchange(host_.just_replaced, {});
         return out;
     }
 
--- a/src/gateway/host_state.hpp
+++ b/src/gateway/host_state.hpp
@@ -69,6 +69,8 @@
     std::size_t known_hosts = assumed_hosts;
     /// Found unreachable since the last digest.
     std::vector<target_id> just_lost;
+    /// Found replaced since the last digest.
+    std::vector<target_id> just_replaced;
     connect_prober prober;
     metrics::gateway_metrics metrics;
     std::map<relay*, std::shared_ptr<relay>> relays;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -437,6 +437,7 @@
     if (how == attempt_failure::misdirected)
     {
         host_.targets.handle(directory::target_replaced{target.id}, now);
+        host_.just_replaced.push_back(target.id);
     }
     arrivals_ += how == attempt_failure::not_connected ? 0 : 1;
     if (may_have_run(how))
