--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -12,6 +12,8 @@
     static auto const all = std::vector<command>{
         {"gateway", "run an entry host on the users' platform until SIGTERM",
          "primrosedeal gateway /etc/primrosedeal/boot.json", gateway},
+        {"explain", "say from log lines why a request ended as it did",
+         "primrosedeal explain 9c41d07be2a35f68 < gateway.log", explain},
         {"serve", "run an entry host until SIGTERM",
          "primrosedeal serve --settings=samples/kigali-kgl-1-a.host.yaml",
          serve},
--- a/src/cli/gateway_command.cpp
+++ b/src/cli/gateway_command.cpp
@@ -20,8 +20,8 @@
     }
     try
     {
-        auto const file = words.empty() ? platform::settings_path()
-                                        : words.front();
+        auto const file =
+            words.empty() ? platform::settings_path() : words.front();
         auto const settings = platform::load_settings(file);
         auto const logging = log::scope{};
         auto loop = net::event_loop{};
--- a/src/cli/subcommands.hpp
+++ b/src/cli/subcommands.hpp
@@ -7,6 +7,7 @@
 namespace primrosedeal::cli
 {
 
+auto explain(arguments const& words) -> exit_code;
 auto gateway(arguments const& words) -> exit_code;
 auto serve(arguments const& words) -> exit_code;
 auto check(arguments const& words) -> exit_code;
--- a/src/dispatch/attempt_policy.cpp
+++ b/src/dispatch/attempt_policy.cpp
@@ -64,8 +64,7 @@
     return now >= it.give_up_at ? gateway_timeout : bad_gateway;
 }
 
-auto after_failure(request_state const& it, time_point now)
-    -> next_step
+auto after_failure(request_state const& it, time_point now) -> next_step
 {
     auto const in_time = now + least_time_for_attempt < it.give_up_at;
     auto const runs_left = it.runs < it.max_runs;
--- a/src/dispatch/attempt_policy.hpp
+++ b/src/dispatch/attempt_policy.hpp
@@ -78,8 +78,7 @@
 /// A request this close to its end is not sent again.
 constexpr auto least_time_for_attempt = duration{15ms};
 
-auto after_failure(request_state const& it, time_point now)
-    -> next_step;
+auto after_failure(request_state const& it, time_point now) -> next_step;
 
 /// The status that ends a request now: 503 is a promise that it did not run.
 auto final_status(request_state const& it, time_point now) -> int;
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -126,11 +126,10 @@
                    standing::trusted &&
                has_room(whole_load(view, target.id), target, it);
     };
-    auto found = best(view, it, now, random,
-                      [&](directory::listed_target const& target) {
-                          return usable(target) &&
-                                 target.domain != primary.domain;
-                      });
+    auto found =
+        best(view, it, now, random,
+             [&](directory::listed_target const& target)
+             { return usable(target) && target.domain != primary.domain; });
     return found ? found : best(view, it, now, random, usable);
 }
 
--- a/src/dispatch/placement_replay_test.cpp
+++ b/src/dispatch/placement_replay_test.cpp
@@ -44,9 +44,10 @@
         auto const rate = rush ? 2 * per_second : per_second;
         auto const gap = -std::log(1 - random.unit()) / rate;
         now += duration{static_cast<duration::rep>(gap * 1e6)};
-        out.push_back({now, random.below(host_count),
-                       {token_count{3500 + random.below(3000)},
-                        token_count{650}}});
+        out.push_back(
+            {now,
+             random.below(host_count),
+             {token_count{3500 + random.below(3000)}, token_count{650}}});
     }
     return out;
 }
@@ -130,8 +131,8 @@
             if (it.stage == 0)
             {
                 books[it.host].began(id, it.size);
-                queue.push_back({it.at + stream_time, it.host, it.target,
-                                 it.size, 1});
+                queue.push_back(
+                    {it.at + stream_time, it.host, it.target, it.size, 1});
                 std::push_heap(queue.begin(), queue.end(), later);
             }
             else
@@ -151,8 +152,8 @@
         books[it.host].sent(targets[target].id, it.size);
         tell(it.host, it.at);
         auto const starts = std::max(free_at[target], it.at);
-        auto const reading = duration{static_cast<duration::rep>(
-            it.size.prompt.value() * us_per_token)};
+        auto const reading = duration{
+            static_cast<duration::rep>(it.size.prompt.value() * us_per_token)};
         free_at[target] = starts + reading;
         out.push_back(starts - it.at);
         queue.push_back({starts + reading, it.host, target, it.size, 0});
@@ -166,8 +167,8 @@
 {
     return [hear_others](std::vector<directory::listed_target> const& targets,
                          arrival const& it, load_book const& own,
-                         fleet::fleet_view const& others, random_source& random)
-               -> std::size_t
+                         fleet::fleet_view const& others,
+                         random_source& random) -> std::size_t
     {
         static auto const deaf = fleet::fleet_view{};
         static auto const trust = suspicion{};
@@ -204,8 +205,8 @@
 
 auto share_over(std::vector<duration> const& waits, duration limit) -> double
 {
-    auto const over = waits.end() -
-                      std::upper_bound(waits.begin(), waits.end(), limit);
+    auto const over =
+        waits.end() - std::upper_bound(waits.begin(), waits.end(), limit);
     return static_cast<double>(over) / static_cast<double>(waits.size());
 }
 
@@ -223,13 +224,11 @@
     // At half of the engines' reading speed nobody needs to wait for long.
     constexpr auto stated_limit = duration{500ms};
     constexpr auto stated_share = 0.02;
-    BOOST_TEST_MESSAGE("late: heard " << share_over(heard, stated_limit)
-                                      << ", deaf "
-                                      << share_over(deaf, stated_limit)
-                                      << ", random "
-                                      << share_over(random, stated_limit)
-                                      << ", turns "
-                                      << share_over(turns, stated_limit));
+    BOOST_TEST_MESSAGE("late: heard "
+                       << share_over(heard, stated_limit) << ", deaf "
+                       << share_over(deaf, stated_limit) << ", random "
+                       << share_over(random, stated_limit) << ", turns "
+                       << share_over(turns, stated_limit));
     BOOST_TEST(share_over(heard, stated_limit) <= stated_share);
     BOOST_TEST(share_over(deaf, stated_limit) > stated_share);
     BOOST_TEST(share_over(random, stated_limit) > stated_share);
--- a/src/dispatch/suspicion.cpp
+++ b/src/dispatch/suspicion.cpp
@@ -41,8 +41,7 @@
         it.avoided_until = std::min(it.avoided_until, now);
         return false;
     case evidence::busy:
-        it.avoided_until =
-            std::max(it.avoided_until, now + limits_.busy_pause);
+        it.avoided_until = std::max(it.avoided_until, now + limits_.busy_pause);
         return false;
     case evidence::failed:
         it.failed_share += (1 - it.failed_share) / remembered;
@@ -95,8 +94,7 @@
     {
         return standing::avoided;
     }
-    auto const hinted =
-        it != records_.end() && now < it->second.doubtful_until;
+    auto const hinted = it != records_.end() && now < it->second.doubtful_until;
     return hinted || doubts(domain, now) ? standing::doubtful
                                          : standing::trusted;
 }
--- /dev/null
+++ b/src/explain/explain.cpp
@@ -0,0 +1,189 @@
+#include "explain/explain.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+
+namespace primrosedeal::explain
+{
+
+namespace
+{
+
+auto parse_line(std::string const& text) -> std::optional<log_line>
+{
+    auto const at = text.find('{');
+    if (at == std::string::npos)
+    {
+        return std::nullopt;
+    }
+    auto const it = nlohmann::json::parse(text.substr(at), nullptr, false);
+    if (!it.is_object() || !it.contains("event") || !it["event"].is_string())
+    {
+        return std::nullopt;
+    }
+    auto out = log_line{};
+    out.time_ms = it.value("time_ms", std::int64_t{0});
+    out.event = it["event"].get<std::string>();
+    for (auto const& member : it.items())
+    {
+        if (member.value().is_string())
+        {
+            out.fields[member.key()] = member.value().get<std::string>();
+        }
+    }
+    return out;
+}
+
+auto field(log_line const& it, std::string const& name) -> std::string
+{
+    auto const found = it.fields.find(name);
+    return found == it.fields.end() ? std::string{} : found->second;
+}
+
+auto number(log_line const& it, std::string const& name) -> std::int64_t
+{
+    auto const text = field(it, name);
+    auto out = std::int64_t{0};
+    std::from_chars(text.data(), text.data() + text.size(), out);
+    return out;
+}
+
+auto last_of(std::vector<log_line> const& lines, std::string const& event)
+    -> log_line const*
+{
+    auto const it =
+        std::find_if(lines.rbegin(), lines.rend(),
+                     [&](log_line const& l) { return l.event == event; });
+    return it == lines.rend() ? nullptr : &*it;
+}
+
+auto failures_in(std::vector<log_line> const& lines) -> std::string
+{
+    auto out = std::string{};
+    for (auto const& it : lines)
+    {
+        if (it.event == "attempt_failed")
+        {
+            out += out.empty() ? "" : ", ";
+            out += field(it, "target") + " (" + field(it, "domain") +
+                   "): " + field(it, "how");
+        }
+    }
+    return out;
+}
+
+auto longest_pause(std::vector<log_line> const& lines) -> log_line const*
+{
+    log_line const* out = nullptr;
+    for (auto const& it : lines)
+    {
+        if (it.event == "stream_continued" &&
+            (out == nullptr ||
+             number(*out, "pause_ms") < number(it, "pause_ms")))
+        {
+            out = &it;
+        }
+    }
+    return out;
+}
+
+auto cause_of_completed(std::vector<log_line> const& lines, log_line const& end)
+    -> std::string
+{
+    auto out = "complete after " + field(end, "took_ms") + " ms, " +
+               field(end, "attempts") + " attempts";
+    auto const failures = failures_in(lines);
+    if (!failures.empty())
+    {
+        out += "; failed: " + failures;
+    }
+    auto const* const pause = longest_pause(lines);
+    if (pause != nullptr)
+    {
+        out += "; paused " + field(*pause, "pause_ms") + " ms, went on " +
+               (field(*pause, "from_copy") == "true"
+                    ? "from a copy"
+                    : "by reading the prompt again");
+    }
+    else if (number(end, "first_event_ms") > 0)
+    {
+        out += "; first event after " + field(end, "first_event_ms") + " ms";
+    }
+    return out;
+}
+
+} // namespace
+
+auto lines_of(std::istream& in, std::string const& request)
+    -> std::vector<log_line>
+{
+    auto out = std::vector<log_line>{};
+    auto text = std::string{};
+    while (std::getline(in, text))
+    {
+        // Most lines are about other requests; parsing is the costly part.
+        if (text.find(request) == std::string::npos)
+        {
+            continue;
+        }
+        auto it = parse_line(text);
+        if (it && field(*it, "request") == request)
+        {
+            out.push_back(std::move(*it));
+        }
+    }
+    std::stable_sort(out.begin(), out.end(),
+                     [](log_line const& a, log_line const& b)
+                     { return a.time_ms < b.time_ms; });
+    return out;
+}
+
+auto cause_of(std::vector<log_line> const& lines) -> std::string
+{
+    if (lines.empty())
+    {
+        return "no line names the request: it did not reach this host, or its "
+               "lines were over the bound (gateway_log_lines_dropped)";
+    }
+    if (auto const* const refused = last_of(lines, "request_refused"))
+    {
+        return "refused with " + field(*refused, "status") +
+               " before any "
+               "target: " +
+               field(*refused, "reason") + ", by configuration " +
+               field(*refused, "configuration");
+    }
+    auto const* const end = last_of(lines, "request_ended");
+    if (end == nullptr)
+    {
+        return "the process ended while the request was open; see its "
+               "`leaving` and `stopped` lines and the next `started`";
+    }
+    if (field(*end, "outcome") == "complete")
+    {
+        return cause_of_completed(lines, *end);
+    }
+    auto const failures = failures_in(lines);
+    return "ended as " + field(*end, "outcome") + " with status " +
+           field(*end, "status") + " after " + field(*end, "attempts") +
+           " attempts, " + field(*end, "runs") + " of which may have run" +
+           (failures.empty() ? "" : "; failed: " + failures);
+}
+
+auto to_string(log_line const& it) -> std::string
+{
+    auto out = std::to_string(it.time_ms) + ' ' + it.event;
+    for (auto const& [name, value] : it.fields)
+    {
+        if (name != "event" && name != "level" && name != "request")
+        {
+            out += ' ' + name + '=' + value;
+        }
+    }
+    return out;
+}
+
+} // namespace primrosedeal::explain
--- a/src/external/etcd_client.hpp
+++ b/src/external/etcd_client.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "net/http_client.hpp"
 #include "external/key_value.hpp"
 #include "external/service_health.hpp"
+#include "net/http_client.hpp"
 
 #include <memory>
 
--- a/src/external/host_list.hpp
+++ b/src/external/host_list.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/ids.hpp"
-#include "net/http_client.hpp"
 #include "external/key_value.hpp"
+#include "net/http_client.hpp"
 
 #include <optional>
 #include <string>
--- a/src/fleet/digest.cpp
+++ b/src/fleet/digest.cpp
@@ -11,8 +11,8 @@
 namespace
 {
 
-using load_row = std::tuple<std::string, std::uint32_t, std::uint64_t,
-                            std::uint64_t>;
+using load_row =
+    std::tuple<std::string, std::uint32_t, std::uint64_t, std::uint64_t>;
 using count_row = std::tuple<std::string, std::uint64_t, std::uint64_t>;
 using fields = std::tuple<std::string, std::uint64_t, std::uint64_t,
                           std::vector<load_row>, std::vector<count_row>,
@@ -51,8 +51,8 @@
 
 auto encode(digest const& it) -> std::string
 {
-    auto out = fields{it.host.value(), it.start.value(), it.sequence, {}, {},
-                      {}, {}};
+    auto out =
+        fields{it.host.value(), it.start.value(), it.sequence, {}, {}, {}, {}};
     for (auto const& [id, load] : it.loads)
     {
         std::get<3>(out).emplace_back(id.value(), load.requests,
--- a/src/fleet/fleet_test.cpp
+++ b/src/fleet/fleet_test.cpp
@@ -163,8 +163,8 @@
     for (auto host = std::size_t{0}; host < hosts; ++host)
     {
         auto own = service_count{10, 0};
-        while (may_attempt(allowance, attempt_purpose::continuation, own, {},
-                           0))
+        while (
+            may_attempt(allowance, attempt_purpose::continuation, own, {}, 0))
         {
             ++own.further_attempts;
             ++total;
--- a/src/fleet/fleet_view.cpp
+++ b/src/fleet/fleet_view.cpp
@@ -198,9 +198,8 @@
     auto const requests = static_cast<double>(own.requests + others.requests);
     auto const spent =
         static_cast<double>(own.further_attempts + others.further_attempts);
-    auto const allowed =
-        usable_part(purpose) *
-        (allowance.ratio * requests + allowance.slack * part);
+    auto const allowed = usable_part(purpose) *
+                         (allowance.ratio * requests + allowance.slack * part);
     return spent + 1 <= allowed;
 }
 
--- a/src/gateway/admit.cpp
+++ b/src/gateway/admit.cpp
@@ -89,8 +89,8 @@
         out.organisation = holder->id;
         out.priority = holder->priority.value_or(route->priority);
     }
-    out.give_up_at =
-        now + std::min(route->timeout, client.patience.value_or(route->timeout));
+    out.give_up_at = now + std::min(route->timeout,
+                                    client.patience.value_or(route->timeout));
     out.objective_at = now + route->objective;
     return out;
 }
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -102,8 +102,8 @@
     void fail(attempt_failure how, std::optional<target_answer> answer = {})
     {
         auto const held = shared_from_this();
-        auto const unsent = how == attempt_failure::silent && call &&
-                            !call->may_have_sent();
+        auto const unsent =
+            how == attempt_failure::silent && call && !call->may_have_sent();
         stop();
         auto const report = std::move(events.on_failure);
         report(unsent ? attempt_failure::not_connected : how,
@@ -121,8 +121,8 @@
     {
         auto const held = shared_from_this();
         auto const facts = wire.read_answer(it, plan.id);
-        streams = plan.streaming && it.status < first_redirect &&
-                  !judge(it, facts);
+        streams =
+            plan.streaming && it.status < first_redirect && !judge(it, facts);
         head = std::move(it);
     }
 
@@ -209,7 +209,9 @@
                               [&](dispatch::probe_target const&)
                               { probe(now); },
                               [&](dispatch::leave_target const&)
-                              { fail(attempt_failure::silent); }},
+                              {
+                                  fail(attempt_failure::silent);
+                              }},
                    step);
     }
 
--- a/src/gateway/digest_exchange.cpp
+++ b/src/gateway/digest_exchange.cpp
@@ -77,8 +77,8 @@
         {
             return;
         }
-        auto const it = fleet::decode_digest(
-            buf.substr(0, static_cast<std::size_t>(n)));
+        auto const it =
+            fleet::decode_digest(buf.substr(0, static_cast<std::size_t>(n)));
         if (it)
         {
             on_digest_(*it);
--- a/src/gateway/digest_exchange.hpp
+++ b/src/gateway/digest_exchange.hpp
@@ -26,8 +26,7 @@
     /// Throws std::runtime_error with the address if it cannot bind.
     void open(net::endpoint const& at);
 
-    void send(fleet::digest const& it,
-              std::set<net::endpoint> const& to);
+    void send(fleet::digest const& it, std::set<net::endpoint> const& to);
 
 private:
     void receive();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -59,13 +59,17 @@
           readiness_(loop, [this](http1::request const& it,
                                   std::shared_ptr<http1::exchange> const& from)
                      { on_readiness_query(it, *from); }),
-          metrics_(loop, [this](http1::request const&,
-                                std::shared_ptr<http1::exchange> const& from)
-                   { from->reply({ok, {{"Content-Type", "text/plain"}}},
-                                 host_.metrics.text(), true); }),
-          peers_(loop, {settings.host, net::to_string(settings.store)},
-                 [this] { return own_state(); },
-                 [this](peer_state const& it) { on_peer_state(it); }),
+          metrics_(loop,
+                   [this](http1::request const&,
+                          std::shared_ptr<http1::exchange> const& from)
+                   {
+                       from->reply({ok, {{"Content-Type", "text/plain"}}},
+                                   host_.metrics.text(), true);
+                   }),
+          peers_(
+              loop, {settings.host, net::to_string(settings.store)},
+              [this] { return own_state(); },
+              [this](peer_state const& it) { on_peer_state(it); }),
           digests_(loop, [this](fleet::digest const& it)
                    { on_digest(it, net::event_loop::now()); }),
           follower_(loop, store, host_.random, follower_handlers())
@@ -86,10 +90,17 @@
                     {"domain", at.domain.value()},
                     {"clients", net::to_string(at.clients)},
                     {"store", net::to_string(at.store)}});
-        auto const terminate = net::signal_watch{
-            loop_, SIGTERM, [this] { leave(net::event_loop::now()); }};
-        auto const reload =
-            net::signal_watch{loop_, SIGHUP, [this] { reload_settings(); }};
+        auto const terminate =
+            net::signal_watch{loop_, SIGTERM,
+                              [this]
+                              {
+                                  leave(net::event_loop::now());
+                              }};
+        auto const reload = net::signal_watch{loop_, SIGHUP,
+                                              [this]
+                                              {
+                                                  reload_settings();
+                                              }};
         follower_.start();
         register_host();
         tick();
@@ -106,8 +117,7 @@
     auto follower_handlers() -> follower_events
     {
         auto out = follower_events{};
-        out.on_snapshot =
-            [this](std::vector<external::stored_value> const& it)
+        out.on_snapshot = [this](std::vector<external::stored_value> const& it)
         {
             on_snapshot(it, net::event_loop::now());
         };
@@ -180,9 +190,10 @@
         auto const entry = host_.wire.read_entry(key, value);
         if (std::holds_alternative<directory::entry_written>(entry) && !value)
         {
-            note_targets(directory::entry_removed{
-                             std::get<directory::entry_written>(entry).id},
-                         now);
+            note_targets(
+                directory::entry_removed{
+                    std::get<directory::entry_written>(entry).id},
+                now);
             return;
         }
         apply(entry, now);
@@ -203,13 +214,12 @@
 
     void apply(store_entry const& it, time_point now)
     {
-        std::visit(overloaded{[&](configuration_entry const& e)
-                              { adopt(e); },
+        std::visit(overloaded{[&](configuration_entry const& e) { adopt(e); },
                               [&](directory::entry_written const& e)
                               { note_targets(e, now); },
-                              [&](host_entry const& e)
-                              { know_host(e); },
-                              [](other_entry const&) {}},
+                              [&](host_entry const& e) { know_host(e); },
+                              [](other_entry const&) {
+                              }},
                    it);
     }
 
@@ -290,9 +300,8 @@
                        {{"why", it.error}});
             return;
         }
-        auto const held = host_.table
-                              ? std::optional{host_.table->version()}
-                              : std::nullopt;
+        auto const held =
+            host_.table ? std::optional{host_.table->version()} : std::nullopt;
         if (held && it.it->version <= *held)
         {
             return;
@@ -300,12 +309,11 @@
         host_.table = std::make_shared<routes::route_table const>(*it.it);
         host_.metrics.configuration_version(it.it->version.value());
         apply_limits();
-        log::write(
-            log::level::info, "configuration_adopted",
-            {{"version", std::to_string(it.it->version.value())},
-             {"before", held ? std::to_string(held->value()) : "none"},
-             {"routes", std::to_string(it.it->routes.size())},
-             {"from", follower_.in_contact() ? "store" : "peer"}});
+        log::write(log::level::info, "configuration_adopted",
+                   {{"version", std::to_string(it.it->version.value())},
+                    {"before", held ? std::to_string(held->value()) : "none"},
+                    {"routes", std::to_string(it.it->routes.size())},
+                    {"from", follower_.in_contact() ? "store" : "peer"}});
     }
 
     void apply_limits()
@@ -444,7 +452,8 @@
             return;
         }
         clients_.close_idle();
-        auto const over = since >= host_.settings.shutdown_grace - dispatch::grace_margin;
+        auto const over =
+            since >= host_.settings.shutdown_grace - dispatch::grace_margin;
         if (over || (host_.relays.empty() && clients_.connections() == 0))
         {
             loop_.stop();
@@ -469,8 +478,7 @@
         }
         catch (settings_error const& e)
         {
-            log::write(log::level::error, "settings_kept",
-                       {{"why", e.what()}});
+            log::write(log::level::error, "settings_kept", {{"why", e.what()}});
         }
     }
 
--- a/src/gateway/host_state.hpp
+++ b/src/gateway/host_state.hpp
@@ -4,14 +4,14 @@
 #include "directory/target_directory.hpp"
 #include "dispatch/load_book.hpp"
 #include "dispatch/shutdown.hpp"
-#include "dispatch/usual_time.hpp"
 #include "dispatch/suspicion.hpp"
+#include "dispatch/usual_time.hpp"
+#include "fleet/fleet_view.hpp"
 #include "gateway/connect_prober.hpp"
 #include "gateway/protocol.hpp"
 #include "gateway/settings.hpp"
 #include "metrics/gateway_metrics.hpp"
 #include "net/event_loop.hpp"
-#include "fleet/fleet_view.hpp"
 #include "routes/route_table.hpp"
 
 #include <map>
@@ -46,9 +46,9 @@
     {
         auto const allowance = fleet::attempt_allowance{
             settings.retry_ratio, settings.retry_slack, known_hosts};
-        auto const allowed = fleet::may_attempt(
-            allowance, purpose, counts.recent(service, now),
-            others.recent(service, now), others.heard());
+        auto const allowed =
+            fleet::may_attempt(allowance, purpose, counts.recent(service, now),
+                               others.recent(service, now), others.heard());
         if (allowed)
         {
             counts.further_attempt(service, now);
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -58,7 +58,8 @@
             bytes.data(), bytes.size(), nullptr, nullptr,
             msgpack::unpack_limit(2, max_entries, max_state_bytes, 0, 0, 3));
         auto const fields =
-            handle.get().as<std::tuple<bool, std::map<std::string, std::string>>>();
+            handle.get()
+                .as<std::tuple<bool, std::map<std::string, std::string>>>();
         return peer_state{std::get<0>(fields), std::get<1>(fields)};
     }
     catch (std::exception const&)
@@ -94,8 +95,7 @@
         loop_.base(),
         [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* arg)
         { static_cast<peer_exchange*>(arg)->accept(fd); },
-        this,
-        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+        this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
         backlog, reinterpret_cast<sockaddr*>(&address), sizeof address);
     if (listener_ == nullptr)
     {
--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -50,8 +50,7 @@
     void know(host_id const& id, std::optional<net::endpoint> const& at);
 
     /// Hosts known from the store, this one included.
-    [[nodiscard]] auto known() const
-        -> std::map<host_id, net::endpoint> const&
+    [[nodiscard]] auto known() const -> std::map<host_id, net::endpoint> const&
     {
         return peers_;
     }
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -150,8 +150,7 @@
                 it->on_client_gone(net::event_loop::now());
             }
         });
-    deadline_ = host_.loop.after(admitted_.give_up_at - now,
-                                 [this]
+    deadline_ = host_.loop.after(admitted_.give_up_at - now, [this]
                                  { on_deadline(net::event_loop::now()); });
     try_next(now);
 }
@@ -195,29 +194,33 @@
 auto relay::target_of_copy(time_point now) const
     -> std::optional<directory::listed_target>
 {
-    auto const usable =
-        copy_ && host_.targets.takes_new_work(copy_->id) &&
-        host_.doubts.of(copy_->id, copy_->domain, now) !=
-            dispatch::standing::avoided;
+    auto const usable = copy_ && host_.targets.takes_new_work(copy_->id) &&
+                        host_.doubts.of(copy_->id, copy_->domain, now) !=
+                            dispatch::standing::avoided;
     return usable ? copy_ : std::nullopt;
 }
 
 void relay::try_next(time_point now)
 {
+    auto const source = std::exchange(moved_from_, std::nullopt);
+    if (source && host_.targets.takes_new_work(source->first.id))
+    {
+        send(source->first, source->second, now);
+        return;
+    }
     if (auto const copy = target_of_copy(now))
     {
         send(*copy, kept_copy{copy->address, facts_.id.value()}, now);
         return;
     }
-    auto const target =
-        dispatch::place(view(), placement(), now, host_.random);
+    auto const target = dispatch::place(view(), placement(), now, host_.random);
     if (target)
     {
         send(*target, {}, now);
         return;
     }
-    end_unserved(refusal_reason::no_target,
-                 dispatch::final_status(state_, now), now);
+    end_unserved(refusal_reason::no_target, dispatch::final_status(state_, now),
+                 now);
 }
 
 auto relay::plan_attempt(directory::listed_target const& target,
@@ -234,8 +237,8 @@
     if (admitted_.service->engine)
     {
         auto const resumed = attempts_ > 0 ? 1 : 0;
-        spec.urgency = std::clamp(admitted_.priority - resumed, most_urgent,
-                                  least_urgent);
+        spec.urgency =
+            std::clamp(admitted_.priority - resumed, most_urgent, least_urgent);
     }
     if (current_->copy)
     {
@@ -250,9 +253,8 @@
     out.target = target;
     out.id = facts_.id;
     out.message = host_.wire.make_attempt(message_, spec);
-    out.connect_timeout =
-        std::clamp(part(route.objective, 0.5), shortest_connect,
-                   longest_connect);
+    out.connect_timeout = std::clamp(part(route.objective, 0.5),
+                                     shortest_connect, longest_connect);
     out.streaming = streaming();
     out.watch.gap_objective = route.gap_objective;
     out.watch.first_event_due = admitted_.objective_at;
@@ -313,8 +315,8 @@
         host_.loads.copy_added(current_->copy->id, facts_.size);
     }
     auto events = attempt_events{};
-    events.on_event = [this](http1::response_head const& head,
-                             http1::stream_event it)
+    events.on_event =
+        [this](http1::response_head const& head, http1::stream_event it)
     {
         on_event(head, std::move(it), net::event_loop::now());
     };
@@ -326,8 +328,8 @@
     {
         on_answer(it, net::event_loop::now());
     };
-    events.on_failure = [this](attempt_failure how,
-                               std::optional<target_answer> answer)
+    events.on_failure =
+        [this](attempt_failure how, std::optional<target_answer> answer)
     {
         on_failure(how, std::move(answer), net::event_loop::now());
     };
@@ -371,7 +373,8 @@
     {
         last_event_ = it.id;
     }
-    longest_pause_ = std::max(longest_pause_, now - last_event_at_.value_or(now));
+    longest_pause_ =
+        std::max(longest_pause_, now - last_event_at_.value_or(now));
     last_event_at_ = now;
     client_->send(it.bytes);
 }
@@ -410,8 +413,7 @@
                        time_point now)
 {
     auto const target = current_->target;
-    if (relocation_ && relocation_->stopping &&
-        how == attempt_failure::broken)
+    if (relocation_ && relocation_->stopping && how == attempt_failure::broken)
     {
         // The run was told to stop; it goes on where its memory is.
         relocation_->stream_ended = true;
@@ -420,20 +422,20 @@
         return;
     }
     relocation_.reset();
-    auto const worse = host_.doubts.note(target.id, target.domain,
-                                         evidence_of(how), now);
+    auto const worse =
+        host_.doubts.note(target.id, target.domain, evidence_of(how), now);
     host_.metrics.attempt_failed(to_string(how));
-    log::write(log::level::info, "attempt_failed",
-               {{"request", facts_.id.value()},
-                {"attempt", std::to_string(attempts_)},
-                {"target", target.id.value()},
-                {"domain", target.domain.value()},
-                {"how", std::string{to_string(how)}},
-                {"set_aside", worse ? "true" : "false"},
-                {"domain_in_doubt",
-                 host_.doubts.doubts(target.domain, now) ? "true" : "false"},
-                {"last_event",
-                 last_event_ ? std::to_string(*last_event_) : "none"}});
+    log::write(
+        log::level::info, "attempt_failed",
+        {{"request", facts_.id.value()},
+         {"attempt", std::to_string(attempts_)},
+         {"target", target.id.value()},
+         {"domain", target.domain.value()},
+         {"how", std::string{to_string(how)}},
+         {"set_aside", worse ? "true" : "false"},
+         {"domain_in_doubt",
+          host_.doubts.doubts(target.domain, now) ? "true" : "false"},
+         {"last_event", last_event_ ? std::to_string(*last_event_) : "none"}});
     if (how == attempt_failure::misdirected)
     {
         host_.targets.handle(directory::target_replaced{target.id}, now);
@@ -442,6 +444,8 @@
     arrivals_ += how == attempt_failure::not_connected ? 0 : 1;
     if (may_have_run(how))
     {
+        // The memory was used, or its target is gone with it.
+        moved_from_.reset();
         state_.may_have_run = true;
         ++state_.runs;
     }
@@ -591,8 +595,9 @@
                    {{"request", facts_.id.value()},
                     {"status", it ? std::to_string(it->status) : "none"}});
         relocation_.reset();
-        move_again_ = host_.loop.after(
-            move_pause, [this] { move_if_unprotected(net::event_loop::now()); });
+        move_again_ =
+            host_.loop.after(move_pause, [this]
+                             { move_if_unprotected(net::event_loop::now()); });
         return;
     }
     if (!host_.take_attempt(admitted_.service->id,
@@ -635,8 +640,13 @@
         on_failure(attempt_failure::broken, {}, now);
         return;
     }
+    auto const memory = kept_copy{it.from.address, *answer->handle};
     leave_target();
-    send(next, kept_copy{it.from.address, *answer->handle}, now);
+    if (answer->copied)
+    {
+        moved_from_.emplace(it.from, memory);
+    }
+    send(next, memory, now);
 }
 
 void relay::retry_or_end(time_point now)
@@ -728,18 +738,18 @@
                           : to_string(admitted_.route->kind);
     deadline_.cancel();
     host_.metrics.request_ended(kind, outcome, now - arrived_at_);
-    log::write(log::level::info, "request_ended",
-               {{"request", facts_.id.value()},
-                {"kind", std::string{kind}},
-                {"outcome", std::string{outcome}},
-                {"status", std::to_string(status)},
-                {"attempts", std::to_string(attempts_)},
-                {"runs", std::to_string(state_.runs)},
-                {"took_ms", milliseconds(now - arrived_at_)},
-                {"first_event_ms", milliseconds(first_event_after_)},
-                {"longest_pause_ms", milliseconds(longest_pause_)},
-                {"last_event",
-                 last_event_ ? std::to_string(*last_event_) : "none"}});
+    log::write(
+        log::level::info, "request_ended",
+        {{"request", facts_.id.value()},
+         {"kind", std::string{kind}},
+         {"outcome", std::string{outcome}},
+         {"status", std::to_string(status)},
+         {"attempts", std::to_string(attempts_)},
+         {"runs", std::to_string(state_.runs)},
+         {"took_ms", milliseconds(now - arrived_at_)},
+         {"first_event_ms", milliseconds(first_event_after_)},
+         {"longest_pause_ms", milliseconds(longest_pause_)},
+         {"last_event", last_event_ ? std::to_string(*last_event_) : "none"}});
     // The caller may still be inside this object.
     host_.loop.post([held = shared_from_this()] {});
     host_.relays.erase(this);
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 /// One client's request from its arrival to its last byte.
@@ -112,6 +113,8 @@
     /// Where the memory of the last attempt was copied to.
     std::optional<directory::listed_target> copy_;
     std::optional<relocation> relocation_;
+    /// Where a moved run stopped; its memory is still there until it goes on.
+    std::optional<std::pair<directory::listed_target, kept_copy>> moved_from_;
     std::vector<target_id> met_;
     std::optional<std::uint64_t> last_event_;
     std::optional<time_point> last_event_at_;
--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -63,9 +63,8 @@
 {
     state(net::event_loop& loop, bool head_request, call_events handlers)
         : events(std::move(handlers)), parser(head_request),
-          bev(bufferevent_socket_new(loop.base(), -1,
-                                     BEV_OPT_CLOSE_ON_FREE |
-                                         BEV_OPT_DEFER_CALLBACKS))
+          bev(bufferevent_socket_new(
+              loop.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS))
     {
     }
 
@@ -85,8 +84,8 @@
     {
         if (bev == nullptr)
         {
-            deadline = loop.after(0s, [this]
-                                  { fail(call_error::not_connected); });
+            deadline =
+                loop.after(0s, [this] { fail(call_error::not_connected); });
             return;
         }
         bufferevent_setcb(bev, on_read, nullptr, on_event, this);
@@ -96,8 +95,8 @@
         if (bufferevent_socket_connect(
                 bev, reinterpret_cast<sockaddr const*>(&at), sizeof at) != 0)
         {
-            deadline = loop.after(0s, [this]
-                                  { fail(call_error::not_connected); });
+            deadline =
+                loop.after(0s, [this] { fail(call_error::not_connected); });
             return;
         }
         deadline = loop.after(connect_timeout,
--- a/src/http1/client.hpp
+++ b/src/http1/client.hpp
@@ -67,8 +67,8 @@
 class fetch
 {
 public:
-    using handler =
-        std::function<void(std::optional<net::http_response>, bool may_have_sent)>;
+    using handler = std::function<void(std::optional<net::http_response>,
+                                       bool may_have_sent)>;
 
     fetch(net::event_loop& loop, net::endpoint const& to,
           request const& message, duration timeout, handler done);
--- a/src/http1/connection_test.cpp
+++ b/src/http1/connection_test.cpp
@@ -89,9 +89,11 @@
 BOOST_FIXTURE_TEST_CASE(sends_the_last_answer_before_it_ends_a_connection,
                         world)
 {
-    auto it = server{loop, [](request const&, std::shared_ptr<exchange> const&
-                                                  client)
-                     { client->reply({200, {}}, "whole", true); }};
+    auto it =
+        server{loop, [](request const&, std::shared_ptr<exchange> const& client)
+               {
+                   client->reply({200, {}}, "whole", true);
+               }};
     auto const port = it.listen(local);
     auto const got = talk(*this, port, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
     BOOST_TEST(got.starts_with("HTTP/1.1 200 OK\r\n"));
@@ -101,12 +103,12 @@
 BOOST_FIXTURE_TEST_CASE(answers_hostile_heads_and_hands_none_over, world)
 {
     auto handed = 0;
-    auto it = server{loop,
-                     [&](request const&, std::shared_ptr<exchange> const& c)
-                     {
-                         ++handed;
-                         c->reply({200, {}}, {}, true);
-                     }};
+    auto it =
+        server{loop, [&](request const&, std::shared_ptr<exchange> const& c)
+               {
+                   ++handed;
+                   c->reply({200, {}}, {}, true);
+               }};
     auto limits = server_limits{};
     limits.sizes.head = 512;
     it.set_limits(limits);
@@ -116,9 +118,10 @@
              "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
              "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /b HTTP/1.1\r\n");
     BOOST_TEST(smuggled.starts_with("HTTP/1.1 400 "));
-    auto const large = talk(*this, port,
-                            "GET /a HTTP/1.1\r\nHost: h\r\nX: " +
-                                std::string(600, 'a') + "\r\n\r\n");
+    auto const large =
+        talk(*this, port,
+             "GET /a HTTP/1.1\r\nHost: h\r\nX: " + std::string(600, 'a') +
+                 "\r\n\r\n");
     BOOST_TEST(large.starts_with("HTTP/1.1 431 "));
     BOOST_TEST(handed == 0);
 }
@@ -126,7 +129,9 @@
 BOOST_FIXTURE_TEST_CASE(ends_a_head_that_comes_too_slowly, world)
 {
     auto it = server{loop, [](request const&, std::shared_ptr<exchange> const&)
-                     { BOOST_ERROR("a partial request was handed over"); }};
+                     {
+                         BOOST_ERROR("a partial request was handed over");
+                     }};
     auto limits = server_limits{};
     limits.head_timeout = 50ms;
     it.set_limits(limits);
@@ -137,13 +142,13 @@
 
 BOOST_FIXTURE_TEST_CASE(makes_an_aborted_answer_look_incomplete, world)
 {
-    auto it = server{loop, [](request const&, std::shared_ptr<exchange> const&
-                                                  client)
-                     {
-                         client->start({200, {}});
-                         client->send("part");
-                         client->abort();
-                     }};
+    auto it =
+        server{loop, [](request const&, std::shared_ptr<exchange> const& client)
+               {
+                   client->start({200, {}});
+                   client->send("part");
+                   client->abort();
+               }};
     auto const port = it.listen(local);
     auto const got = talk(*this, port, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
     BOOST_TEST(got.ends_with("4\r\npart\r\n"));
@@ -155,18 +160,18 @@
 
 BOOST_FIXTURE_TEST_CASE(tells_how_far_a_call_got, world)
 {
-    auto it = server{loop, [](request const& r, std::shared_ptr<exchange> const&
-                                                    client)
-                     {
-                         if (r.target == "/cut")
-                         {
-                             client->start({200, {}});
-                             client->send("part");
-                             client->abort();
-                             return;
-                         }
-                         client->reply({200, {}}, "whole", false);
-                     }};
+    auto it = server{
+        loop, [](request const& r, std::shared_ptr<exchange> const& client)
+        {
+            if (r.target == "/cut")
+            {
+                client->start({200, {}});
+                client->send("part");
+                client->abort();
+                return;
+            }
+            client->reply({200, {}}, "whole", false);
+        }};
     auto const at = net::endpoint{"127.0.0.1", it.listen(local)};
     auto error = std::optional<call_error>{};
     auto complete = false;
@@ -201,12 +206,12 @@
 BOOST_FIXTURE_TEST_CASE(sends_nothing_on_a_connection_that_timed_out, world)
 {
     auto runs = 0;
-    auto it = server{loop,
-                     [&](request const&, std::shared_ptr<exchange> const& c)
-                     {
-                         ++runs;
-                         c->reply({200, {}}, {}, true);
-                     }};
+    auto it =
+        server{loop, [&](request const&, std::shared_ptr<exchange> const& c)
+               {
+                   ++runs;
+                   c->reply({200, {}}, {}, true);
+               }};
     auto const at = net::endpoint{"127.0.0.1", it.listen(local)};
     auto reported_unsent = 0;
     auto ended = 0;
--- a/src/http1/message.cpp
+++ b/src/http1/message.cpp
@@ -88,14 +88,15 @@
         "te",         "transfer-encoding", "trailer",
         "upgrade",    "content-length",    "expect"};
     auto const listed =
-        std::any_of(std::begin(fixed), std::end(fixed), [&](auto const it)
-                    { return same_header_name(it, name); });
-    return listed || std::any_of(headers.begin(), headers.end(),
-                                 [&](net::http_header const& it) {
-                                     return same_header_name(it.name,
-                                                             "connection") &&
-                                            lists_token(it.value, name);
-                                 });
+        std::any_of(std::begin(fixed), std::end(fixed),
+                    [&](auto const it) { return same_header_name(it, name); });
+    return listed ||
+           std::any_of(headers.begin(), headers.end(),
+                       [&](net::http_header const& it)
+                       {
+                           return same_header_name(it.name, "connection") &&
+                                  lists_token(it.value, name);
+                       });
 }
 
 auto reason_phrase(int status) -> std::string_view
@@ -230,7 +231,8 @@
     auto const& headers = message_.headers;
     auto const bad_header =
         std::any_of(headers.begin(), headers.end(),
-                    [](net::http_header const& it) {
+                    [](net::http_header const& it)
+                    {
                         return it.name.empty() ||
                                it.name.find(' ') != std::string::npos ||
                                has_control_character(it.value);
@@ -238,14 +240,13 @@
     auto const lengths = count_headers(headers, "content-length");
     auto const codings = count_headers(headers, "transfer-encoding");
     auto const coding = net::find_header(headers, "transfer-encoding");
-    auto const ambiguous =
-        lengths > 1 || codings > 1 || (lengths > 0 && codings > 0) ||
-        (coding && !same_header_name(*coding, "chunked")) ||
-        count_headers(headers, "host") > 1;
+    auto const ambiguous = lengths > 1 || codings > 1 ||
+                           (lengths > 0 && codings > 0) ||
+                           (coding && !same_header_name(*coding, "chunked")) ||
+                           count_headers(headers, "host") > 1;
     auto const one_dot_one = parser_.http_major == 1 && parser_.http_minor <= 1;
-    if (bad_header || ambiguous || !one_dot_one ||
-        message_.target.empty() || message_.target.front() != '/' ||
-        parser_.method == HTTP_CONNECT)
+    if (bad_header || ambiguous || !one_dot_one || message_.target.empty() ||
+        message_.target.front() != '/' || parser_.method == HTTP_CONNECT)
     {
         error_ = parse_error::malformed;
         return false;
@@ -320,9 +321,8 @@
             {
                 it.progress_.until_close =
                     http_message_needs_eof(p) != 0 && !it.head_request_;
-                it.progress_.head =
-                    response_head{static_cast<int>(p->status_code),
-                                  std::move(headers)};
+                it.progress_.head = response_head{
+                    static_cast<int>(p->status_code), std::move(headers)};
             }
             return it.head_request_ && !it.interim_ ? 1 : 0;
         };
@@ -353,8 +353,8 @@
         constexpr auto not_modified = 304U;
         auto const chunked = (p->flags & F_CHUNKED) != 0;
         auto const sized = p->content_length != ~std::uint64_t{0};
-        auto const bodiless = p->status_code == no_content ||
-                              p->status_code == not_modified;
+        auto const bodiless =
+            p->status_code == no_content || p->status_code == not_modified;
         return !chunked && !sized && !bodiless ? 1 : 0;
     }
 };
--- a/src/http1/message_test.cpp
+++ b/src/http1/message_test.cpp
@@ -57,8 +57,7 @@
     rc::check(
         [&]
         {
-            auto const step =
-                *rc::gen::inRange<std::size_t>(1, bytes.size());
+            auto const step = *rc::gen::inRange<std::size_t>(1, bytes.size());
             auto const it = parse(bytes, step);
             RC_ASSERT(it.message.has_value());
             RC_ASSERT(it.message->method == "POST");
@@ -79,8 +78,10 @@
 
 BOOST_AUTO_TEST_CASE(with_an_upgrade_that_is_not_taken_up)
 {
-    auto const it = parse(with_head(
-        "Connection: upgrade\r\nUpgrade: x\r\nContent-Length: 2\r\n") + "ab");
+    auto const it = parse(
+        with_head(
+            "Connection: upgrade\r\nUpgrade: x\r\nContent-Length: 2\r\n") +
+        "ab");
     BOOST_REQUIRE(it.message);
     BOOST_TEST(it.message->body == "ab");
 }
@@ -143,11 +144,10 @@
     limits.body = 10;
     auto const long_head =
         with_head("X-Long: " + std::string(300, 'a') + "\r\n");
-    BOOST_TEST((parse(long_head, 7, limits).error ==
-                parse_error::head_too_large));
-    auto const sized = with_head("Content-Length: 11\r\n");
     BOOST_TEST(
-        (parse(sized, 7, limits).error == parse_error::body_too_large));
+        (parse(long_head, 7, limits).error == parse_error::head_too_large));
+    auto const sized = with_head("Content-Length: 11\r\n");
+    BOOST_TEST((parse(sized, 7, limits).error == parse_error::body_too_large));
     auto const chunked = with_head("Transfer-Encoding: chunked\r\n") +
                          "b\r\nabcdefghijk\r\n0\r\n\r\n";
     BOOST_TEST(
@@ -213,8 +213,7 @@
     rc::check(
         [&]
         {
-            auto const step =
-                *rc::gen::inRange<std::size_t>(1, bytes.size());
+            auto const step = *rc::gen::inRange<std::size_t>(1, bytes.size());
             auto splitter = event_splitter{};
             auto joined = std::string{};
             auto ids = std::vector<std::uint64_t>{};
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -99,8 +99,7 @@
 
     [[nodiscard]] auto idle() const -> bool
     {
-        return bev_ != nullptr && !answering_ && !ending_ &&
-               !parser_.started();
+        return bev_ != nullptr && !answering_ && !ending_ && !parser_.started();
     }
 
     void end_gently()
@@ -120,8 +119,7 @@
     void reply(response_head const& head, std::string_view body, bool close)
     {
         auto const last = close || owner_.closing || !keep_alive_;
-        auto const framing =
-            "Content-Length: " + std::to_string(body.size());
+        auto const framing = "Content-Length: " + std::to_string(body.size());
         write(serialise_head(head, framing, last));
         if (!head_request_)
         {
@@ -229,12 +227,11 @@
                parser_.error() == parse_error::none && !parser_.complete())
         {
             auto const n = evbuffer_get_contiguous_space(in);
-            auto const* const data =
-                reinterpret_cast<char const*>(evbuffer_pullup(
-                    in, static_cast<ev_ssize_t>(n)));
-            auto const taken =
-                parser_.feed({data, n}, owner_.limits.sizes);
-            evbuffer_drain(in, parser_.error() == parse_error::none ? taken : n);
+            auto const* const data = reinterpret_cast<char const*>(
+                evbuffer_pullup(in, static_cast<ev_ssize_t>(n)));
+            auto const taken = parser_.feed({data, n}, owner_.limits.sizes);
+            evbuffer_drain(in,
+                           parser_.error() == parse_error::none ? taken : n);
         }
         if (parser_.error() != parse_error::none)
         {
@@ -274,11 +271,10 @@
         constexpr auto content_too_large = 413;
         constexpr auto head_too_large = 431;
         auto const error = parser_.error();
-        auto const status = error == parse_error::head_too_large
-                                ? head_too_large
-                            : error == parse_error::body_too_large
-                                ? content_too_large
-                                : bad_request;
+        auto const status =
+            error == parse_error::head_too_large   ? head_too_large
+            : error == parse_error::body_too_large ? content_too_large
+                                                   : bad_request;
         refuse_and_end(status);
     }
 
@@ -503,8 +499,8 @@
     address.sin_family = AF_INET;
     address.sin_port = htons(at.port);
     inet_pton(AF_INET, at.address.c_str(), &address.sin_addr);
-    auto const on_accept = [](evconnlistener*, evutil_socket_t fd, sockaddr*,
-                              int, void* arg)
+    auto const on_accept =
+        [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* arg)
     {
         auto& self = *static_cast<state*>(arg);
         if (self.connections.size() >= self.limits.max_connections)
--- a/src/retry/budget.hpp
+++ b/src/retry/budget.hpp
@@ -42,12 +42,6 @@
 public:
     explicit budget(budget_settings settings) : settings_(settings) {}
 
-    /// In force from now on; accounts keep what they have saved.
-    void configure(budget_settings const& settings)
-    {
-        settings_ = settings;
-    }
-
     /// A request arrived; call once, before its first attempt.
     void request(service_id const& service,
                  organisation_id const& organisation);
--- a/src/routes/route_table.cpp
+++ b/src/routes/route_table.cpp
@@ -73,7 +73,8 @@
         {
             return nullptr;
         }
-        auto const it = found->second.find(std::string{path.substr(0, slash + 1)});
+        auto const it =
+            found->second.find(std::string{path.substr(0, slash + 1)});
         if (it != found->second.end())
         {
             return it->second;
@@ -97,9 +98,10 @@
 
 auto choose_service(route const& it, random_source& random) -> service_id const*
 {
-    auto const total = std::accumulate(
-        it.split.begin(), it.split.end(), std::uint64_t{0},
-        [](std::uint64_t sum, service_share const& s) { return sum + s.weight; });
+    auto const total =
+        std::accumulate(it.split.begin(), it.split.end(), std::uint64_t{0},
+                        [](std::uint64_t sum, service_share const& s)
+                        { return sum + s.weight; });
     if (total == 0)
     {
         return it.split.empty() ? nullptr : &it.split.front().service;
--- a/src/routes/route_table_test.cpp
+++ b/src/routes/route_table_test.cpp
@@ -92,8 +92,8 @@
 BOOST_AUTO_TEST_CASE(is_split_over_services_by_weight)
 {
     auto it = make_route("h", "/");
-    it.split = {{service_id{"x"}, 90}, {service_id{"y"}, 10},
-                {service_id{"never"}, 0}};
+    it.split = {
+        {service_id{"x"}, 90}, {service_id{"y"}, 10}, {service_id{"never"}, 0}};
     auto random = random_source{1};
     auto count = std::map<std::string, int>{};
     constexpr auto draws = 10000;
--- a/src/serve/claim_store.hpp
+++ b/src/serve/claim_store.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "order/order_messages.hpp"
 #include "external/key_value.hpp"
+#include "order/order_messages.hpp"
 
 #include <functional>
 #include <string>
--- a/src/serve/configuration_watch.hpp
+++ b/src/serve/configuration_watch.hpp
@@ -3,8 +3,8 @@
 #include "configuration/follower.hpp"
 #include "configuration/peer_form.hpp"
 #include "core/random.hpp"
-#include "net/event_loop.hpp"
 #include "external/etcd_client.hpp"
+#include "net/event_loop.hpp"
 #include "serve/messages.hpp"
 
 #include <functional>
--- a/src/serve/control_plane.hpp
+++ b/src/serve/control_plane.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "external/etcd_client.hpp"
 #include "membership/task.hpp"
 #include "metrics/metrics.hpp"
 #include "net/event_loop.hpp"
-#include "external/etcd_client.hpp"
 #include "serve/claim_store.hpp"
 #include "serve/configuration_watch.hpp"
 #include "serve/messages.hpp"
--- a/src/serve/target_watch.hpp
+++ b/src/serve/target_watch.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "core/random.hpp"
+#include "external/host_list.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_client.hpp"
-#include "external/host_list.hpp"
 #include "serve/messages.hpp"
 #include "target/table.hpp"
 
--- a/src/standins/key_value_json.cpp
+++ b/src/standins/key_value_json.cpp
@@ -11,9 +11,9 @@
 namespace
 {
 
-using nlohmann::json;
 using external::etcd::decode_base64;
 using external::etcd::encode_base64;
+using nlohmann::json;
 
 auto number(json const& it, char const* name) -> std::int64_t
 {
--- a/src/standins/services_test.cpp
+++ b/src/standins/services_test.cpp
@@ -1,5 +1,5 @@
-#include "net/http_client.hpp"
 #include "external/etcd_client.hpp"
+#include "net/http_client.hpp"
 #include "standins/key_value_standin.hpp"
 #include "standins/small_services.hpp"
 
