--- a/src/fleet/fleet_test.cpp
+++ b/src/fleet/fleet_test.cpp
@@ -129,9 +129,9 @@
     auto first = make_digest(1, 1);
     first.loads[id] = {2, 100, 200};
     it.take(first, at(0));
-    it.expire(at(2500));
+    BOOST_TEST(it.expire(at(2500)).empty());
     BOOST_TEST(it.heard() == 1U);
-    it.expire(at(2501));
+    BOOST_TEST((it.expire(at(2501)) == std::vector{host_id{"h1"}}));
     BOOST_TEST(it.heard() == 0U);
     BOOST_TEST(it.load_of(id).requests == 0U);
 }
--- a/src/fleet/fleet_view.cpp
+++ b/src/fleet/fleet_view.cpp
@@ -64,8 +64,9 @@
     return true;
 }
 
-void fleet_view::expire(time_point now)
+auto fleet_view::expire(time_point now) -> std::vector<host_id>
 {
+    auto out = std::vector<host_id>{};
     std::erase_if(hosts_,
                   [&](auto const& it)
                   {
@@ -74,9 +75,11 @@
                       if (over)
                       {
                           remove_loads(it.second.last);
+                          out.push_back(it.first);
                       }
                       return over;
                   });
+    return out;
 }
 
 void fleet_view::remove_loads(digest const& it)
--- a/src/fleet/fleet_view.hpp
+++ b/src/fleet/fleet_view.hpp
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <deque>
 #include <map>
+#include <vector>
 
 /// What the other hosts have running and have spent, from their digests.
 ///
@@ -30,8 +31,8 @@
     /// Returns false for a digest that is older than one seen before.
     auto take(digest const& it, time_point now) -> bool;
 
-    /// Drops hosts that fell silent. Call about every second.
-    void expire(time_point now);
+    /// Drops and returns hosts that fell silent. Call about every second.
+    auto expire(time_point now) -> std::vector<host_id>;
 
     /// What all other hosts have running at `id`.
     [[nodiscard]] auto load_of(target_id const& id) const
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -231,10 +231,17 @@
 
     void on_digest(fleet::digest const& it, time_point now)
     {
+        auto const heard = host_.others.heard();
         if (it.host == host_.settings.host || !host_.others.take(it, now))
         {
             return;
         }
+        if (host_.others.heard() > heard)
+        {
+            log::write(log::level::info, "host_heard",
+                       {{"peer", it.host.value()},
+                        {"hosts_heard", std::to_string(host_.others.heard())}});
+        }
         for (auto const& id : it.replaced)
         {
             note_targets(directory::target_replaced{id}, now);
@@ -423,7 +430,12 @@
     {
         auto const now = net::event_loop::now();
         log_changes(host_.targets.expire(now));
-        host_.others.expire(now);
+        for (auto const& id : host_.others.expire(now))
+        {
+            log::write(log::level::warning, "host_silent",
+                       {{"peer", id.value()},
+                        {"hosts_heard", std::to_string(host_.others.heard())}});
+        }
         host_.metrics.log_lines_dropped(log::dropped_lines());
         if (host_.leaving_since)
         {
