--- a/src/gateway/connect_prober.cpp
+++ b/src/gateway/connect_prober.cpp
@@ -1,11 +1,10 @@
 #include "gateway/connect_prober.hpp"
 
+#include "net/socket_address.hpp"
+
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-
 namespace primrosedeal::gateway
 {
 
@@ -35,10 +34,7 @@
 
     void start()
     {
-        auto address = sockaddr_in{};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(at.port);
-        inet_pton(AF_INET, at.address.c_str(), &address.sin_addr);
+        auto address = net::to_sockaddr(at);
         bev = bufferevent_socket_new(owner.loop_.base(), -1,
                                      BEV_OPT_CLOSE_ON_FREE |
                                          BEV_OPT_DEFER_CALLBACKS);
--- a/src/gateway/digest_exchange.cpp
+++ b/src/gateway/digest_exchange.cpp
@@ -1,10 +1,10 @@
 #include "gateway/digest_exchange.hpp"
 
+#include "net/socket_address.hpp"
+
 #include <event2/event.h>
 #include <event2/util.h>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -20,15 +20,6 @@
 /// Datagrams taken before the loop serves other events.
 constexpr auto datagrams_at_once = 64;
 
-auto to_sockaddr(net::endpoint const& it) -> sockaddr_in
-{
-    auto out = sockaddr_in{};
-    out.sin_family = AF_INET;
-    out.sin_port = htons(it.port);
-    inet_pton(AF_INET, it.address.c_str(), &out.sin_addr);
-    return out;
-}
-
 } // namespace
 
 digest_exchange::digest_exchange(
@@ -52,7 +43,7 @@
 void digest_exchange::open(net::endpoint const& at)
 {
     fd_ = ::socket(AF_INET, SOCK_DGRAM, 0);
-    auto const address = to_sockaddr(at);
+    auto const address = net::to_sockaddr(at);
     if (fd_ < 0 || evutil_make_socket_nonblocking(fd_) != 0 ||
         ::bind(fd_, reinterpret_cast<sockaddr const*>(&address),
                sizeof address) != 0)
@@ -92,7 +83,7 @@
     auto const bytes = fleet::encode(it);
     for (auto const& peer : to)
     {
-        auto const address = to_sockaddr(peer);
+        auto const address = net::to_sockaddr(peer);
         // A datagram that does not leave is as good as one that is lost.
         static_cast<void>(::sendto(
             fd_, bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL,
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -1,10 +1,10 @@
 #include "gateway/peer_exchange.hpp"
 
+#include "net/socket_address.hpp"
+
 #include <event2/event.h>
 #include <event2/listener.h>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <unistd.h>
 
 #include <msgpack.hpp>
@@ -86,10 +86,7 @@
 
 void peer_exchange::listen(net::endpoint const& at)
 {
-    auto address = sockaddr_in{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(at.port);
-    inet_pton(AF_INET, at.address.c_str(), &address.sin_addr);
+    auto address = net::to_sockaddr(at);
 
     listener_ = evconnlistener_new_bind(
         loop_.base(),
--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -1,10 +1,11 @@
 #include "http1/client.hpp"
 
+#include "net/socket_address.hpp"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 
-#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -18,15 +19,6 @@
 namespace
 {
 
-auto to_sockaddr(net::endpoint const& it) -> sockaddr_in
-{
-    auto out = sockaddr_in{};
-    out.sin_family = AF_INET;
-    out.sin_port = htons(it.port);
-    inet_pton(AF_INET, it.address.c_str(), &out.sin_addr);
-    return out;
-}
-
 auto serialise(request const& it) -> std::string
 {
     auto out = it.method + ' ' + it.target + " HTTP/1.1\r\n";
@@ -91,7 +83,7 @@
         bufferevent_setcb(bev, on_read, nullptr, on_event, this);
         unsent = serialise(message);
         bufferevent_enable(bev, EV_READ | EV_WRITE);
-        auto const at = to_sockaddr(to);
+        auto const at = net::to_sockaddr(to);
         if (bufferevent_socket_connect(
                 bev, reinterpret_cast<sockaddr const*>(&at), sizeof at) != 0)
         {
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -1,11 +1,12 @@
 #include "http1/server.hpp"
 
+#include "net/socket_address.hpp"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/listener.h>
 
-#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -495,10 +496,7 @@
 
 auto server::listen(net::endpoint const& at) -> std::uint16_t
 {
-    auto address = sockaddr_in{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(at.port);
-    inet_pton(AF_INET, at.address.c_str(), &address.sin_addr);
+    auto address = net::to_sockaddr(at);
     auto const on_accept =
         [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* arg)
     {
