--- a/src/explain/explain.cpp
+++ b/src/explain/explain.cpp
@@ -180,7 +180,7 @@
     {
         if (name != "event" && name != "level" && name != "request")
         {
-            out += ' ' + name + '=' + value;
+            out.append(1, ' ').append(name).append(1, '=').append(value);
         }
     }
     return out;
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -20,6 +20,33 @@
 namespace primrosedeal::gateway
 {
 
+/// A move of the run to another target, with a new copy.
+struct run_move
+{
+    directory::listed_target from;
+    directory::listed_target to;
+    bool stopping = false;
+    /// The run's stream has ended at the source.
+    bool stream_ended = false;
+    std::optional<move_answer> answer;
+    std::unique_ptr<http1::fetch> call;
+};
+
+/// The attempt that is under way.
+struct running_attempt
+{
+    directory::listed_target target;
+    std::optional<directory::listed_target> copy;
+    /// It goes on from a copy of its memory.
+    bool warm = false;
+    time_point sent_at{};
+    /// Its prompt counts as read.
+    bool began = false;
+    bool has_event = false;
+    bool copy_lost = false;
+    std::unique_ptr<attempt> io;
+};
+
 class relay : public std::enable_shared_from_this<relay>
 {
 public:
@@ -38,33 +65,6 @@
     void on_target_in_doubt(target_id const& id);
 
 private:
-    /// A move of the run to another target, with a new copy.
-    struct relocation
-    {
-        directory::listed_target from;
-        directory::listed_target to;
-        bool stopping = false;
-        /// The run's stream has ended at the source.
-        bool stream_ended = false;
-        std::optional<move_answer> answer;
-        std::unique_ptr<http1::fetch> call;
-    };
-
-    /// The attempt that is under way.
-    struct current
-    {
-        directory::listed_target target;
-        std::optional<directory::listed_target> copy;
-        /// It goes on from a copy of its memory.
-        bool warm = false;
-        time_point sent_at{};
-        /// Its prompt counts as read.
-        bool began = false;
-        bool has_event = false;
-        bool copy_lost = false;
-        std::unique_ptr<attempt> io;
-    };
-
     void begin(time_point now);
     void refuse(refusal const& it, time_point now);
     void try_next(time_point now);
@@ -109,10 +109,10 @@
     admitted admitted_;
     dispatch::request_state state_;
     time_point arrived_at_{};
-    std::optional<current> current_;
+    std::optional<running_attempt> current_;
     /// Where the memory of the last attempt was copied to.
     std::optional<directory::listed_target> copy_;
-    std::optional<relocation> relocation_;
+    std::optional<run_move> relocation_;
     /// Where a moved run stopped; its memory is still there until it goes on.
     std::optional<std::pair<directory::listed_target, kept_copy>> moved_from_;
     std::vector<target_id> met_;
--- a/src/net/http_message.hpp
+++ b/src/net/http_message.hpp
@@ -17,6 +17,8 @@
     std::uint16_t port = 0;
 
     friend auto operator==(endpoint const&, endpoint const&) -> bool = default;
+    // clang-tidy 14 takes the defaulted comparison with 0 for a pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(endpoint const&, endpoint const&) = default;
 };
 
