--- a/src/directory/target_directory.cpp
+++ b/src/directory/target_directory.cpp
@@ -3,10 +3,9 @@
 #include <algorithm>
 #include <set>
 
-// A removal counts at once while the store is sound. During an outage, and
-// for `lapse_grace` after it, it may only mean that a heartbeat could not be
-// written: the target stays usable until the grace ends, and its absence then
-// is final.
+// While the store is healthy a removal takes effect at once. During an outage
+// and for `lapse_grace` after it, a removal may only mean that the heartbeat
+// could not be written, so the target stays usable until the grace period ends.
 namespace primrosedeal::directory
 {
 
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -3,18 +3,19 @@
 #include <algorithm>
 #include <tuple>
 
-// Candidates are ranked by standing, whether the request met them, and
-// outstanding prefill. Of those that rank first two are drawn, and the one with
-// fewer running requests (each is slowed while a prompt is read beside it),
-// less memory in use or in the own domain is taken. The best of all would be
-// the same for every host that has not yet heard of the others' last choices.
+// Candidates are ranked by standing, whether the request has tried them, and
+// outstanding prefill. From those that rank first a random sample is taken; the
+// one with the fewest running requests (prefill slows each of them) wins, then
+// the least memory, then the local domain. Taking the overall minimum instead
+// makes hosts herd: digests are older than the other hosts' last choices.
 namespace primrosedeal::dispatch
 {
 
 namespace
 {
 
-/// Targets drawn of those that rank first.
+/// Size of the random sample. Larger samples herd (placement_replay_test.cpp),
+/// smaller ones balance worse.
 constexpr auto drawn = std::size_t{4};
 
 /// What a candidate must not be worse in than any other.
--- a/src/dispatch/placement.hpp
+++ b/src/dispatch/placement.hpp
@@ -15,10 +15,10 @@
 ///
 /// Load pattern: long prompts, about a second of prefill each, arrive at many
 /// hosts; two prompts at one target delay both and slow every stream there.
-/// Work goes where all hosts together have the least prefill outstanding, and
-/// of equal targets to the less loaded of two drawn at random, so that hosts
-/// which know the same do not choose the same. A copy goes to
-/// another failure domain, since domains fail as a whole.
+/// Work goes to the target with the least outstanding prefill over all hosts.
+/// Ties go to the least loaded of a small random sample, so that hosts with the
+/// same view do not all pick the same target. A copy goes to another failure
+/// domain, since domains fail as a whole.
 namespace primrosedeal::dispatch
 {
 
--- a/src/dispatch/stream_watch.hpp
+++ b/src/dispatch/stream_watch.hpp
@@ -9,10 +9,11 @@
 ///
 /// Load pattern: a domain's engines go dark for a second, without a reset,
 /// under streams whose clients accept pauses of some hundred milliseconds.
-/// Events come every few ten milliseconds, a neighbour's prompt stretches the
-/// gap a few times over. So a short silence makes a connection attempt, whose
-/// failure ends the doubt, and a longer one is enough by itself: going on at
-/// the copy costs little where the target was only slow.
+/// Events come every few tens of milliseconds; prefill of another request on
+/// the same engine stretches the gap several times. So a short silence triggers
+/// a connection probe, whose failure is conclusive, and a longer silence is
+/// sufficient by itself: resuming from the copy is cheap even if the target was
+/// merely slow.
 namespace primrosedeal::dispatch
 {
 
--- a/src/dispatch/suspicion.cpp
+++ b/src/dispatch/suspicion.cpp
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <set>
 
-// Failed answers are judged by their share and not by their number, since
-// some services fail a steady part of their calls while they are well.
+// Error answers count by their moving share rather than by number, since some
+// services fail a constant fraction of calls while healthy.
 namespace primrosedeal::dispatch
 {
 
--- a/src/dispatch/suspicion.hpp
+++ b/src/dispatch/suspicion.hpp
@@ -12,8 +12,8 @@
 ///
 /// Load pattern: most targets of one failure domain vanish together for about
 /// a second, some without a reset, while every host has work for them. One
-/// failure sets a target aside; several in a domain set the domain aside, so
-/// that the rest of it costs no request a connect timeout.
+/// failure excludes a target with exponential backoff; several in one domain
+/// demote the whole domain, which spares other requests a connect timeout.
 namespace primrosedeal::dispatch
 {
 
--- a/src/fleet/digest.hpp
+++ b/src/fleet/digest.hpp
@@ -11,8 +11,8 @@
 
 /// What one host tells all others several times a second.
 ///
-/// Every number is a state and not a change, so a lost or late digest is made
-/// good by the next one.
+/// Digests carry absolute values rather than deltas, so the next digest repairs
+/// the effect of a lost or late one.
 namespace primrosedeal::fleet
 {
 
--- a/src/fleet/fleet_view.cpp
+++ b/src/fleet/fleet_view.cpp
@@ -8,8 +8,8 @@
 namespace
 {
 
-/// Part of the allowance that a purpose may use up. Not the whole: digests
-/// are some ten milliseconds old, and in a loss all hosts spend at once.
+/// Part of the allowance that a purpose may use. Never all of it: digests lag
+/// by tens of milliseconds, and after a loss all hosts spend at once.
 auto usable_part(attempt_purpose it) -> double
 {
     switch (it)
--- a/src/fleet/fleet_view.hpp
+++ b/src/fleet/fleet_view.hpp
@@ -11,15 +11,15 @@
 
 /// What the other hosts have running and have spent, from their digests.
 ///
-/// Load pattern: hosts that choose targets by their own work alone send
-/// several long prompts to one target while others idle, and hosts that share
-/// an allowance by equal parts run out of theirs in a failure domain's loss
-/// while most of it is unused.
+/// Load pattern: hosts that place by their own load only send several long
+/// prompts to one target while others idle. Hosts that split the retry budget
+/// evenly exhaust their share when a failure domain is lost, although most of
+/// the budget is unused.
 namespace primrosedeal::fleet
 {
 
-/// A host that has not been heard of for so long counts as gone: its requests
-/// have ended with it, and its part of an allowance is not known.
+/// A host is considered gone after this time without a digest: several periods
+/// of the slowest rate.
 constexpr auto silence_limit = duration{2500ms};
 
 /// Span over which further attempts are bounded.
@@ -122,8 +122,8 @@
     continuation,
 };
 
-/// Whether this host may make one more attempt. Hosts that are not heard of
-/// may be spending their parts, so those are left to them.
+/// Whether this host may make one more attempt. The even shares of hosts that
+/// are not heard from stay reserved for them.
 auto may_attempt(attempt_allowance const& allowance, attempt_purpose purpose,
                  service_count const& own, service_count const& others,
                  std::size_t heard) -> bool;
--- a/src/gateway/digest_exchange.cpp
+++ b/src/gateway/digest_exchange.cpp
@@ -84,7 +84,7 @@
     for (auto const& peer : to)
     {
         auto const address = net::to_sockaddr(peer);
-        // A datagram that does not leave is as good as one that is lost.
+        // Not an error: the next digest replaces one that was not sent.
         static_cast<void>(::sendto(
             fd_, bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL,
             reinterpret_cast<sockaddr const*>(&address), sizeof address));
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -29,8 +29,8 @@
 constexpr auto balancer_notice = duration{2500ms};
 /// Descriptors left to the store, peers, files and targets' connections.
 constexpr auto reserved_descriptors = std::size_t{600};
-/// Between digests while there is something new, and at most: a prompt takes
-/// about a second to read, so others see it in good time.
+/// Interval of digests while there is news, and the longest interval. Prefill
+/// takes about a second, so the short one keeps the hosts' views close.
 constexpr auto digest_period = duration{20ms};
 constexpr auto longest_digest_period = duration{1s};
 
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -479,7 +479,7 @@
     auto const purpose = state_.answer_begun
                              ? fleet::attempt_purpose::continuation
                              : fleet::attempt_purpose::answer;
-    // A request that has reached no target yet has its first attempt left.
+    // The budget counts arrivals beyond a request's first one.
     if (arrivals_ > 0 &&
         !host_.take_attempt(admitted_.service->id, purpose, now))
     {
