Share part_of and the gateway's own answers; drop unused counts

Found on reading the change once more: the share of a duration was computed in stream_watch.cpp and again in relay.cpp; the error body was built in two places; the server's count of open exchanges and a connection's streaming flag were never read; a comment named a setting that does not exist.

--- /dev/null
+++ b/src/core/part_of.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "core/units.hpp"
+
+namespace primrosedeal
+{
+
+/// The share `part` of `whole`.
+constexpr auto part_of(duration whole, double part) -> duration
+{
+    return duration{
+        static_cast<duration::rep>(static_cast<double>(whole.count()) * part)};
+}
+
+} // namespace primrosedeal
--- a/src/dispatch/stream_watch.cpp
+++ b/src/dispatch/stream_watch.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/stream_watch.hpp"
 
+#include "core/part_of.hpp"
+
 #include <algorithm>
 
 namespace primrosedeal::dispatch
@@ -8,12 +10,6 @@
 namespace
 {
 
-auto part_of(duration whole, double part) -> duration
-{
-    return duration{
-        static_cast<duration::rep>(static_cast<double>(whole.count()) * part)};
-}
-
 /// Silence since `from`, probed once at `probe_at` and ended at `leave_at`.
 auto between_events(stream_facts const& it, time_point from,
                     duration probe_after, duration leave_after, time_point now)
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -1,6 +1,7 @@
 #include "gateway/relay.hpp"
 
 #include "core/overloaded.hpp"
+#include "core/part_of.hpp"
 #include "log/log.hpp"
 
 #include <algorithm>
@@ -160,10 +161,15 @@
                 {"path", message_.target},
                 {"configuration",
                  table_ ? std::to_string(table_->version().value()) : "none"}});
+    reply_own(it);
+    finish("refused", it.status, now);
+}
+
+void relay::reply_own(refusal const& it)
+{
     client_->reply(own_answer(it.status, it.retry_after),
                    "{\"error\":\"" + std::string{to_string(it.why)} + "\"}",
                    false);
-    finish("refused", it.status, now);
 }
 
 auto relay::view() const -> dispatch::placement_view
@@ -238,16 +244,11 @@
     {
         spec.copy_to = current_->copy->address;
     }
-    auto const part = [](duration whole, double share)
-    {
-        return duration{static_cast<duration::rep>(
-            static_cast<double>(whole.count()) * share)};
-    };
     auto out = attempt_plan{};
     out.target = target;
     out.id = facts_.id;
     out.message = host_.wire.make_attempt(message_, spec);
-    out.connect_timeout = std::clamp(part(route.objective, 0.5),
+    out.connect_timeout = std::clamp(part_of(route.objective, 0.5),
                                      shortest_connect, longest_connect);
     out.streaming = streaming();
     out.watch.gap_objective = route.gap_objective;
@@ -259,7 +260,7 @@
     auto const last_run = state_.runs + 1 >= state_.max_runs;
     if (route.kind == routes::request_kind::idempotent && !last_run)
     {
-        out.patience = part(route.objective, call_patience_part);
+        out.patience = part_of(route.objective, call_patience_part);
     }
     return out;
 }
@@ -510,9 +511,7 @@
     constexpr auto not_run = 503;
     auto const retry_after =
         status == not_run ? std::optional{retry_after_busy} : std::nullopt;
-    client_->reply(own_answer(status, retry_after),
-                   "{\"error\":\"" + std::string{to_string(why)} + "\"}",
-                   false);
+    reply_own({status, why, retry_after});
     finish(to_string(why), status, now);
 }
 
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -67,6 +67,8 @@
 private:
     void begin(time_point now);
     void refuse(refusal const& it, time_point now);
+    /// Sends an answer that is no target's.
+    void reply_own(refusal const& it);
     void try_next(time_point now);
     void send(directory::listed_target const& target,
               std::optional<kept_copy> const& from, time_point now);
--- a/src/gateway/settings.hpp
+++ b/src/gateway/settings.hpp
@@ -30,8 +30,8 @@
     std::vector<net::endpoint> seeds;
     /// Time from SIGTERM until the process is killed.
     duration shutdown_grace = 8s;
-    /// Further attempts allowed in `retry_window`, over all hosts: this part
-    /// of the requests, and this many besides.
+    /// Further attempts allowed in `fleet::attempt_window`, over all hosts:
+    /// this part of the requests, and this many besides.
     double retry_ratio = 0.8;
     double retry_slack = 150;
     /// Descriptors that the process may hold.
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -69,7 +69,6 @@
     server_limits limits;
     evconnlistener* listener = nullptr;
     std::map<connection*, std::shared_ptr<connection>> connections;
-    std::size_t open = 0;
     bool closing = false;
 };
 
@@ -131,7 +130,6 @@
 
     void start(response_head const& head)
     {
-        streaming_ = true;
         write(serialise_head(head, "Transfer-Encoding: chunked",
                              owner_.closing || !keep_alive_));
     }
@@ -293,7 +291,6 @@
         head_request_ = message.method == "HEAD";
         continued_ = false;
         answering_ = true;
-        ++owner_.open;
         owner_.on_request(std::move(message), make_exchange());
     }
 
@@ -307,7 +304,6 @@
             end_gently();
             return;
         }
-        streaming_ = false;
         idle_since_ = net::event_loop::now();
         arm(owner_.limits.idle_timeout);
         // A request that came meanwhile is parsed from a fresh stack.
@@ -328,7 +324,6 @@
         {
             answering_ = false;
             gone_ = nullptr;
-            --owner_.open;
         }
     }
 
@@ -407,7 +402,6 @@
     time_point idle_since_{};
     std::function<void()> gone_;
     bool answering_ = false;
-    bool streaming_ = false;
     bool keep_alive_ = true;
     bool head_request_ = false;
     bool continued_ = false;
@@ -559,9 +553,4 @@
     return state_->connections.size();
 }
 
-auto server::open_exchanges() const -> std::size_t
-{
-    return state_->open;
-}
-
 } // namespace primrosedeal::http1
--- a/src/http1/server.hpp
+++ b/src/http1/server.hpp
@@ -76,8 +76,6 @@
     void stop_listening();
 
     [[nodiscard]] auto connections() const -> std::size_t;
-    /// Requests whose answer has not been handed over.
-    [[nodiscard]] auto open_exchanges() const -> std::size_t;
 
     struct state;
 
