Follow the store through one host of a failure domain

Cause: every host watched the store itself, and each change ended every watch. Ruled out: longer pauses between watches alone (they delay changes by as much as they save) and registrations written at each start (they are few; they are left out now where the entry is there already).

Change: the first host of a domain, by id, that is in contact with the store feeds the others over links; large values are read from the store. Removals that came while only this host had lost the store count at once (digests tell who kept contact); an entry stayed up to 5.3 s after a silent watch before. While the store refuses a host, a peer's entries replace its own, removals included.

--- /dev/null
+++ b/src/core/parse_number.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <charconv>
+#include <optional>
+#include <string_view>
+
+namespace primrosedeal
+{
+
+/// The number that all of `text` is, in decimal digits; nothing otherwise.
+template <class Number>
+auto parse_number(std::string_view text) -> std::optional<Number>
+{
+    auto out = Number{};
+    auto const [at, ec] =
+        std::from_chars(text.data(), text.data() + text.size(), out);
+    return ec == std::errc{} && at == text.data() + text.size()
+               ? std::optional{out}
+               : std::nullopt;
+}
+
+} // namespace primrosedeal
--- a/src/directory/target_directory.cpp
+++ b/src/directory/target_directory.cpp
@@ -2,10 +2,13 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 // While the store is healthy a removal takes effect at once. During an outage
 // and for `lapse_grace` after it, a removal may only mean that the heartbeat
 // could not be written, so the target stays usable until the grace period ends.
+// Where only this host lost the store, targets could renew their entries and a
+// removal is real, whenever this host hears of it.
 namespace primrosedeal::directory
 {
 
@@ -46,6 +49,22 @@
     {
         return out;
     }
+    erase_lapsed(out);
+    regained_at_.reset();
+    if (!out.empty())
+    {
+        rebuild();
+    }
+    return out;
+}
+
+auto target_directory::doubts_removals(time_point now) const -> bool
+{
+    return store_away_ || (regained_at_ && now - *regained_at_ < lapse_grace);
+}
+
+void target_directory::erase_lapsed(changes& out)
+{
     std::erase_if(entries_,
                   [&](auto const& it)
                   {
@@ -56,12 +75,6 @@
                       }
                       return over;
                   });
-    regained_at_.reset();
-    if (!out.empty())
-    {
-        rebuild();
-    }
-    return out;
 }
 
 auto target_directory::usable(service_id const& service) const
@@ -96,9 +109,27 @@
 }
 
 void target_directory::on(all_entries const& it, time_point now, changes& out)
+{
+    for (auto const& id : put_all(it.targets, out))
+    {
+        remove(id, now, out);
+    }
+}
+
+void target_directory::on(peer_entries const& it, time_point /*now*/,
+                          changes& out)
+{
+    for (auto const& id : put_all(it.targets, out))
+    {
+        erase(id, out);
+    }
+}
+
+auto target_directory::put_all(std::vector<listed_target> const& targets,
+                               changes& out) -> std::vector<target_id>
 {
     auto present = std::set<target_id>{};
-    for (auto const& target : it.targets)
+    for (auto const& target : targets)
     {
         present.insert(target.id);
         put(target, out);
@@ -111,10 +142,7 @@
             missing.push_back(id);
         }
     }
-    for (auto const& id : missing)
-    {
-        remove(id, now, out);
-    }
+    return missing;
 }
 
 void target_directory::on(store_lost const& /*it*/, time_point /*now*/,
@@ -123,14 +151,20 @@
     store_away_ = true;
 }
 
-void target_directory::on(store_regained const& /*it*/, time_point now,
-                          changes& /*out*/)
+void target_directory::on(store_regained const& it, time_point now,
+                          changes& out)
 {
-    if (store_away_)
+    if (!std::exchange(store_away_, false))
+    {
+        return;
+    }
+    if (it.served_others)
     {
-        store_away_ = false;
-        regained_at_ = now;
+        regained_at_.reset();
+        erase_lapsed(out);
+        return;
     }
+    regained_at_ = now;
 }
 
 void target_directory::on(target_replaced const& it, time_point /*now*/,
@@ -211,16 +245,21 @@
     {
         return;
     }
-    auto const in_doubt =
-        store_away_ || (regained_at_ && now - *regained_at_ < lapse_grace);
-    if (in_doubt && !it->second.it.leaving)
+    if (doubts_removals(now) && !it->second.it.leaving)
     {
         it->second.lapsed_at = now;
         out.push_back({id, change_kind::lapsed});
         return;
     }
-    entries_.erase(it);
-    out.push_back({id, change_kind::gone});
+    erase(id, out);
+}
+
+void target_directory::erase(target_id const& id, changes& out)
+{
+    if (entries_.erase(id) > 0)
+    {
+        out.push_back({id, change_kind::gone});
+    }
 }
 
 void target_directory::rebuild()
--- a/src/directory/target_directory.hpp
+++ b/src/directory/target_directory.hpp
@@ -54,6 +54,13 @@
     std::vector<listed_target> targets;
 };
 
+/// All entries as a peer has them that the store answers, while it does not
+/// answer this host: entries that are missing were removed, not lapsed.
+struct peer_entries
+{
+    std::vector<listed_target> targets;
+};
+
 /// The store stopped answering, or dropped what happened meanwhile.
 struct store_lost
 {
@@ -61,6 +68,9 @@
 
 struct store_regained
 {
+    /// The store served other hosts meanwhile, so no entry lapsed for want of
+    /// a store to renew it at.
+    bool served_others = false;
 };
 
 /// A target refused a request because another one has its address now.
@@ -69,8 +79,9 @@
     target_id id;
 };
 
-using event = std::variant<entry_written, entry_removed, all_entries,
-                           store_lost, store_regained, target_replaced>;
+using event =
+    std::variant<entry_written, entry_removed, all_entries, peer_entries,
+                 store_lost, store_regained, target_replaced>;
 
 enum class change_kind
 {
@@ -110,6 +121,10 @@
 
     [[nodiscard]] auto takes_new_work(target_id const& id) const -> bool;
 
+    /// Whether a missing entry may belong to a target that lives: the store is
+    /// away, or was until a moment ago.
+    [[nodiscard]] auto doubts_removals(time_point now) const -> bool;
+
     [[nodiscard]] auto size() const -> std::size_t
     {
         return entries_.size();
@@ -127,11 +142,17 @@
     void on(entry_written const& it, time_point now, changes& out);
     void on(entry_removed const& it, time_point now, changes& out);
     void on(all_entries const& it, time_point now, changes& out);
+    void on(peer_entries const& it, time_point now, changes& out);
     void on(store_lost const& it, time_point now, changes& out);
     void on(store_regained const& it, time_point now, changes& out);
     void on(target_replaced const& it, time_point now, changes& out);
     void put(listed_target const& it, changes& out);
+    /// Puts `targets` and returns the known ones that are not among them.
+    auto put_all(std::vector<listed_target> const& targets, changes& out)
+        -> std::vector<target_id>;
     void remove(target_id const& id, time_point now, changes& out);
+    void erase(target_id const& id, changes& out);
+    void erase_lapsed(changes& out);
     /// Drops earlier processes that had the address of `it`.
     void drop_predecessors(listed_target const& it, changes& out);
     void rebuild();
--- a/src/directory/target_directory_test.cpp
+++ b/src/directory/target_directory_test.cpp
@@ -117,6 +117,32 @@
     BOOST_TEST(takes("b"));
 }
 
+BOOST_FIXTURE_TEST_CASE(is_gone_at_once_where_only_this_host_lost_the_store,
+                        known_targets)
+{
+    write(target("a"));
+    write(target("b", 1, false, 2));
+    tell(store_lost{}, 2600);
+    // Removed before this host noticed that its watch had gone silent.
+    tell(entry_removed{target_id{"a"}}, 2800);
+    BOOST_TEST(takes("a"));
+    tell(store_regained{true}, 2900);
+    BOOST_TEST(!takes("a"));
+    tell(entry_removed{target_id{"b"}}, 3000);
+    BOOST_TEST(!takes("b"));
+}
+
+BOOST_FIXTURE_TEST_CASE(is_gone_as_soon_as_a_peer_in_contact_says_so,
+                        known_targets)
+{
+    write(target("a"));
+    write(target("b", 1, false, 2));
+    tell(store_lost{}, 100);
+    tell(peer_entries{{target("b", 1, false, 2)}}, 200);
+    BOOST_TEST(!takes("a"));
+    BOOST_TEST(takes("b"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_CASE(ends_where_a_newer_one_has_its_address, known_targets)
--- a/src/external/key_value.hpp
+++ b/src/external/key_value.hpp
@@ -143,6 +143,8 @@
 {
     std::string key;
     std::optional<stored_value> value;
+    /// The service's counter at this change; 0 where it does not tell.
+    store_revision at{};
 };
 
 /// A waiting watch; destroying it ends it. Nothing runs afterwards.
--- a/src/fleet/digest.cpp
+++ b/src/fleet/digest.cpp
@@ -14,9 +14,13 @@
 using load_row =
     std::tuple<std::string, std::uint32_t, std::uint64_t, std::uint64_t>;
 using count_row = std::tuple<std::string, std::uint64_t, std::uint64_t>;
-using fields = std::tuple<std::string, std::uint64_t, std::uint64_t,
-                          std::vector<load_row>, std::vector<count_row>,
-                          std::vector<std::string>, std::vector<std::string>>;
+using fields =
+    std::tuple<std::string, std::uint64_t, std::uint64_t, std::vector<load_row>,
+               std::vector<count_row>, std::vector<std::string>,
+               std::vector<std::string>, std::int64_t, std::string>;
+
+/// Stands for no contact with the store.
+constexpr auto no_contact = std::int64_t{-1};
 
 // Bounds against bytes that announce more than a datagram can hold.
 constexpr auto max_rows = std::size_t{4096};
@@ -51,8 +55,11 @@
 
 auto encode(digest const& it) -> std::string
 {
+    auto const contact =
+        it.store_contact ? std::int64_t{it.store_contact->count()} : no_contact;
     auto out =
-        fields{it.host.value(), it.start.value(), it.sequence, {}, {}, {}, {}};
+        fields{it.host.value(), it.start.value(), it.sequence, {}, {}, {}, {},
+               contact,         it.domain.value()};
     for (auto const& [id, load] : it.loads)
     {
         std::get<3>(out).emplace_back(id.value(), load.requests,
@@ -107,6 +114,11 @@
         {
             out.replaced.emplace_back(id);
         }
+        out.domain = domain_id{std::get<8>(it)};
+        if (auto const contact = std::get<7>(it); contact >= 0)
+        {
+            out.store_contact = duration{contact};
+        }
         return out;
     }
     catch (std::exception const&)
--- a/src/fleet/digest.hpp
+++ b/src/fleet/digest.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/ids.hpp"
+#include "core/units.hpp"
 #include "dispatch/load_book.hpp"
 
 #include <cstdint>
@@ -26,6 +27,7 @@
 struct digest
 {
     host_id host;
+    domain_id domain;
     /// Start of the process; its counts begin anew with it.
     incarnation start;
     /// Grows with every digest of a process.
@@ -37,6 +39,9 @@
     std::vector<target_id> lost;
     /// Targets whose address another one has answered at: they are gone.
     std::vector<target_id> replaced;
+    /// How long the store has answered the host without a failed call; nothing
+    /// while it does not, or where the host does not ask it.
+    std::optional<duration> store_contact;
 };
 
 /// Largest digest in bytes; one datagram. What does not fit is left out.
--- a/src/fleet/fleet_test.cpp
+++ b/src/fleet/fleet_test.cpp
@@ -40,6 +40,7 @@
             it.host = host_id{host};
             it.start = incarnation{start};
             it.sequence = 3;
+            it.domain = domain_id{host + "'"};
             constexpr auto most = std::size_t{20};
             for (auto const& [id, n] : loads)
             {
@@ -59,13 +60,19 @@
                 it.lost.emplace_back(id);
                 it.replaced.emplace_back(id + "'");
             }
+            if (!lost.empty())
+            {
+                it.store_contact = duration{start % 1000};
+            }
             auto const out = decode_digest(encode(it));
             RC_ASSERT(out.has_value());
             RC_ASSERT(out->host == it.host);
+            RC_ASSERT(out->domain == it.domain);
             RC_ASSERT(out->start == it.start);
             RC_ASSERT(out->loads.size() == it.loads.size());
             RC_ASSERT(out->lost == it.lost);
             RC_ASSERT(out->replaced == it.replaced);
+            RC_ASSERT(out->store_contact == it.store_contact);
             RC_ASSERT(out->counts.at(service).further_attempts == 6);
         });
 }
@@ -151,6 +158,42 @@
     BOOST_TEST(recent.further_attempts == 20U);
 }
 
+BOOST_AUTO_TEST_CASE(tells_which_hosts_of_a_domain_watch_the_store)
+{
+    auto it = fleet_view{};
+    auto first = make_digest(1, 1);
+    first.domain = domain_id{"d"};
+    first.store_contact = 1s;
+    it.take(first, at(0));
+    auto second = make_digest(2, 1);
+    second.domain = domain_id{"d"};
+    it.take(second, at(0));
+    auto elsewhere = make_digest(3, 1);
+    elsewhere.domain = domain_id{"e"};
+    it.take(elsewhere, at(0));
+    auto const peers = it.peers_in(domain_id{"d"});
+    BOOST_REQUIRE(peers.size() == 2U);
+    BOOST_TEST(peers[0].id.value() == "h1");
+    BOOST_TEST(peers[0].watches_store);
+    BOOST_TEST(!peers[1].watches_store);
+}
+
+BOOST_AUTO_TEST_CASE(knows_whether_the_store_served_others_meanwhile)
+{
+    auto it = fleet_view{};
+    auto first = make_digest(1, 1);
+    first.store_contact = 500ms;
+    it.take(first, at(3000));
+    BOOST_TEST(!it.store_served_since(at(1000)));
+    auto second = make_digest(2, 1);
+    second.store_contact = 5s;
+    it.take(second, at(3000));
+    BOOST_TEST(it.store_served_since(at(1000)));
+    auto after = make_digest(2, 2);
+    it.take(after, at(3100));
+    BOOST_TEST(!it.store_served_since(at(1000)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(the_allowance)
--- a/src/fleet/fleet_view.cpp
+++ b/src/fleet/fleet_view.cpp
@@ -114,6 +114,31 @@
     return it == loads_.end() ? dispatch::target_load{} : it->second;
 }
 
+auto fleet_view::peers_in(domain_id const& domain) const
+    -> std::vector<domain_peer>
+{
+    auto out = std::vector<domain_peer>{};
+    for (auto const& [id, held] : hosts_)
+    {
+        if (held.last.domain == domain)
+        {
+            out.push_back({id, held.last.store_contact.has_value(), false});
+        }
+    }
+    return out;
+}
+
+auto fleet_view::store_served_since(time_point since) const -> bool
+{
+    return std::any_of(hosts_.begin(), hosts_.end(),
+                       [&](auto const& it)
+                       {
+                           auto const& contact = it.second.last.store_contact;
+                           return contact &&
+                                  it.second.heard_at - *contact <= since;
+                       });
+}
+
 auto fleet_view::recent(service_id const& id, time_point now) const
     -> service_count
 {
--- a/src/fleet/fleet_view.hpp
+++ b/src/fleet/fleet_view.hpp
@@ -3,6 +3,7 @@
 #include "core/ids.hpp"
 #include "core/units.hpp"
 #include "fleet/digest.hpp"
+#include "fleet/store_source.hpp"
 
 #include <cstddef>
 #include <deque>
@@ -42,6 +43,14 @@
     [[nodiscard]] auto recent(service_id const& id, time_point now) const
         -> service_count;
 
+    /// Whether the store has answered some other host all the time from `since`
+    /// on.
+    [[nodiscard]] auto store_served_since(time_point since) const -> bool;
+
+    /// The other hosts of `domain` that are heard of.
+    [[nodiscard]] auto peers_in(domain_id const& domain) const
+        -> std::vector<domain_peer>;
+
     /// Other hosts that are heard of.
     [[nodiscard]] auto heard() const -> std::size_t
     {
--- /dev/null
+++ b/src/fleet/store_source_test.cpp
@@ -0,0 +1,152 @@
+#include "fleet/feed_message.hpp"
+#include "fleet/store_source.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include <vector>
+
+namespace primrosedeal::fleet
+{
+
+namespace
+{
+
+auto peer(std::string id, bool watches, bool failed = false) -> domain_peer
+{
+    return {host_id{std::move(id)}, watches, failed};
+}
+
+auto choose(std::string const& self, bool watches,
+            std::vector<domain_peer> const& peers) -> store_source
+{
+    return choose_source({host_id{self}, watches, peers});
+}
+
+auto followed(store_source const& it) -> std::string
+{
+    auto const* const peer = std::get_if<follow_peer>(&it);
+    return peer == nullptr ? "" : peer->id.value();
+}
+
+/// Calls to the store for `changes` changes that come one by one, each ending
+/// the watch of every host that watches.
+auto calls_for(std::size_t hosts, int changes, bool by_rule) -> std::size_t
+{
+    auto watching = std::vector<bool>(hosts, true);
+    auto const name = [](std::size_t i)
+    {
+        return "h" + std::to_string(100 + i);
+    };
+    auto calls = std::size_t{0};
+    for (auto change = 0; change < changes; ++change)
+    {
+        auto const before = watching;
+        for (auto i = std::size_t{0}; i < hosts; ++i)
+        {
+            calls += before[i] ? 1 : 0;
+            auto peers = std::vector<domain_peer>{};
+            for (auto other = std::size_t{0}; other < hosts; ++other)
+            {
+                if (other != i)
+                {
+                    peers.push_back(peer(name(other), before[other]));
+                }
+            }
+            watching[i] =
+                !by_rule || followed(choose(name(i), before[i], peers)).empty();
+        }
+    }
+    return calls;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(a_host)
+
+BOOST_AUTO_TEST_CASE(watches_the_store_if_nobody_else_does)
+{
+    BOOST_TEST(followed(choose("b", false, {})).empty());
+    BOOST_TEST(followed(choose("b", false, {peer("a", false)})).empty());
+    BOOST_TEST(followed(choose("b", true, {peer("a", false)})).empty());
+}
+
+BOOST_AUTO_TEST_CASE(follows_the_first_of_its_domain_that_watches)
+{
+    BOOST_TEST(followed(choose("c", true,
+                               {peer("b", true), peer("a", false)})) == "b");
+    BOOST_TEST(followed(choose("a", false,
+                               {peer("c", true), peer("b", true)})) == "b");
+    BOOST_TEST(followed(choose("a", true, {peer("c", true)})).empty());
+}
+
+BOOST_AUTO_TEST_CASE(leaves_a_host_whose_feed_has_failed)
+{
+    BOOST_TEST(followed(choose("c", false,
+                               {peer("a", true, true), peer("b", true)})) ==
+               "b");
+    BOOST_TEST(followed(choose("c", false, {peer("a", true, true)})).empty());
+}
+
+BOOST_AUTO_TEST_CASE(tries_less_often_the_more_hosts_come_before_it)
+{
+    auto const it = choose("c", false,
+                           {peer("a", false), peer("b", false),
+                            peer("d", false), peer("e", false)});
+    BOOST_TEST(std::get<watch_store>(it).before == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_domain_whose_engines_register_again)
+
+BOOST_AUTO_TEST_CASE(costs_one_call_for_a_change_instead_of_one_for_each_host)
+{
+    constexpr auto hosts = std::size_t{21};
+    constexpr auto changes = 100;
+    BOOST_TEST(calls_for(hosts, changes, false) == hosts * changes);
+    BOOST_TEST(calls_for(hosts, changes, true) == hosts + changes - 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_message_of_the_feed)
+
+BOOST_AUTO_TEST_CASE(survives_its_journey)
+{
+    rc::check(
+        [](std::string const& key, std::string const& bytes, bool has_value,
+           bool too_large, std::int64_t at)
+        {
+            auto const value = has_value ? std::optional{bytes} : std::nullopt;
+            auto it = feed_message{};
+            it.in_contact = too_large;
+            it.at = external::store_revision{at};
+            it.entries.push_back(
+                {key, value, too_large, external::store_revision{at}});
+            auto const out = decode_feed_message(encode(it));
+            RC_ASSERT(out.has_value());
+            RC_ASSERT(out->in_contact == too_large);
+            RC_ASSERT(out->at.value() == at);
+            RC_ASSERT(out->entries.size() == 1U);
+            RC_ASSERT(out->entries[0].key == key);
+            RC_ASSERT(out->entries[0].value == value);
+            RC_ASSERT(out->entries[0].too_large == too_large);
+            RC_ASSERT(out->entries[0].at.value() == at);
+        });
+}
+
+BOOST_AUTO_TEST_CASE(that_is_none_is_refused)
+{
+    rc::check(
+        [](std::string const& bytes)
+        {
+            auto const it = decode_feed_message(bytes);
+            RC_ASSERT(!it || !bytes.empty());
+        });
+    BOOST_TEST(!decode_feed_message("").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace primrosedeal::fleet
--- /dev/null
+++ b/src/gateway/entry_source_test.cpp
@@ -0,0 +1,553 @@
+#include "gateway/entry_source.hpp"
+
+#include "core/random.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <set>
+
+// Two hosts of a domain on one loop over real links. Each has its own way to
+// one store, which can fail for one of them alone.
+namespace primrosedeal::gateway
+{
+
+namespace
+{
+
+/// Time of a read's answer on its way.
+constexpr auto answer_time = duration{5ms};
+
+using entry_map = std::map<std::string, std::string>;
+
+constexpr auto test_limit = duration{20s};
+/// Ticks come this often; a silent feed is left within the same limit as in
+/// service.
+constexpr auto tick = duration{10ms};
+
+/// Items with their history, shared by the hosts' ways to it.
+struct shared_store
+{
+    void put(std::string const& key, std::optional<std::string> const& value)
+    {
+        auto event = external::watch_event{
+            key, {}, external::store_revision{++revision}};
+        if (value)
+        {
+            event.value = external::stored_value{
+                key, *value, event.at, event.at, external::lease_id{0}};
+            items[key] = *value;
+        }
+        else
+        {
+            items.erase(key);
+        }
+        history.push_back(event);
+    }
+
+    std::int64_t revision = 0;
+    entry_map items;
+    std::vector<external::watch_event> history;
+};
+
+/// One host's way to the store. Answers come from the loop, never at once.
+class store_path : public external::key_value_service
+{
+public:
+    store_path(net::event_loop& loop, shared_store& store)
+        : loop_(loop), store_(store)
+    {
+    }
+
+    /// From now on calls fail and watches end, or are served again.
+    void set_reachable(bool it)
+    {
+        reachable_ = it;
+        deliver();
+    }
+
+    [[nodiscard]] auto watches() const -> std::size_t
+    {
+        return open_.size();
+    }
+
+    /// Call after changes of the store.
+    void deliver()
+    {
+        auto const all = open_;
+        for (auto* const it : all)
+        {
+            if (open_.contains(it))
+            {
+                it->advance();
+            }
+        }
+    }
+
+    void range(external::call_purpose /*purpose*/,
+               external::range_request const& request,
+               external::answer_handler<external::range_result> done) override
+    {
+        loop_.post(
+            [this, request, done = std::move(done)]
+            {
+                if (!reachable_)
+                {
+                    done(external::call_failure{external::call_fault::lost,
+                                                "cut off"});
+                    return;
+                }
+                ++reads;
+                auto out = external::range_result{};
+                out.at = external::store_revision{store_.revision};
+                for (auto const& [key, value] : store_.items)
+                {
+                    if (!request.range_end.empty() || key == request.key)
+                    {
+                        out.values.push_back({key, value, revision_of(key),
+                                              revision_of(key),
+                                              external::lease_id{0}});
+                    }
+                }
+                // The answer is old when it arrives.
+                answers_.push_back(loop_.after(
+                    answer_time, [out = std::move(out), done] { done(out); }));
+            });
+    }
+
+    void commit(external::call_purpose /*purpose*/,
+                external::transaction const& /*request*/,
+                external::answer_handler<external::transaction_result> /*done*/)
+        override
+    {
+    }
+
+    void grant_lease(
+        external::lease_id /*id*/, std::chrono::seconds /*ttl*/,
+        external::answer_handler<external::lease_grant> /*done*/) override
+    {
+    }
+
+    void keep_alive(
+        external::lease_id /*id*/,
+        external::answer_handler<external::lease_grant> /*done*/) override
+    {
+    }
+
+    void revoke_lease(
+        external::lease_id /*id*/,
+        external::answer_handler<external::lease_grant> /*done*/) override
+    {
+    }
+
+    auto watch_range(external::call_purpose /*purpose*/,
+                     external::range_request const& /*request*/,
+                     external::store_revision from,
+                     external::watch_handlers handlers)
+        -> std::unique_ptr<external::watch> override
+    {
+        return std::make_unique<open_watch>(*this, from, std::move(handlers));
+    }
+
+    int reads = 0;
+
+private:
+    class open_watch : public external::watch
+    {
+    public:
+        open_watch(store_path& path, external::store_revision from,
+                   external::watch_handlers handlers)
+            : path_(path), at_(from), handlers_(std::move(handlers))
+        {
+            path_.open_.insert(this);
+            first_ = path_.loop_.after(0s, [this] { advance(); });
+        }
+
+        open_watch(open_watch const&) = delete;
+        auto operator=(open_watch const&) -> open_watch& = delete;
+
+        ~open_watch() override
+        {
+            path_.open_.erase(this);
+        }
+
+        void advance()
+        {
+            auto const alive = std::weak_ptr{alive_};
+            if (!path_.reachable_)
+            {
+                path_.open_.erase(this);
+                auto const on_end = handlers_.on_end;
+                on_end({external::call_fault::lost, "cut off"});
+                return;
+            }
+            for (auto const& it : path_.store_.history)
+            {
+                if (it.at > at_)
+                {
+                    at_ = it.at;
+                    handlers_.on_event(it);
+                    if (alive.expired())
+                    {
+                        return;
+                    }
+                }
+            }
+            handlers_.on_open();
+        }
+
+    private:
+        store_path& path_;
+        external::store_revision at_;
+        external::watch_handlers handlers_;
+        net::timer first_;
+        std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+    };
+
+    auto revision_of(std::string const& key) const -> external::store_revision
+    {
+        auto out = external::store_revision{0};
+        for (auto const& it : store_.history)
+        {
+            out = it.key == key ? it.at : out;
+        }
+        return out;
+    }
+
+    net::event_loop& loop_;
+    shared_store& store_;
+    std::set<open_watch*> open_;
+    std::vector<net::timer> answers_;
+    bool reachable_ = true;
+};
+
+auto own_settings(std::string id) -> host_settings
+{
+    auto out = host_settings{};
+    out.host = host_id{std::move(id)};
+    out.domain = domain_id{"d"};
+    return out;
+}
+
+/// A host with what an entry source needs of it.
+struct test_host
+{
+    test_host(net::event_loop& loop, shared_store& store, std::string const& id,
+              std::uint16_t port)
+        : settings(own_settings(id)), path(loop, store),
+          peers(
+              loop, {settings.host, "secret"}, [] { return peer_state{}; },
+              [](peer_state const&) {}),
+          source(loop, path, random, peers, others, settings, events())
+    {
+        settings.peers = {"127.0.0.1", port};
+        peers.listen(settings.peers);
+    }
+
+    auto events() -> follower_events
+    {
+        auto out = follower_events{};
+        out.on_snapshot = [this](std::vector<external::stored_value> const& it)
+        {
+            entries.clear();
+            for (auto const& value : it)
+            {
+                entries[value.key] = value.value;
+            }
+        };
+        out.on_entry = [this](external::watch_event const& it)
+        {
+            if (it.value)
+            {
+                entries[it.key] = it.value->value;
+            }
+            else
+            {
+                entries.erase(it.key);
+            }
+        };
+        out.on_lost = [this](std::string const&)
+        {
+            ++losses;
+        };
+        out.on_regained = [](time_point) {
+        };
+        return out;
+    }
+
+    void hear(test_host const& it, time_point now)
+    {
+        auto digest = fleet::digest{};
+        digest.host = it.settings.host;
+        digest.domain = it.settings.domain;
+        digest.start = incarnation{1};
+        digest.sequence = ++heard;
+        digest.store_contact = it.source.store_contact(now);
+        others.take(digest, now);
+        peers.know(it.settings.host, it.settings.peers);
+    }
+
+    host_settings settings;
+    random_source random{1};
+    fleet::fleet_view others;
+    entry_map entries;
+    int losses = 0;
+    std::uint64_t heard = 0;
+    store_path path;
+    peer_exchange peers;
+    entry_source source;
+};
+
+/// Runs steps, each as soon as its condition holds.
+class two_hosts
+{
+public:
+    two_hosts()
+    {
+        first.source.start();
+        second.source.start();
+    }
+
+    void when(std::function<bool()> condition, std::function<void()> work)
+    {
+        steps_.push_back({std::move(condition), std::move(work)});
+    }
+
+    /// Returns whether all steps were made.
+    auto run() -> bool
+    {
+        auto const limit = loop.after(test_limit, [this] { loop.stop(); });
+        step();
+        loop.run();
+        return steps_.empty();
+    }
+
+    void put(std::string const& key, std::optional<std::string> const& value)
+    {
+        store.put(key, value);
+        first.path.deliver();
+        second.path.deliver();
+    }
+
+    [[nodiscard]] auto second_follows() const -> bool
+    {
+        return second.path.watches() == 0 && second.source.in_contact();
+    }
+
+    [[nodiscard]] auto settled() const -> bool
+    {
+        return first.entries == store.items && second.entries == store.items;
+    }
+
+    static auto ports() -> std::array<std::uint16_t, 2>
+    {
+        static auto next = std::uint16_t{23100};
+        next += 2;
+        return {next, static_cast<std::uint16_t>(next + 1)};
+    }
+
+    net::event_loop loop;
+    shared_store store;
+    std::array<std::uint16_t, 2> at = ports();
+    test_host first{loop, store, "a", at[0]};
+    test_host second{loop, store, "b", at[1]};
+    bool digests_pass = true;
+
+private:
+    struct one_step
+    {
+        std::function<bool()> condition;
+        std::function<void()> work;
+    };
+
+    void step()
+    {
+        auto const now = net::event_loop::now();
+        if (digests_pass)
+        {
+            first.hear(second, now);
+            second.hear(first, now);
+        }
+        first.source.tick(now);
+        second.source.tick(now);
+        if (!steps_.empty() && steps_.front().condition())
+        {
+            auto const work = std::move(steps_.front().work);
+            steps_.erase(steps_.begin());
+            work();
+        }
+        if (steps_.empty())
+        {
+            loop.stop();
+            return;
+        }
+        next_ = loop.after(tick, [this] { step(); });
+    }
+
+    std::vector<one_step> steps_;
+    net::timer next_;
+};
+
+void random_change(two_hosts& hosts, random_source& random)
+{
+    constexpr auto keys = std::uint64_t{3};
+    constexpr auto kinds = std::uint64_t{4};
+    auto const key = "k" + std::to_string(random.below(keys));
+    auto const number = random.below(1000);
+    switch (random.below(kinds))
+    {
+    case 0:
+        hosts.put(key, std::nullopt);
+        break;
+    case 1:
+        hosts.put(key, std::string(fleet::max_feed_value + number, 'y'));
+        break;
+    default:
+        hosts.put(key, std::to_string(number));
+    }
+}
+
+void random_failure(two_hosts& hosts, random_source& random)
+{
+    constexpr auto kinds = std::uint64_t{5};
+    switch (random.below(kinds))
+    {
+    case 0:
+        hosts.first.path.set_reachable(false);
+        break;
+    case 1:
+        hosts.second.path.set_reachable(false);
+        break;
+    case 2:
+        hosts.first.peers.drop_followers();
+        break;
+    default:
+        break;
+    }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(a_host_that_follows_another)
+
+BOOST_FIXTURE_TEST_CASE(has_every_change_without_a_call_to_the_store, two_hosts)
+{
+    store.put("k", "1");
+    auto reads = 0;
+    when([&] { return second_follows(); },
+         [&]
+         {
+             reads = second.path.reads;
+             put("k", "2");
+             put("l", "1");
+             put("k", std::nullopt);
+         });
+    when([&] { return settled(); }, [] {});
+    BOOST_TEST(run());
+    BOOST_TEST(second.path.reads == reads);
+    BOOST_TEST(first.path.watches() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(reads_a_large_value_from_the_store_itself, two_hosts)
+{
+    auto const large = std::string(fleet::max_feed_value + 1, 'x');
+    auto reads = 0;
+    when([&] { return second_follows(); },
+         [&]
+         {
+             reads = second.path.reads;
+             put("k", large);
+             put("l", "1");
+         });
+    when([&] { return settled(); }, [] {});
+    BOOST_TEST(run());
+    BOOST_TEST(second.path.reads == reads + 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(watches_itself_once_the_other_loses_the_store,
+                        two_hosts)
+{
+    when([&] { return second_follows(); },
+         [&]
+         {
+             first.path.set_reachable(false);
+             put("k", "1");
+         });
+    when([&] { return second.entries == store.items; },
+         [&]
+         {
+             BOOST_TEST(second.path.watches() == 1U);
+             BOOST_TEST(second.losses == 0);
+         });
+    BOOST_TEST(run());
+}
+
+BOOST_FIXTURE_TEST_CASE(serves_the_other_while_the_store_refuses_that_one,
+                        two_hosts)
+{
+    when([&] { return second_follows(); },
+         [&]
+         {
+             first.path.set_reachable(false);
+             put("k", "1");
+         });
+    when([&] { return second.entries == store.items; },
+         [&] { first.source.replaced_by_peer(second.source.at(), {}); });
+    when([&] { return first.source.in_contact(); }, [&] { put("l", "1"); });
+    when([&] { return first.entries.contains("l"); }, [] {});
+    BOOST_TEST(run());
+}
+
+BOOST_FIXTURE_TEST_CASE(leaves_a_feed_that_falls_silent, two_hosts)
+{
+    when([&] { return second_follows(); },
+         [&]
+         {
+             digests_pass = false;
+             first.peers.drop_followers();
+             put("k", "1");
+         });
+    when([&] { return second.entries == store.items; }, [] {});
+    BOOST_TEST(run());
+}
+
+BOOST_AUTO_TEST_CASE(never_misses_a_change_whatever_fails)
+{
+    constexpr auto seeds = std::uint64_t{40};
+    for (auto seed = std::uint64_t{1}; seed <= seeds; ++seed)
+    {
+        auto random = random_source{seed};
+        auto hosts = two_hosts{};
+        hosts.put("k0", "before");
+        // Changes and failures come together, while the second host follows.
+        constexpr auto bursts = 4;
+        hosts.when([&] { return hosts.second_follows(); },
+                   [&] { random_change(hosts, random); });
+        for (auto i = 0; i < bursts; ++i)
+        {
+            hosts.when([] { return true; },
+                       [&]
+                       {
+                           random_change(hosts, random);
+                           random_change(hosts, random);
+                           random_failure(hosts, random);
+                           random_change(hosts, random);
+                       });
+        }
+        hosts.when([] { return true; },
+                   [&]
+                   {
+                       hosts.first.path.set_reachable(true);
+                       hosts.second.path.set_reachable(true);
+                   });
+        hosts.when([&] { return hosts.settled(); }, [] {});
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            BOOST_TEST(hosts.run());
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace primrosedeal::gateway
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,10 +2,10 @@
 
 #include "core/overloaded.hpp"
 #include "gateway/digest_exchange.hpp"
+#include "gateway/entry_source.hpp"
 #include "gateway/host_state.hpp"
 #include "gateway/peer_exchange.hpp"
 #include "gateway/relay.hpp"
-#include "gateway/store_follower.hpp"
 #include "http1/server.hpp"
 #include "log/log.hpp"
 
@@ -34,6 +34,9 @@
 constexpr auto digest_period = duration{20ms};
 constexpr auto longest_digest_period = duration{1s};
 
+/// Time for the own registration to come back as an entry of the store.
+constexpr auto register_pause = duration{2s};
+
 constexpr auto ok = 200;
 constexpr auto unavailable = 503;
 constexpr auto not_found = 404;
@@ -72,7 +75,8 @@
               [this](peer_state const& it) { on_peer_state(it); }),
           digests_(loop, [this](fleet::digest const& it)
                    { on_digest(it, net::event_loop::now()); }),
-          follower_(loop, store, host_.random, follower_handlers())
+          source_(loop, store, host_.random, peers_, host_.others, settings,
+                  source_handlers())
     {
     }
 
@@ -101,8 +105,7 @@
                                               {
                                                   reload_settings();
                                               }};
-        follower_.start();
-        register_host();
+        source_.start();
         tick();
         ask_peers();
         send_digest();
@@ -114,7 +117,7 @@
     }
 
 private:
-    auto follower_handlers() -> follower_events
+    auto source_handlers() -> follower_events
     {
         auto out = follower_events{};
         out.on_snapshot = [this](std::vector<external::stored_value> const& it)
@@ -133,14 +136,25 @@
             log::write(log::level::warning, "store_lost", {{"why", why}});
             note_targets(directory::store_lost{}, net::event_loop::now());
         };
-        out.on_regained = [this]
+        out.on_regained = [this](time_point last_answer)
         {
-            log::write(log::level::info, "store_regained", {});
-            note_targets(directory::store_regained{}, net::event_loop::now());
+            on_store_regained(last_answer, net::event_loop::now());
         };
         return out;
     }
 
+    void on_store_regained(time_point last_answer, time_point now)
+    {
+        auto const served_others = host_.others.store_served_since(last_answer);
+        auto const first = last_answer == time_point{};
+        log::write(
+            log::level::info, "store_regained",
+            {{"away_ms",
+              first ? "first" : std::to_string((now - last_answer) / 1ms)},
+             {"served_others", served_others ? "true" : "false"}});
+        note_targets(directory::store_regained{served_others}, now);
+    }
+
     void on_request(http1::request it, std::shared_ptr<http1::exchange> client)
     {
         relay::start(host_, std::move(it), std::move(client),
@@ -161,26 +175,36 @@
     void on_snapshot(std::vector<external::stored_value> const& it,
                      time_point now)
     {
-        entries_.clear();
-        auto targets = directory::all_entries{};
+        auto entries = std::map<std::string, std::string>{};
         for (auto const& value : it)
         {
-            keep(value.key, value.value);
-            auto entry = host_.wire.read_entry(value.key, value.value);
-            if (auto* const target =
-                    std::get_if<directory::entry_written>(&entry))
+            entries.emplace(value.key, value.value);
+        }
+        auto targets = take_entries(std::move(entries), now);
+        note_targets(directory::all_entries{std::move(targets)}, now);
+    }
+
+    /// Keeps `entries` in place of the present ones, applies all but those of
+    /// targets, and returns these.
+    auto take_entries(std::map<std::string, std::string> entries,
+                      time_point now) -> std::vector<directory::listed_target>
+    {
+        entries_ = std::move(entries);
+        auto out = std::vector<directory::listed_target>{};
+        for (auto const& [key, value] : entries_)
+        {
+            auto entry = host_.wire.read_entry(key, value);
+            auto* const target = std::get_if<directory::entry_written>(&entry);
+            if (target == nullptr)
             {
-                if (target->it)
-                {
-                    targets.targets.push_back(std::move(*target->it));
-                }
+                apply(entry, now);
             }
-            else
+            else if (target->it)
             {
-                apply(entry, now);
+                out.push_back(std::move(*target->it));
             }
         }
-        note_targets(targets, now);
+        return out;
     }
 
     void on_entry(std::string const& key,
@@ -276,12 +300,14 @@
     {
         auto out = fleet::digest{};
         out.host = host_.settings.host;
+        out.domain = host_.settings.domain;
         out.start = start_;
         out.sequence = ++digest_sequence_;
         out.loads = host_.loads.all();
         out.counts = host_.counts.totals();
         out.lost = std::exchange(host_.just_lost, {});
         out.replaced = std::exchange(host_.just_replaced, {});
+        out.store_contact = source_.store_contact(net::event_loop::now());
         return out;
     }
 
@@ -320,7 +346,7 @@
                    {{"version", std::to_string(it.it->version.value())},
                     {"before", held ? std::to_string(held->value()) : "none"},
                     {"routes", std::to_string(it.it->routes.size())},
-                    {"from", follower_.in_contact() ? "store" : "peer"}});
+                    {"from", source_.in_contact() ? "store" : "peer"}});
     }
 
     void apply_limits()
@@ -355,7 +381,7 @@
                        {{"target", it.id.value()},
                         {"to", std::string{to_string(it.to)}},
                         {"store_in_contact",
-                         follower_.in_contact() ? "true" : "false"}});
+                         source_.in_contact() ? "true" : "false"}});
             if (it.to == directory::change_kind::gone)
             {
                 host_.doubts.forget(it.id);
@@ -377,51 +403,73 @@
 
     auto own_state() -> peer_state
     {
-        return {follower_.in_contact(), entries_};
+        auto const fresh =
+            source_.in_contact() &&
+            !host_.targets.doubts_removals(net::event_loop::now());
+        return {fresh, held_revision(), entries_};
+    }
+
+    /// Revision of the store that this host's entries are as of.
+    auto held_revision() const -> external::store_revision
+    {
+        return std::max(source_.at(), peer_revision_);
     }
 
     /// A peer's copy counts only while the store does not answer this host.
     void on_peer_state(peer_state const& it)
     {
-        if (follower_.in_contact() || (!it.fresh && host_.table))
+        auto const needed = it.fresh || !host_.table;
+        if (source_.in_contact() || !needed || !it.entries ||
+            it.at < held_revision())
         {
             return;
         }
+        peer_revision_ = it.at;
         auto const now = net::event_loop::now();
-        for (auto const& [key, value] : it.entries)
-        {
-            keep(key, value);
-            apply(host_.wire.read_entry(key, value), now);
-        }
+        auto targets = take_entries(*it.entries, now);
+        log::write(log::level::info, "peer_entries_taken",
+                   {{"revision", std::to_string(it.at.value())},
+                    {"fresh", it.fresh ? "true" : "false"},
+                    {"targets", std::to_string(targets.size())}});
+        note_targets(directory::peer_entries{std::move(targets)}, now);
+        source_.replaced_by_peer(it.at, now);
     }
 
-    /// Lets peers find this host; written once, so it may be written again.
-    void register_host()
+    /// Lets peers find this host. Its entry outlives the process, so a restart
+    /// at the same address writes nothing.
+    void register_host(time_point now)
     {
         auto const& own = host_.settings;
+        auto const key = host_.wire.host_key(own.host);
+        auto const at = net::to_string(own.peers);
+        auto const held = entries_.find(key);
+        auto const known = held != entries_.end() && held->second == at;
+        if (known || entries_.empty() || now < register_after_)
+        {
+            return;
+        }
+        register_after_ = now + register_pause;
         auto write = external::transaction{};
-        write.then.emplace_back(external::put{host_.wire.host_key(own.host),
-                                              net::to_string(own.peers),
-                                              external::lease_id{0}});
+        write.then.emplace_back(external::put{key, at, external::lease_id{0}});
         store_.commit(
             external::call_purpose::configuration_write, write,
-            [this](external::answer<external::transaction_result> const& it)
+            [](external::answer<external::transaction_result> const& it)
             {
-                if (std::holds_alternative<external::call_failure>(it))
+                if (auto const* const why =
+                        std::get_if<external::call_failure>(&it))
                 {
-                    constexpr auto pause = duration{1s};
-                    register_again_ =
-                        loop_.after(pause, [this] { register_host(); });
+                    log::write(log::level::warning, "host_not_registered",
+                               {{"why", why->text}});
                 }
             });
     }
 
     void ask_peers()
     {
-        if (!follower_.in_contact())
+        if (!source_.in_contact())
         {
             peers_.ask(host_.settings.seeds, host_.settings.peers,
-                       host_.random);
+                       held_revision(), host_.random);
         }
         peer_timer_ = loop_.after(peer_period, [this] { ask_peers(); });
     }
@@ -437,6 +485,8 @@
                         {"hosts_heard", std::to_string(host_.others.heard())}});
         }
         host_.metrics.log_lines_dropped(log::dropped_lines());
+        source_.tick(now);
+        register_host(now);
         if (host_.leaving_since)
         {
             leave_further(now);
@@ -511,11 +561,13 @@
     std::uint64_t told_changes_ = 0;
     time_point told_at_{};
     net::timer digest_timer_;
-    store_follower follower_;
+    entry_source source_;
     std::map<std::string, std::string> entries_;
+    /// Of the newest copy taken from a peer.
+    external::store_revision peer_revision_;
     net::timer tick_timer_;
     net::timer peer_timer_;
-    net::timer register_again_;
+    time_point register_after_{};
 };
 
 } // namespace
--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -2,6 +2,7 @@
 
 #include "core/ids.hpp"
 #include "core/random.hpp"
+#include "external/key_value.hpp"
 #include "membership/session.hpp"
 #include "net/event_loop.hpp"
 
@@ -9,22 +10,29 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 struct evconnlistener;
 
-/// What hosts give each other when the store does not answer one of them:
-/// the entries of the store that a peer holds.
+/// What hosts give each other of the store: the entries that a peer holds when
+/// the store does not answer one of them, and links over which the host of a
+/// domain that watches the store passes its changes on.
 namespace primrosedeal::gateway
 {
 
 /// Copy of the store's entries that matter to a gateway.
 struct peer_state
 {
-    /// The peer is in contact with the store, so its copy is up to date.
+    /// The peer is in contact with the store and not in doubt about removals,
+    /// so its copy is up to date.
     bool fresh = false;
-    std::map<std::string, std::string> entries;
+    /// The store's counter as of this copy.
+    external::store_revision at;
+    /// Nothing where the asker has this revision already.
+    std::optional<std::map<std::string, std::string>> entries;
 };
 
 auto encode(peer_state const& it) -> std::string;
@@ -55,13 +63,31 @@
         return peers_;
     }
 
-    /// Asks a few peers, drawn from the known ones and from `seeds`.
+    /// Called with the links' first message for each follower.
+    void set_greeting(std::function<std::string()> greeting);
+
+    /// Sends `bytes` to all followers.
+    void publish(std::string_view bytes);
+    void drop_followers();
+    [[nodiscard]] auto followers() const -> std::size_t;
+
+    /// Opens a link to `to` for as long as the result lives. `on_closed` is
+    /// the last to run, and does not run once the result is destroyed.
+    auto follow(net::endpoint const& to,
+                std::function<void(std::string_view)> on_message,
+                std::function<void()> on_closed) -> std::shared_ptr<void>;
+
+    /// Asks a few peers, drawn from the known ones and from `seeds`, for what
+    /// is newer than `held`.
     void ask(std::vector<net::endpoint> const& seeds, net::endpoint const& self,
-             random_source& random);
+             external::store_revision held, random_source& random);
 
 private:
     void accept(int fd);
-    void fetch(net::endpoint const& from);
+    void greet(std::uint64_t id);
+    void fetch(net::endpoint const& from, external::store_revision held);
+    [[nodiscard]] auto body_for(std::string_view name) const
+        -> std::optional<std::string>;
 
     net::event_loop& loop_;
     membership::session_identity identity_;
@@ -71,6 +97,9 @@
     std::map<host_id, net::endpoint> peers_;
     std::uint64_t next_session_ = 0;
     std::map<std::uint64_t, std::shared_ptr<membership::session>> sessions_;
+    std::function<std::string()> greeting_;
+    /// Accepted sessions that are links.
+    std::set<std::uint64_t> followers_;
 };
 
 } // namespace primrosedeal::gateway
