Copy running streams again where a copy is lost, without moving them

Now a host tells the revision up to which it holds everything, calls fail only when nothing more comes, and peers tell only what is newer, compressed. Now its memory is copied to another target while it goes on, and brought up to date within the copy's lifetime; it costs no attempt and no pause.

--- a/src/fleet/digest.cpp
+++ b/src/fleet/digest.cpp
@@ -13,7 +13,7 @@
 
 using load_row =
     std::tuple<std::string, std::uint32_t, std::uint64_t, std::uint64_t>;
-using count_row = std::tuple<std::string, std::uint64_t, std::uint64_t>;
+using count_row = std::tuple<std::string, std::uint64_t, std::int64_t>;
 using fields =
     std::tuple<std::string, std::uint64_t, std::uint64_t, std::vector<load_row>,
                std::vector<count_row>, std::vector<std::string>,
--- a/src/fleet/digest.hpp
+++ b/src/fleet/digest.hpp
@@ -21,7 +21,9 @@
 struct service_count
 {
     std::uint64_t requests = 0;
-    std::uint64_t further_attempts = 0;
+    /// Attempts that reached no target are taken off again, so a span of time
+    /// may have less than none.
+    std::int64_t further_attempts = 0;
 };
 
 struct digest
--- a/src/fleet/fleet_view.cpp
+++ b/src/fleet/fleet_view.cpp
@@ -14,8 +14,6 @@
 {
     switch (it)
     {
-    case attempt_purpose::protection:
-        return 0.5;
     case attempt_purpose::answer:
         return 0.8;
     case attempt_purpose::continuation:
@@ -195,6 +193,12 @@
     ++totals_[id].further_attempts;
 }
 
+void own_counts::attempt_did_not_arrive(service_id const& id, time_point now)
+{
+    --slot(id, now).further_attempts;
+    --totals_[id].further_attempts;
+}
+
 auto own_counts::recent(service_id const& id, time_point now) const
     -> service_count
 {
--- a/src/fleet/fleet_view.hpp
+++ b/src/fleet/fleet_view.hpp
@@ -85,6 +85,8 @@
 public:
     void request(service_id const& id, time_point now);
     void further_attempt(service_id const& id, time_point now);
+    /// A further attempt counted before made no connection.
+    void attempt_did_not_arrive(service_id const& id, time_point now);
 
     [[nodiscard]] auto recent(service_id const& id, time_point now) const
         -> service_count;
@@ -123,8 +125,6 @@
 /// larger part of the allowance than those before it.
 enum class attempt_purpose
 {
-    /// A stream that runs gets another copy.
-    protection,
     /// A request that has had no answer.
     answer,
     /// A stream that has begun goes on.
--- a/src/gateway/entry_source.cpp
+++ b/src/gateway/entry_source.cpp
@@ -12,6 +12,14 @@
 namespace primrosedeal::gateway
 {
 
+namespace
+{
+
+/// Between reads of a value that the store did not give.
+constexpr auto large_retry_pause = duration{1s};
+
+} // namespace
+
 entry_source::entry_source(net::event_loop& loop,
                            external::key_value_service& store,
                            random_source& random, peer_exchange& peers,
@@ -87,12 +95,8 @@
     }
     else
     {
+        // A feed in use tells by its messages when it loses the store.
         follower_.set_turn(std::get<fleet::watch_store>(choice).before);
-        if (feed_ && feed_->in_use)
-        {
-            // The host followed no longer says that it watches the store.
-            leave_feed("not watching", now, false);
-        }
     }
     if (peers_.followers() > 0)
     {
@@ -232,21 +236,44 @@
                  {
                      if (!held.expired())
                      {
-                         on_large(key, it, net::event_loop::now());
+                         on_large(key, it);
                      }
                  });
 }
 
+void entry_source::read_large_again()
+{
+    auto const all = large_reads_;
+    for (auto const& [key, it] : all)
+    {
+        if (it.failed)
+        {
+            large_reads_.at(key).failed = false;
+            read_large(key);
+        }
+    }
+}
+
 void entry_source::on_large(std::string const& key,
-                            external::answer<external::range_result> const& it,
-                            time_point now)
+                            external::answer<external::range_result> const& it)
 {
-    auto const wanted = large_reads_.at(key);
+    auto const found = large_reads_.find(key);
+    if (found == large_reads_.end())
+    {
+        // A peer gave it meanwhile.
+        return;
+    }
+    auto const wanted = found->second;
     auto const* const read = std::get_if<external::range_result>(&it);
     if (read == nullptr)
     {
-        leave_feed("a large value could not be read", now);
-        large_reads_.erase(key);
+        found->second.failed = true;
+        log::write(log::level::info, "large_value_not_read",
+                   {{"key", key},
+                    {"revision", std::to_string(wanted.newest.value())},
+                    {"why", std::get<external::call_failure>(it).text}});
+        large_retry_ =
+            loop_.after(large_retry_pause, [this] { read_large_again(); });
         return;
     }
     auto newest = read->at;
@@ -284,16 +311,9 @@
                 {"why", why},
                 {"in_use", left.in_use ? "true" : "false"},
                 {"revision", std::to_string(follower_.at().value())}});
-    if (!large_reads_.empty())
-    {
-        auto oldest = follower_.at();
-        for (auto const& [key, it] : large_reads_)
-        {
-            oldest = std::min(oldest,
-                              external::store_revision{it.first.value() - 1});
-        }
-        follower_.rewind_to(oldest);
-    }
+    // The own watch reads again what is missing.
+    follower_.rewind_to(at());
+    large_reads_.clear();
     if (left.in_use)
     {
         follower_.resume();
@@ -386,11 +406,24 @@
 
 auto entry_source::at() const -> external::store_revision
 {
-    return follower_.at();
+    auto out = follower_.at();
+    for (auto const& [key, it] : large_reads_)
+    {
+        out = std::min(out, external::store_revision{it.first.value() - 1});
+    }
+    return out;
+}
+
+auto entry_source::needs_peer() const -> bool
+{
+    return std::any_of(large_reads_.begin(), large_reads_.end(),
+                       [](auto const& it) { return it.second.failed; });
 }
 
 void entry_source::replaced_by_peer(external::store_revision at, time_point now)
 {
+    std::erase_if(large_reads_,
+                  [&](auto const& it) { return it.second.newest <= at; });
     follower_.skip_to(at);
     use_feed_if_caught_up(now);
 }
--- a/src/gateway/entry_source.hpp
+++ b/src/gateway/entry_source.hpp
@@ -42,6 +42,8 @@
 {
     external::store_revision first;
     external::store_revision newest;
+    /// The store did not give it.
+    bool failed = false;
 };
 
 class entry_source
@@ -69,9 +71,13 @@
     [[nodiscard]] auto store_contact(time_point now) const
         -> std::optional<duration>;
 
-    /// Revision up to which changes were delivered.
+    /// Revision up to which every change was delivered.
     [[nodiscard]] auto at() const -> external::store_revision;
 
+    /// Whether an entry is missing that only a peer can give: it is too large
+    /// for the feed, and the store did not give it.
+    [[nodiscard]] auto needs_peer() const -> bool;
+
     /// The entries held were replaced by those of a peer, as of `at`.
     void replaced_by_peer(external::store_revision at, time_point now);
 
@@ -86,8 +92,8 @@
     void want_large(fleet::feed_entry const& it);
     void read_large(std::string const& key);
     void on_large(std::string const& key,
-                  external::answer<external::range_result> const& it,
-                  time_point now);
+                  external::answer<external::range_result> const& it);
+    void read_large_again();
     /// `failed`: the host followed is not to be trusted for a while.
     void leave_feed(std::string const& why, time_point now, bool failed = true);
     void contact_lost(std::string const& why);
@@ -115,6 +121,7 @@
     /// `on_lost` was called and `on_regained` was not yet.
     bool away_ = false;
     time_point last_heard_{};
+    net::timer large_retry_;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 #include "gateway/digest_exchange.hpp"
 #include "gateway/entry_source.hpp"
 #include "gateway/host_state.hpp"
+#include "gateway/log_text.hpp"
 #include "gateway/peer_exchange.hpp"
 #include "gateway/relay.hpp"
 #include "http1/server.hpp"
@@ -71,7 +72,7 @@
                    }),
           peers_(
               loop, {settings.host, net::to_string(settings.store)},
-              [this] { return own_state(); },
+              [this](external::store_revision held) { return own_state(held); },
               [this](peer_state const& it) { on_peer_state(it); }),
           digests_(loop, [this](fleet::digest const& it)
                    { on_digest(it, net::event_loop::now()); }),
@@ -126,9 +127,7 @@
         };
         out.on_entry = [this](external::watch_event const& it)
         {
-            on_entry(it.key,
-                     it.value ? std::optional{it.value->value} : std::nullopt,
-                     net::event_loop::now());
+            on_entry(it, net::event_loop::now());
         };
         out.on_lost = [this](std::string const& why)
         {
@@ -149,8 +148,7 @@
         auto const first = last_answer == time_point{};
         log::write(
             log::level::info, "store_regained",
-            {{"away_ms",
-              first ? "first" : std::to_string((now - last_answer) / 1ms)},
+            {{"away_ms", first ? "first" : milliseconds(now - last_answer)},
              {"served_others", served_others ? "true" : "false"}});
         note_targets(directory::store_regained{served_others}, now);
     }
@@ -175,25 +173,32 @@
     void on_snapshot(std::vector<external::stored_value> const& it,
                      time_point now)
     {
-        auto entries = std::map<std::string, std::string>{};
+        auto entries = entry_map{};
         for (auto const& value : it)
         {
-            entries.emplace(value.key, value.value);
+            entries[value.key] = {value.value, value.modified};
         }
-        auto targets = take_entries(std::move(entries), now);
+        auto targets = replace_entries(std::move(entries), now);
         note_targets(directory::all_entries{std::move(targets)}, now);
     }
 
-    /// Keeps `entries` in place of the present ones, applies all but those of
-    /// targets, and returns these.
-    auto take_entries(std::map<std::string, std::string> entries,
-                      time_point now) -> std::vector<directory::listed_target>
+    /// Holds `entries` in place of the present ones, applies those that
+    /// changed and name no target, and returns all targets.
+    auto replace_entries(entry_map entries, time_point now)
+        -> std::vector<directory::listed_target>
     {
-        entries_ = std::move(entries);
+        auto const before = std::exchange(entries_, std::move(entries));
         auto out = std::vector<directory::listed_target>{};
-        for (auto const& [key, value] : entries_)
+        for (auto const& [key, held] : entries_)
         {
-            auto entry = host_.wire.read_entry(key, value);
+            auto const old = before.find(key);
+            auto const changed =
+                old == before.end() || old->second.at < held.at;
+            if (!changed && !host_.wire.names_target(key))
+            {
+                continue;
+            }
+            auto entry = host_.wire.read_entry(key, held.value);
             auto* const target = std::get_if<directory::entry_written>(&entry);
             if (target == nullptr)
             {
@@ -207,11 +212,19 @@
         return out;
     }
 
-    void on_entry(std::string const& key,
-                  std::optional<std::string> const& value, time_point now)
+    void on_entry(external::watch_event const& it, time_point now)
     {
-        keep(key, value);
-        auto const entry = host_.wire.read_entry(key, value);
+        auto const value =
+            it.value ? std::optional{it.value->value} : std::nullopt;
+        if (value)
+        {
+            entries_[it.key] = {*value, it.at};
+        }
+        else
+        {
+            entries_.erase(it.key);
+        }
+        auto const entry = host_.wire.read_entry(it.key, value);
         if (std::holds_alternative<directory::entry_written>(entry) && !value)
         {
             note_targets(
@@ -223,19 +236,6 @@
         apply(entry, now);
     }
 
-    /// Keeps what peers may ask for.
-    void keep(std::string const& key, std::optional<std::string> const& value)
-    {
-        if (value)
-        {
-            entries_[key] = *value;
-        }
-        else
-        {
-            entries_.erase(key);
-        }
-    }
-
     void apply(store_entry const& it, time_point now)
     {
         std::visit(overloaded{[&](configuration_entry const& e) { adopt(e); },
@@ -401,32 +401,29 @@
         }
     }
 
-    auto own_state() -> peer_state
+    auto own_state(external::store_revision held) -> peer_state
     {
         auto const fresh =
             source_.in_contact() &&
             !host_.targets.doubts_removals(net::event_loop::now());
-        return {fresh, held_revision(), entries_};
+        return newer_than(held, entries_, source_.at(), fresh);
     }
 
-    /// Revision of the store that this host's entries are as of.
-    auto held_revision() const -> external::store_revision
-    {
-        return std::max(source_.at(), peer_revision_);
-    }
-
-    /// A peer's copy counts only while the store does not answer this host.
+    /// A peer's copy counts only while this host cannot get its own.
     void on_peer_state(peer_state const& it)
     {
         auto const needed = it.fresh || !host_.table;
-        if (source_.in_contact() || !needed || !it.entries ||
-            it.at < held_revision())
+        if (!asks_peers() || !needed || it.at < source_.at())
+        {
+            return;
+        }
+        auto merged = merge(entries_, it);
+        if (!merged)
         {
             return;
         }
-        peer_revision_ = it.at;
         auto const now = net::event_loop::now();
-        auto targets = take_entries(*it.entries, now);
+        auto targets = replace_entries(std::move(*merged), now);
         log::write(log::level::info, "peer_entries_taken",
                    {{"revision", std::to_string(it.at.value())},
                     {"fresh", it.fresh ? "true" : "false"},
@@ -443,7 +440,7 @@
         auto const key = host_.wire.host_key(own.host);
         auto const at = net::to_string(own.peers);
         auto const held = entries_.find(key);
-        auto const known = held != entries_.end() && held->second == at;
+        auto const known = held != entries_.end() && held->second.value == at;
         if (known || entries_.empty() || now < register_after_)
         {
             return;
@@ -464,12 +461,31 @@
             });
     }
 
+    auto asks_peers() const -> bool
+    {
+        return !source_.in_contact() || source_.needs_peer();
+    }
+
+    /// The hosts of the own domain that the store answers.
+    auto peers_to_ask() const -> std::vector<host_id>
+    {
+        auto out = std::vector<host_id>{};
+        for (auto const& it : host_.others.peers_in(host_.settings.domain))
+        {
+            if (it.watches_store)
+            {
+                out.push_back(it.id);
+            }
+        }
+        return out;
+    }
+
     void ask_peers()
     {
-        if (!source_.in_contact())
+        if (asks_peers())
         {
-            peers_.ask(host_.settings.seeds, host_.settings.peers,
-                       held_revision(), host_.random);
+            peers_.ask(peers_to_ask(), host_.settings.seeds,
+                       host_.settings.peers, source_.at(), host_.random);
         }
         peer_timer_ = loop_.after(peer_period, [this] { ask_peers(); });
     }
@@ -562,9 +578,7 @@
     time_point told_at_{};
     net::timer digest_timer_;
     entry_source source_;
-    std::map<std::string, std::string> entries_;
-    /// Of the newest copy taken from a peer.
-    external::store_revision peer_revision_;
+    entry_map entries_;
     net::timer tick_timer_;
     net::timer peer_timer_;
     time_point register_after_{};
--- a/src/gateway/host_state.hpp
+++ b/src/gateway/host_state.hpp
@@ -8,6 +8,7 @@
 #include "dispatch/usual_time.hpp"
 #include "fleet/fleet_view.hpp"
 #include "gateway/connect_prober.hpp"
+#include "gateway/errands.hpp"
 #include "gateway/protocol.hpp"
 #include "gateway/settings.hpp"
 #include "metrics/gateway_metrics.hpp"
@@ -72,6 +73,7 @@
     /// Found replaced since the last digest.
     std::vector<target_id> just_replaced;
     connect_prober prober;
+    class errands errands;
     metrics::gateway_metrics metrics;
     std::map<relay*, std::shared_ptr<relay>> relays;
     dispatch::usual_time stream_time{first_stream_time};
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -6,11 +6,14 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 
+#include <arpa/inet.h>
 #include <unistd.h>
 
 #include <msgpack.hpp>
+#include <zlib.h>
 
 #include <algorithm>
+#include <cstring>
 #include <set>
 #include <stdexcept>
 #include <tuple>
@@ -33,14 +36,60 @@
 
 constexpr auto max_entries = std::size_t{16384};
 
-using entry_map = std::map<std::string, std::string>;
-/// Fresh, revision, whether entries follow, and the entries.
-using packed_state = std::tuple<bool, std::int64_t, bool, entry_map>;
+/// Key, value and revision.
+using entry_row = std::tuple<std::string, std::string, std::int64_t>;
+/// Fresh, revision, whether keys follow, the keys, and the newer entries.
+using packed_state = std::tuple<bool, std::int64_t, bool, std::set<std::string>,
+                                std::vector<entry_row>>;
+constexpr auto max_depth = std::size_t{4};
+
+/// Configurations of many routes shrink to a tenth, which counts on the link
+/// of a small host: the size in four bytes, most significant first, and zlib's
+/// stream.
+constexpr auto size_bytes = std::size_t{4};
+
+auto deflated(std::string_view bytes) -> std::string
+{
+    auto n = compressBound(bytes.size());
+    auto out = std::string(size_bytes + n, '\0');
+    auto const size = htonl(static_cast<std::uint32_t>(bytes.size()));
+    std::memcpy(out.data(), &size, size_bytes);
+    compress2(reinterpret_cast<Bytef*>(out.data() + size_bytes), &n,
+              reinterpret_cast<Bytef const*>(bytes.data()), bytes.size(),
+              Z_BEST_SPEED);
+    out.resize(size_bytes + n);
+    return out;
+}
+
+/// Nothing if `bytes` are no such stream or too large a one.
+auto inflated(std::string_view bytes) -> std::optional<std::string>
+{
+    auto size = std::uint32_t{0};
+    if (bytes.size() < size_bytes)
+    {
+        return std::nullopt;
+    }
+    std::memcpy(&size, bytes.data(), size_bytes);
+    size = ntohl(size);
+    if (size > max_state_bytes)
+    {
+        return std::nullopt;
+    }
+    auto out = std::string(size, '\0');
+    auto n = uLongf{size};
+    auto const ec =
+        uncompress(reinterpret_cast<Bytef*>(out.data()), &n,
+                   reinterpret_cast<Bytef const*>(bytes.data() + size_bytes),
+                   bytes.size() - size_bytes);
+    return ec == Z_OK && n == size ? std::optional{std::move(out)}
+                                   : std::nullopt;
+}
 
 auto limits() -> membership::session_limits
 {
     auto out = membership::session_limits{};
-    out.handshake_timeout = 1s;
+    // It bounds a whole fetch: a large state on a small host's link.
+    out.handshake_timeout = 3s;
     out.max_body_bytes = max_state_bytes;
     // Links carry a message several times a second; their silence is noticed
     // without pings.
@@ -50,30 +99,89 @@
 
 } // namespace
 
+auto newer_than(external::store_revision held, entry_map const& entries,
+                external::store_revision at, bool fresh) -> peer_state
+{
+    auto out = peer_state{fresh, at, {}, {}};
+    if (at == held)
+    {
+        return out;
+    }
+    out.keys.emplace();
+    for (auto const& [key, entry] : entries)
+    {
+        out.keys->insert(key);
+        if (held < entry.at)
+        {
+            out.newer.emplace(key, entry);
+        }
+    }
+    return out;
+}
+
+auto merge(entry_map const& own, peer_state const& it)
+    -> std::optional<entry_map>
+{
+    if (!it.keys)
+    {
+        return std::nullopt;
+    }
+    auto out = it.newer;
+    for (auto const& key : *it.keys)
+    {
+        if (out.contains(key))
+        {
+            continue;
+        }
+        auto const held = own.find(key);
+        if (held == own.end())
+        {
+            return std::nullopt;
+        }
+        out.insert(*held);
+    }
+    return out;
+}
+
 auto encode(peer_state const& it) -> std::string
 {
+    auto rows = std::vector<entry_row>{};
+    for (auto const& [key, entry] : it.newer)
+    {
+        rows.emplace_back(key, entry.value, entry.at.value());
+    }
     auto buf = msgpack::sbuffer{};
-    auto packer = msgpack::packer{buf};
-    packer.pack(packed_state{it.fresh, it.at.value(), it.entries.has_value(),
-                             it.entries.value_or(entry_map{})});
-    return {buf.data(), buf.size()};
+    msgpack::pack(buf,
+                  packed_state{it.fresh, it.at.value(), it.keys.has_value(),
+                               it.keys.value_or(std::set<std::string>{}),
+                               std::move(rows)});
+    return deflated({buf.data(), buf.size()});
 }
 
 auto decode_peer_state(std::string const& bytes) -> std::optional<peer_state>
 {
+    auto const whole = inflated(bytes);
+    if (!whole)
+    {
+        return std::nullopt;
+    }
     try
     {
         auto const handle = msgpack::unpack(
-            bytes.data(), bytes.size(), nullptr, nullptr,
-            msgpack::unpack_limit(std::tuple_size_v<packed_state>, max_entries,
-                                  max_state_bytes, 0, 0, 3));
+            whole->data(), whole->size(), nullptr, nullptr,
+            msgpack::unpack_limit(max_entries, 0, max_state_bytes, 0, 0,
+                                  max_depth));
         auto fields = handle.get().as<packed_state>();
         auto out = peer_state{};
         out.fresh = std::get<0>(fields);
         out.at = external::store_revision{std::get<1>(fields)};
         if (std::get<2>(fields))
         {
-            out.entries = std::move(std::get<3>(fields));
+            out.keys = std::move(std::get<3>(fields));
+        }
+        for (auto& [key, value, at] : std::get<4>(fields))
+        {
+            out.newer[key] = {std::move(value), external::store_revision{at}};
         }
         return out;
     }
@@ -248,12 +356,7 @@
     {
         return std::nullopt;
     }
-    auto it = own_();
-    if (it.at.value() == *held)
-    {
-        it.entries.reset();
-    }
-    return encode(it);
+    return encode(own_(external::store_revision{*held}));
 }
 
 void peer_exchange::fetch(net::endpoint const& from,
@@ -271,8 +374,10 @@
     };
     events.on_closed = [this, id]
     {
+        --questions_;
         loop_.post([this, id] { sessions_.erase(id); });
     };
+    ++questions_;
     sessions_[id] = membership::session::dial(
         loop_, from, identity_, limits(), std::move(events),
         std::string{state_body} + std::to_string(held.value()));
@@ -291,14 +396,30 @@
     }
 }
 
-void peer_exchange::ask(std::vector<net::endpoint> const& seeds,
+void peer_exchange::ask(std::vector<host_id> const& preferred,
+                        std::vector<net::endpoint> const& seeds,
                         net::endpoint const& self,
                         external::store_revision held, random_source& random)
 {
-    auto all = std::set<net::endpoint>{seeds.begin(), seeds.end()};
-    for (auto const& [id, at] : peers_)
+    if (questions_ > 0)
+    {
+        return;
+    }
+    auto all = std::set<net::endpoint>{};
+    for (auto const& id : preferred)
     {
-        all.insert(at);
+        if (auto const it = peers_.find(id); it != peers_.end())
+        {
+            all.insert(it->second);
+        }
+    }
+    if (all.empty())
+    {
+        all.insert(seeds.begin(), seeds.end());
+        for (auto const& [id, at] : peers_)
+        {
+            all.insert(at);
+        }
     }
     all.erase(self);
     auto order = std::vector<net::endpoint>{all.begin(), all.end()};
--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -23,7 +23,16 @@
 namespace primrosedeal::gateway
 {
 
-/// Copy of the store's entries that matter to a gateway.
+/// An entry of the store and the write that made it.
+struct held_entry
+{
+    std::string value;
+    external::store_revision at;
+};
+
+using entry_map = std::map<std::string, held_entry>;
+
+/// What a peer tells of its copy of the store: what is newer than the asker's.
 struct peer_state
 {
     /// The peer is in contact with the store and not in doubt about removals,
@@ -31,10 +40,21 @@
     bool fresh = false;
     /// The store's counter as of this copy.
     external::store_revision at;
-    /// Nothing where the asker has this revision already.
-    std::optional<std::map<std::string, std::string>> entries;
+    /// All keys that the peer holds; nothing where the asker has `at` already.
+    std::optional<std::set<std::string>> keys;
+    /// The entries that are newer than the revision the asker holds.
+    entry_map newer;
 };
 
+/// What a peer that holds `entries` as of `at` tells one that holds `held`.
+auto newer_than(external::store_revision held, entry_map const& entries,
+                external::store_revision at, bool fresh) -> peer_state;
+
+/// `own` brought up to `it`, which was asked for by the revision of `own`.
+/// Nothing if `it` tells nothing new, or an entry is in neither of them.
+auto merge(entry_map const& own, peer_state const& it)
+    -> std::optional<entry_map>;
+
 auto encode(peer_state const& it) -> std::string;
 /// Nothing if `bytes` are not a state.
 auto decode_peer_state(std::string const& bytes) -> std::optional<peer_state>;
@@ -42,7 +62,8 @@
 class peer_exchange
 {
 public:
-    using state_source = std::function<peer_state()>;
+    /// The own state for a peer that holds a revision.
+    using state_source = std::function<peer_state(external::store_revision)>;
     using state_handler = std::function<void(peer_state const&)>;
 
     peer_exchange(net::event_loop& loop, membership::session_identity identity,
@@ -77,9 +98,12 @@
                 std::function<void(std::string_view)> on_message,
                 std::function<void()> on_closed) -> std::shared_ptr<void>;
 
-    /// Asks a few peers, drawn from the known ones and from `seeds`, for what
-    /// is newer than `held`.
-    void ask(std::vector<net::endpoint> const& seeds, net::endpoint const& self,
+    /// Asks a few peers, drawn from `preferred` if there are any, else from
+    /// the known ones and from `seeds`, for what is newer than `held`. Does
+    /// nothing while an earlier question is open: states are large for the
+    /// links of small hosts.
+    void ask(std::vector<host_id> const& preferred,
+             std::vector<net::endpoint> const& seeds, net::endpoint const& self,
              external::store_revision held, random_source& random);
 
 private:
@@ -96,6 +120,7 @@
     evconnlistener* listener_ = nullptr;
     std::map<host_id, net::endpoint> peers_;
     std::uint64_t next_session_ = 0;
+    std::size_t questions_ = 0;
     std::map<std::uint64_t, std::shared_ptr<membership::session>> sessions_;
     std::function<std::string()> greeting_;
     /// Accepted sessions that are links.
--- /dev/null
+++ b/src/gateway/peer_state_test.cpp
@@ -0,0 +1,110 @@
+#include "gateway/peer_exchange.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+namespace primrosedeal::gateway
+{
+
+namespace
+{
+
+auto revision(std::int64_t it) -> external::store_revision
+{
+    return external::store_revision{it};
+}
+
+/// Entries after the first `changes` of a history; every third removes.
+auto entries_after(std::vector<std::uint8_t> const& history,
+                   std::size_t changes) -> entry_map
+{
+    constexpr auto keys = 5;
+    auto out = entry_map{};
+    for (auto i = std::size_t{0}; i < changes; ++i)
+    {
+        auto const key = "k" + std::to_string(history[i] % keys);
+        if (history[i] % 3 == 0)
+        {
+            out.erase(key);
+        }
+        else
+        {
+            out[key] = {std::to_string(i),
+                        revision(static_cast<std::int64_t>(i) + 1)};
+        }
+    }
+    return out;
+}
+
+auto same(entry_map const& a, entry_map const& b) -> bool
+{
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                      [](auto const& x, auto const& y)
+                      {
+                          return x.first == y.first &&
+                                 x.second.value == y.second.value &&
+                                 x.second.at == y.second.at;
+                      });
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(the_state_of_a_peer)
+
+BOOST_AUTO_TEST_CASE(brings_an_older_copy_up_to_date)
+{
+    rc::check(
+        [](std::vector<std::uint8_t> const& history, std::size_t cut)
+        {
+            auto const mine = history.empty() ? 0 : cut % history.size();
+            auto const own = entries_after(history, mine);
+            auto const peers = entries_after(history, history.size());
+            auto const told = newer_than(
+                revision(static_cast<std::int64_t>(mine)), peers,
+                revision(static_cast<std::int64_t>(history.size())), true);
+            auto const sent = decode_peer_state(encode(told));
+            RC_ASSERT(sent.has_value());
+            RC_ASSERT(sent->fresh);
+            auto const merged = merge(own, *sent);
+            if (mine == history.size())
+            {
+                RC_ASSERT(!merged);
+                return;
+            }
+            RC_ASSERT(merged.has_value());
+            RC_ASSERT(same(*merged, peers));
+        });
+}
+
+BOOST_AUTO_TEST_CASE(sends_only_what_is_newer)
+{
+    auto peers = entry_map{};
+    peers["large"] = {std::string(1000, 'x'), revision(3)};
+    peers["small"] = {"y", revision(9)};
+    auto const told = newer_than(revision(3), peers, revision(9), true);
+    BOOST_TEST(told.newer.size() == 1U);
+    BOOST_TEST(told.newer.contains("small"));
+    BOOST_TEST(told.keys->size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(that_builds_on_an_unknown_entry_is_not_taken)
+{
+    auto peers = entry_map{};
+    peers["k"] = {"x", revision(3)};
+    auto const told = newer_than(revision(3), peers, revision(9), true);
+    BOOST_TEST(!merge({}, told).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(that_is_none_is_refused)
+{
+    rc::check(
+        [](std::string const& bytes)
+        {
+            auto const it = decode_peer_state(bytes);
+            RC_ASSERT(!it || !bytes.empty());
+        });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace primrosedeal::gateway
--- a/src/gateway/protocol.hpp
+++ b/src/gateway/protocol.hpp
@@ -41,21 +41,12 @@
     std::string name;
 };
 
-/// Asks a target to copy a run's memory to another one.
-struct move_order
+/// Asks a target to copy a run's memory to another one while it goes on. Asked
+/// again, it copies what is new.
+struct copy_order
 {
     request_id run;
     net::endpoint to;
-    /// The run stops, so that nothing is missing from the copy.
-    bool stop = false;
-};
-
-struct move_answer
-{
-    /// The copy is complete at the destination.
-    bool copied = false;
-    /// Name of the memory that was copied or is kept at the source.
-    std::optional<std::string> handle;
 };
 
 /// What an attempt adds to the client's request.
@@ -122,10 +113,15 @@
     [[nodiscard]] virtual auto read_answer(http1::response_head const& it,
                                            request_id const& id) const
         -> answer_facts = 0;
-    [[nodiscard]] virtual auto make_move(move_order const& it) const
+    [[nodiscard]] virtual auto make_copy_order(copy_order const& it) const
+        -> http1::request = 0;
+    /// The name of a complete copy; nothing if there is none.
+    [[nodiscard]] virtual auto read_copied(net::http_response const& it) const
+        -> std::optional<std::string> = 0;
+    /// Frees the copy `name` at `at`.
+    [[nodiscard]] virtual auto make_release(net::endpoint const& at,
+                                            std::string const& name) const
         -> http1::request = 0;
-    [[nodiscard]] virtual auto read_move(net::http_response const& it) const
-        -> move_answer = 0;
     [[nodiscard]] virtual auto is_readiness_query(std::string_view target) const
         -> bool = 0;
 
@@ -134,6 +130,9 @@
     read_entry(std::string const& key,
                std::optional<std::string> const& value) const
         -> store_entry = 0;
+    /// Whether `key` is that of a target's entry.
+    [[nodiscard]] virtual auto names_target(std::string_view key) const
+        -> bool = 0;
     [[nodiscard]] virtual auto host_key(host_id const& id) const
         -> std::string = 0;
 };
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -2,6 +2,7 @@
 
 #include "core/overloaded.hpp"
 #include "core/part_of.hpp"
+#include "gateway/log_text.hpp"
 #include "log/log.hpp"
 
 #include <algorithm>
@@ -51,12 +52,6 @@
     return evidence::failed;
 }
 
-auto milliseconds(duration it) -> std::string
-{
-    return std::to_string(
-        std::chrono::duration_cast<std::chrono::milliseconds>(it).count());
-}
-
 /// Headers of a target's answer that go on to the client.
 auto forwarded(http1::response_head const& it) -> http1::response_head
 {
@@ -191,26 +186,16 @@
     return out;
 }
 
-auto relay::target_of_copy(time_point now) const
-    -> std::optional<directory::listed_target>
-{
-    auto const usable = copy_ && host_.targets.takes_new_work(copy_->id) &&
-                        host_.doubts.of(copy_->id, copy_->domain, now) !=
-                            dispatch::standing::avoided;
-    return usable ? copy_ : std::nullopt;
-}
-
 void relay::try_next(time_point now)
 {
-    auto const source = std::exchange(moved_from_, std::nullopt);
-    if (source && host_.targets.takes_new_work(source->first.id))
-    {
-        send(source->first, source->second, now);
-        return;
-    }
-    if (auto const copy = target_of_copy(now))
-    {
-        send(*copy, kept_copy{copy->address, facts_.id.value()}, now);
+    auto const point = std::exchange(resume_at_, std::nullopt);
+    auto const usable =
+        point && host_.targets.takes_new_work(point->target.id) &&
+        host_.doubts.of(point->target.id, point->target.domain, now) !=
+            dispatch::standing::avoided;
+    if (usable)
+    {
+        send(point->target, point->copy, now);
         return;
     }
     auto const target = dispatch::place(view(), placement(), now, host_.random);
@@ -273,7 +258,6 @@
     current_->target = target;
     current_->sent_at = now;
     current_->warm = warm;
-    copy_.reset();
     auto const& engine = admitted_.service->engine;
     if (engine && engine->keeps_backups && state_.resumable)
     {
@@ -345,7 +329,7 @@
     }
     if (!std::exchange(current_->has_event, true))
     {
-        move_if_unprotected(now);
+        protect(now);
     }
     if (it.id && last_event_ && *it.id <= *last_event_)
     {
@@ -408,15 +392,6 @@
                        time_point now)
 {
     auto const target = current_->target;
-    if (relocation_ && relocation_->stopping && how == attempt_failure::broken)
-    {
-        // The run was told to stop; it goes on where its memory is.
-        relocation_->stream_ended = true;
-        current_->io.reset();
-        continue_moved(now);
-        return;
-    }
-    relocation_.reset();
     auto const worse =
         host_.doubts.note(target.id, target.domain, evidence_of(how), now);
     host_.metrics.attempt_failed(to_string(how));
@@ -436,11 +411,14 @@
         host_.targets.handle(directory::target_replaced{target.id}, now);
         host_.just_replaced.push_back(target.id);
     }
-    arrivals_ += how == attempt_failure::not_connected ? 0 : 1;
+    auto const arrived = how != attempt_failure::not_connected;
+    arrivals_ += arrived ? 1 : 0;
+    if (!arrived && std::exchange(counted_, false))
+    {
+        host_.counts.attempt_did_not_arrive(admitted_.service->id, now);
+    }
     if (may_have_run(how))
     {
-        // The memory was used, or its target is gone with it.
-        moved_from_.reset();
         state_.may_have_run = true;
         ++state_.runs;
     }
@@ -452,9 +430,12 @@
     {
         error_answer_ = std::move(answer);
     }
-    // Targets copy a run's memory from its first event on.
-    copy_ = current_->has_event && !current_->copy_lost ? current_->copy
-                                                        : std::nullopt;
+    resume_at_ = resume_point_after_failure();
+    if (spare_ && resume_at_)
+    {
+        // It is used, or its lifetime ends it.
+        spare_->name.reset();
+    }
     moved_while_reading_ |=
         how == attempt_failure::silent && !current_->has_event;
     interrupted_ = state_.answer_begun;
@@ -481,8 +462,8 @@
                              ? fleet::attempt_purpose::continuation
                              : fleet::attempt_purpose::answer;
     // The budget counts arrivals beyond a request's first one.
-    if (arrivals_ > 0 &&
-        !host_.take_attempt(admitted_.service->id, purpose, now))
+    counted_ = arrivals_ > 0;
+    if (counted_ && !host_.take_attempt(admitted_.service->id, purpose, now))
     {
         end_unserved(refusal_reason::retry_budget,
                      dispatch::final_status(state_, now), now);
@@ -531,13 +512,33 @@
     finish("client_gone", 0, now);
 }
 
+auto relay::resume_point_after_failure() const -> std::optional<resume_point>
+{
+    // Targets copy a run's memory from its first event on.
+    if (!current_->has_event)
+    {
+        return std::nullopt;
+    }
+    if (current_->copy && !current_->copy_lost)
+    {
+        return resume_point{*current_->copy,
+                            {current_->copy->address, facts_.id.value()}};
+    }
+    if (spare_ && spare_->name)
+    {
+        return resume_point{spare_->to,
+                            {current_->target.address, *spare_->name}};
+    }
+    return std::nullopt;
+}
+
 void relay::leave_target()
 {
-    relocation_.reset();
     if (!current_)
     {
         return;
     }
+    drop_spare();
     host_.loads.ended(current_->target.id, facts_.size, current_->began);
     if (current_->copy)
     {
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -20,18 +20,24 @@
 namespace primrosedeal::gateway
 {
 
-/// A move of the run to another target, with a new copy.
-struct run_move
+/// A copy of the run's memory that was asked for after the one that grows with
+/// the run was lost.
+struct spare_copy
 {
-    directory::listed_target from;
     directory::listed_target to;
-    bool stopping = false;
-    /// The run's stream has ended at the source.
-    bool stream_ended = false;
-    std::optional<move_answer> answer;
+    /// Name of the copy once it is complete.
+    std::optional<std::string> name;
+    time_point asked_at{};
     std::unique_ptr<http1::fetch> call;
 };
 
+/// Where a stream that fails goes on without reading its prompt again.
+struct resume_point
+{
+    directory::listed_target target;
+    kept_copy copy;
+};
+
 /// The attempt that is under way.
 struct running_attempt
 {
@@ -77,8 +83,6 @@
                                     time_point now) -> attempt_plan;
     [[nodiscard]] auto view() const -> dispatch::placement_view;
     [[nodiscard]] auto placement() const -> dispatch::placement_request;
-    [[nodiscard]] auto target_of_copy(time_point now) const
-        -> std::optional<directory::listed_target>;
     void on_event(http1::response_head const& head, http1::stream_event it,
                   time_point now);
     void log_continued(duration pause);
@@ -91,14 +95,17 @@
     void retry_or_end(time_point now);
     void end_unserved(refusal_reason why, int status, time_point now);
     void leave_target();
+    [[nodiscard]] auto resume_point_after_failure() const
+        -> std::optional<resume_point>;
     /// Tells the other relays of a loss that may concern their copies.
     void warn_others(directory::listed_target const& lost, time_point now);
-    void check_copy();
-    void relocate(time_point now);
-    void move_if_unprotected(time_point now);
-    void order_move(bool stop);
-    void on_moved(std::optional<net::http_response> const& it, time_point now);
-    void continue_moved(time_point now);
+    void check_copy(directory::listed_target const& target);
+    /// Asks for a spare copy if the stream runs and has none.
+    void protect(time_point now);
+    void ask_for_copy(time_point now);
+    void on_copied(std::optional<net::http_response> const& it, time_point now);
+    void drop_spare();
+    void release_copy(net::endpoint const& at, std::string const& name);
     void finish(std::string_view outcome, int status, time_point now);
     [[nodiscard]] auto streaming() const -> bool;
 
@@ -112,11 +119,9 @@
     dispatch::request_state state_;
     time_point arrived_at_{};
     std::optional<running_attempt> current_;
-    /// Where the memory of the last attempt was copied to.
-    std::optional<directory::listed_target> copy_;
-    std::optional<run_move> relocation_;
-    /// Where a moved run stopped; its memory is still there until it goes on.
-    std::optional<std::pair<directory::listed_target, kept_copy>> moved_from_;
+    std::optional<spare_copy> spare_;
+    /// Of the last attempt.
+    std::optional<resume_point> resume_at_;
     std::vector<target_id> met_;
     std::optional<std::uint64_t> last_event_;
     std::optional<time_point> last_event_at_;
@@ -126,11 +131,13 @@
     std::uint32_t attempts_ = 0;
     /// Attempts that reached a target and failed there.
     std::uint32_t arrivals_ = 0;
+    /// The present attempt was counted as a further one.
+    bool counted_ = false;
     /// The stream has failed and not gone on yet.
     bool interrupted_ = false;
     bool moved_while_reading_ = false;
-    std::uint32_t moves_ = 0;
-    net::timer move_again_;
+    std::uint32_t copies_asked_ = 0;
+    net::timer copy_timer_;
     net::timer deadline_;
 };
 
--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -240,6 +240,14 @@
     std::unique_ptr<client_call> call;
     net::timer deadline;
     handler done;
+    net::event_loop* loop = nullptr;
+    duration patience{};
+
+    /// A large answer on a slow link takes long, but it keeps coming.
+    void expect_progress()
+    {
+        deadline = loop->after(patience, [this] { finish(false); });
+    }
 
     void finish(bool answered)
     {
@@ -252,19 +260,23 @@
 };
 
 fetch::fetch(net::event_loop& loop, net::endpoint const& to,
-             request const& message, duration timeout, handler done)
+             request const& message, duration patience, handler done)
     : state_(std::make_unique<state>())
 {
     auto* const it = state_.get();
     it->done = std::move(done);
+    it->loop = &loop;
+    it->patience = patience;
     auto events = call_events{};
     events.on_head = [it](response_head head)
     {
+        it->expect_progress();
         it->response.status = head.status;
         it->response.headers = std::move(head.headers);
     };
     events.on_body = [it](std::string_view bytes)
     {
+        it->expect_progress();
         it->response.body += bytes;
     };
     events.on_complete = [it]
@@ -275,8 +287,8 @@
     {
         it->finish(false);
     };
-    it->deadline = loop.after(timeout, [it] { it->finish(false); });
-    it->call = std::make_unique<client_call>(loop, to, message, timeout,
+    it->expect_progress();
+    it->call = std::make_unique<client_call>(loop, to, message, patience,
                                              std::move(events));
 }
 
--- a/src/http1/client.hpp
+++ b/src/http1/client.hpp
@@ -63,7 +63,8 @@
     std::unique_ptr<state> state_;
 };
 
-/// Collects a whole answer, or reports the failure within `timeout`.
+/// Collects a whole answer, or reports a failure: no connection, or nothing
+/// more of the answer, for `patience`.
 class fetch
 {
 public:
@@ -71,7 +72,7 @@
                                        bool may_have_sent)>;
 
     fetch(net::event_loop& loop, net::endpoint const& to,
-          request const& message, duration timeout, handler done);
+          request const& message, duration patience, handler done);
     fetch(fetch const&) = delete;
     auto operator=(fetch const&) -> fetch& = delete;
     ~fetch();
--- a/src/http1/connection_test.cpp
+++ b/src/http1/connection_test.cpp
@@ -52,6 +52,45 @@
     net::event_loop loop;
 };
 
+/// Answers in pieces, one after each `pause`.
+class slow_answer
+{
+public:
+    slow_answer(net::event_loop& loop, duration pause, int pieces)
+        : server_(loop,
+                  [this](request const&, std::shared_ptr<exchange> from)
+                  {
+                      client_ = std::move(from);
+                      client_->start({200, {}});
+                      next();
+                  }),
+          loop_(loop), pause_(pause), left_(pieces), port(server_.listen(local))
+    {
+    }
+
+private:
+    void next()
+    {
+        if (left_-- == 0)
+        {
+            client_->finish();
+            return;
+        }
+        client_->send("x");
+        timer_ = loop_.after(pause_, [this] { next(); });
+    }
+
+    server server_;
+    net::event_loop& loop_;
+    duration pause_;
+    int left_;
+    std::shared_ptr<exchange> client_;
+    net::timer timer_;
+
+public:
+    std::uint16_t port;
+};
+
 /// Bytes that a plain socket gets for `sent` until its peer's end.
 auto talk(world& it, std::uint16_t port, std::string const& sent) -> std::string
 {
@@ -244,4 +283,41 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_fetch)
+
+BOOST_FIXTURE_TEST_CASE(goes_on_while_the_answer_keeps_coming, world)
+{
+    constexpr auto allowed = duration{1s};
+    constexpr auto pause = duration{100ms};
+    constexpr auto pieces = 15;
+    auto from = slow_answer{loop, pause, pieces};
+    auto got = std::optional<std::optional<net::http_response>>{};
+    auto const it =
+        fetch{loop, net::endpoint{"127.0.0.1", from.port}, get("/"), allowed,
+              [&](std::optional<net::http_response> answer, bool)
+              {
+                  got = std::move(answer);
+              }};
+    run_until([&] { return got.has_value(); });
+    BOOST_REQUIRE(got->has_value());
+    BOOST_TEST((*got)->body == std::string(pieces, 'x'));
+}
+
+BOOST_FIXTURE_TEST_CASE(ends_when_nothing_more_comes, world)
+{
+    constexpr auto allowed = duration{100ms};
+    constexpr auto never = duration{60s};
+    auto from = slow_answer{loop, never, 2};
+    auto failed = false;
+    auto const it =
+        fetch{loop, net::endpoint{"127.0.0.1", from.port}, get("/"), allowed,
+              [&](std::optional<net::http_response> const& answer, bool)
+              {
+                  failed = !answer;
+              }};
+    run_until([&] { return failed; });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace primrosedeal::http1
--- a/src/routes/configuration.hpp
+++ b/src/routes/configuration.hpp
@@ -68,8 +68,10 @@
     token_count memory;
     /// Running requests can be copied to a second target as they grow.
     bool keeps_backups = false;
-    /// Running requests can be moved to a second target.
-    bool moves_runs = false;
+    /// A running request can be copied to a second target when asked for.
+    bool copies_runs = false;
+    /// Time that such a copy is kept for.
+    duration copy_lifetime{};
 };
 
 struct service
