Test a domain in doubt by one request at a time

Change: a domain from which nothing has answered since it was in doubt gets one request at a time, less often after each failure, and none that has failed elsewhere already.

--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -50,7 +50,12 @@
 auto rank_of(placement_view const& view, placement_request const& it,
              directory::listed_target const& target, time_point now) -> rank
 {
-    auto const where = view.doubts.of(target.id, target.domain, now);
+    auto where = view.doubts.of(target.id, target.domain, now);
+    // A request that has failed somewhere tests no domain.
+    if (!it.met.empty() && view.doubts.unproven(target.domain))
+    {
+        where = std::max(where, standing::doubtful);
+    }
     return {static_cast<int>(where), met(it, target.id),
             whole_load(view, target.id).unread_tokens};
 }
--- a/src/dispatch/suspicion.cpp
+++ b/src/dispatch/suspicion.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 // Error answers count by their moving share rather than by number, since some
 // services fail a constant fraction of calls while healthy.
@@ -39,6 +40,7 @@
         it.failed_share -= it.failed_share / remembered;
         it.answers = std::min(it.answers + 1, limits_.answers_remembered);
         it.avoided_until = std::min(it.avoided_until, now);
+        prove(domain);
         return false;
     case evidence::busy:
         it.avoided_until = std::max(it.avoided_until, now + limits_.busy_pause);
@@ -69,20 +71,54 @@
 void suspicion::note_loss(target_id const& id, domain_id const& domain,
                           time_point now)
 {
-    auto& recent = losses_[domain];
+    auto& it = domains_[domain];
+    auto& recent = it.losses;
     while (!recent.empty() && now - recent.front().at > limits_.domain_window)
     {
         recent.pop_front();
     }
     recent.push_back({now, id});
     auto distinct = std::set<target_id>{};
-    for (auto const& it : recent)
+    for (auto const& seen : recent)
     {
-        distinct.insert(it.id);
+        distinct.insert(seen.id);
     }
-    if (distinct.size() >= limits_.losses_for_doubt)
+    if (std::exchange(it.tested, false))
     {
-        doubted_until_[domain] = now + limits_.domain_doubt;
+        it.span = std::min(it.span * 2, limits_.longest_domain_doubt);
+        it.doubted_until = now + it.span;
+    }
+    else if (distinct.size() >= limits_.losses_for_doubt)
+    {
+        it.span = std::max(it.span, limits_.domain_doubt);
+        it.doubted_until = std::max(it.doubted_until, now + it.span);
+    }
+}
+
+auto suspicion::unproven(domain_id const& domain) const -> bool
+{
+    auto const it = domains_.find(domain);
+    return it != domains_.end() && it->second.span > 0s;
+}
+
+void suspicion::sent_to(domain_id const& domain, time_point now)
+{
+    auto const it = domains_.find(domain);
+    if (it != domains_.end() && it->second.span > 0s &&
+        now >= it->second.doubted_until)
+    {
+        it->second.tested = true;
+        it->second.doubted_until = now + limits_.domain_test;
+    }
+}
+
+void suspicion::prove(domain_id const& domain)
+{
+    auto const it = domains_.find(domain);
+    if (it != domains_.end())
+    {
+        it->second.span = 0s;
+        it->second.tested = false;
     }
 }
 
@@ -101,8 +137,8 @@
 
 auto suspicion::doubts(domain_id const& domain, time_point now) const -> bool
 {
-    auto const it = doubted_until_.find(domain);
-    return it != doubted_until_.end() && now < it->second;
+    auto const it = domains_.find(domain);
+    return it != domains_.end() && now < it->second.doubted_until;
 }
 
 void suspicion::hint(target_id const& id, time_point now)
--- a/src/dispatch/suspicion.hpp
+++ b/src/dispatch/suspicion.hpp
@@ -13,7 +13,10 @@
 /// Load pattern: most targets of one failure domain vanish together for about
 /// a second, some without a reset, while every host has work for them. One
 /// failure excludes a target with exponential backoff; several in one domain
-/// demote the whole domain, which spares other requests a connect timeout.
+/// demote the whole domain, which spares other requests a connect timeout. A
+/// host that is cut off from a domain for seconds sees few requests meanwhile,
+/// so a demoted domain is tested by one request at a time until a target there
+/// answers, less often each time.
 namespace primrosedeal::dispatch
 {
 
@@ -51,7 +54,11 @@
     /// Targets of a domain lost within `domain_window` that cast doubt on it.
     std::size_t losses_for_doubt = 2;
     duration domain_window = 500ms;
+    /// First time that a domain is demoted; doubles with each test that fails.
     duration domain_doubt = 900ms;
+    duration longest_domain_doubt = 4s;
+    /// Time for a test's outcome: longer than connections are waited for.
+    duration domain_test = 400ms;
     /// Time that another host's finding counts.
     duration hint_doubt = 900ms;
     /// Share of failed answers, over the last ones, that sets a target aside.
@@ -75,6 +82,13 @@
     [[nodiscard]] auto doubts(domain_id const& domain, time_point now) const
         -> bool;
 
+    /// Whether nothing has answered from `domain` since it was in doubt.
+    [[nodiscard]] auto unproven(domain_id const& domain) const -> bool;
+
+    /// A request is sent to a target of `domain`. If that is unproven, this is
+    /// the test whose outcome other requests wait for.
+    void sent_to(domain_id const& domain, time_point now);
+
     /// Another host found the target unreachable. It may be the only one, so
     /// the target is merely taken later than others for a while.
     void hint(target_id const& id, time_point now);
@@ -99,13 +113,24 @@
         target_id id;
     };
 
+    /// What this host met in one failure domain.
+    struct domain_record
+    {
+        std::deque<loss> losses;
+        time_point doubted_until{};
+        /// Length of the last doubt; 0: a target has answered since.
+        duration span{};
+        /// A request was sent after the last doubt.
+        bool tested = false;
+    };
+
     void note_loss(target_id const& id, domain_id const& domain,
                    time_point now);
+    void prove(domain_id const& domain);
 
     suspicion_limits limits_;
     std::map<target_id, record> records_;
-    std::map<domain_id, std::deque<loss>> losses_;
-    std::map<domain_id, time_point> doubted_until_;
+    std::map<domain_id, domain_record> domains_;
 };
 
 } // namespace primrosedeal::dispatch
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -284,6 +284,7 @@
          {"configuration", std::to_string(table_->version().value())},
          {"time_left_ms", milliseconds(admitted_.give_up_at - now)}});
     host_.loads.sent(target.id, facts_.size);
+    host_.doubts.sent_to(target.domain, now);
     if (warm)
     {
         current_->began = true;
