--- a/src/cli/gateway_command.cpp
+++ b/src/cli/gateway_command.cpp
@@ -6,6 +6,7 @@
 #include "platform/settings.hpp"
 #include "platform/store_client.hpp"
 
+#include <csignal>
 #include <iostream>
 
 namespace primrosedeal::cli
@@ -13,6 +14,8 @@
 
 auto gateway(arguments const& words) -> exit_code
 {
+    // A reload may be asked for before this process has read its settings.
+    std::signal(SIGHUP, SIG_IGN);
     if (words.size() > 1)
     {
         std::cerr << "gateway: one settings file at most was expected\n";
--- a/src/gateway/entry_source_test.cpp
+++ b/src/gateway/entry_source_test.cpp
@@ -1,6 +1,7 @@
 #include "gateway/entry_source.hpp"
 
 #include "core/random.hpp"
+#include "http1/server.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -366,16 +367,20 @@
         return first.entries == store.items && second.entries == store.items;
     }
 
-    static auto ports() -> std::array<std::uint16_t, 2>
+    /// Free ones, since a listener's port has to be known before it listens.
+    static auto ports(net::event_loop& loop) -> std::array<std::uint16_t, 2>
     {
-        static auto next = std::uint16_t{23100};
-        next += 2;
-        return {next, static_cast<std::uint16_t>(next + 1)};
+        auto const nothing = [](auto const&, auto const&) {
+        };
+        auto first = http1::server{loop, nothing};
+        auto second = http1::server{loop, nothing};
+        auto const any = net::endpoint{"127.0.0.1", 0};
+        return {first.listen(any), second.listen(any)};
     }
 
     net::event_loop loop;
     shared_store store;
-    std::array<std::uint16_t, 2> at = ports();
+    std::array<std::uint16_t, 2> at = ports(loop);
     test_host first{loop, store, "a", at[0]};
     test_host second{loop, store, "b", at[1]};
     bool digests_pass = true;
