--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,7 +1,7 @@
 #include "gateway/gateway.hpp"
 
 #include "core/overloaded.hpp"
-#include "gateway/digest_exchange.hpp"
+#include "gateway/digest_task.hpp"
 #include "gateway/entry_source.hpp"
 #include "gateway/host_state.hpp"
 #include "gateway/log_text.hpp"
@@ -12,7 +12,6 @@
 
 #include <csignal>
 #include <random>
-#include <set>
 #include <utility>
 
 // One loop carries everything: a host has a part of one core, and a second
@@ -30,10 +29,6 @@
 constexpr auto balancer_notice = duration{2500ms};
 /// Descriptors left to the store, peers, files and targets' connections.
 constexpr auto reserved_descriptors = std::size_t{600};
-/// Interval of digests while there is news, and the longest interval. Prefill
-/// takes about a second, so the short one keeps the hosts' views close.
-constexpr auto digest_period = duration{20ms};
-constexpr auto longest_digest_period = duration{1s};
 
 /// Time for the own registration to come back as an entry of the store.
 constexpr auto register_pause = duration{2s};
@@ -74,8 +69,7 @@
               loop, {settings.host, net::to_string(settings.store)},
               [this](external::store_revision held) { return own_state(held); },
               [this](peer_state const& it) { on_peer_state(it); }),
-          digests_(loop, [this](fleet::digest const& it)
-                   { on_digest(it, net::event_loop::now()); }),
+          digests_(host_, peers_, digest_events()),
           source_(loop, store, host_.random, peers_, host_.others, settings,
                   source_handlers())
     {
@@ -88,7 +82,6 @@
         readiness_.listen(at.readiness);
         metrics_.listen(at.metrics);
         peers_.listen(at.peers);
-        digests_.open(at.digests);
         apply_limits();
         log::write(log::level::info, "started",
                    {{"host", at.host.value()},
@@ -109,7 +102,7 @@
         source_.start();
         tick();
         ask_peers();
-        send_digest();
+        digests_.start();
         loop_.run();
         auto const left = host_.relays.size();
         log::write(log::level::info, "stopped",
@@ -118,6 +111,20 @@
     }
 
 private:
+    auto digest_events() -> digest_task_events
+    {
+        auto out = digest_task_events{};
+        out.store_contact = [this](time_point now)
+        {
+            return source_.store_contact(now);
+        };
+        out.on_replaced = [this](target_id const& id, time_point now)
+        {
+            note_targets(directory::target_replaced{id}, now);
+        };
+        return out;
+    }
+
     auto source_handlers() -> follower_events
     {
         auto out = follower_events{};
@@ -253,78 +260,6 @@
         host_.known_hosts = std::max<std::size_t>(peers_.known().size(), 1);
     }
 
-    void on_digest(fleet::digest const& it, time_point now)
-    {
-        auto const heard = host_.others.heard();
-        if (it.host == host_.settings.host || !host_.others.take(it, now))
-        {
-            return;
-        }
-        if (host_.others.heard() > heard)
-        {
-            log::write(log::level::info, "host_heard",
-                       {{"peer", it.host.value()},
-                        {"hosts_heard", std::to_string(host_.others.heard())}});
-        }
-        for (auto const& id : it.replaced)
-        {
-            note_targets(directory::target_replaced{id}, now);
-        }
-        auto const all = host_.relays;
-        for (auto const& id : it.lost)
-        {
-            host_.doubts.hint(id, now);
-            for (auto const& [key, relay] : all)
-            {
-                relay->on_target_in_doubt(id);
-            }
-        }
-    }
-
-    void send_digest()
-    {
-        auto const now = net::event_loop::now();
-        auto const news = host_.loads.changes() != told_changes_ ||
-                          !host_.just_lost.empty() ||
-                          !host_.just_replaced.empty();
-        if (news || now - told_at_ >= longest_digest_period)
-        {
-            told_changes_ = host_.loads.changes();
-            told_at_ = now;
-            digests_.send(own_digest(), digest_peers());
-        }
-        digest_timer_ = loop_.after(digest_period, [this] { send_digest(); });
-    }
-
-    auto own_digest() -> fleet::digest
-    {
-        auto out = fleet::digest{};
-        out.host = host_.settings.host;
-        out.domain = host_.settings.domain;
-        out.start = start_;
-        out.sequence = ++digest_sequence_;
-        out.loads = host_.loads.all();
-        out.counts = host_.counts.totals();
-        out.lost = std::exchange(host_.just_lost, {});
-        out.replaced = std::exchange(host_.just_replaced, {});
-        out.store_contact = source_.store_contact(net::event_loop::now());
-        return out;
-    }
-
-    /// Every host takes digests at the same port.
-    auto digest_peers() const -> std::set<net::endpoint>
-    {
-        auto out = std::set<net::endpoint>{};
-        for (auto const& [id, at] : peers_.known())
-        {
-            if (id != host_.settings.host)
-            {
-                out.insert({at.address, host_.settings.digests.port});
-            }
-        }
-        return out;
-    }
-
     void adopt(configuration_entry const& it)
     {
         if (!it.it)
@@ -333,9 +268,10 @@
                        {{"why", it.error}});
             return;
         }
-        auto const held =
-            host_.table ? std::optional{host_.table->version()} : std::nullopt;
-        if (held && it.it->version <= *held)
+        auto const before = host_.table
+                                ? std::to_string(host_.table->version().value())
+                                : std::string{"none"};
+        if (host_.table && it.it->version <= host_.table->version())
         {
             return;
         }
@@ -344,7 +280,7 @@
         apply_limits();
         log::write(log::level::info, "configuration_adopted",
                    {{"version", std::to_string(it.it->version.value())},
-                    {"before", held ? std::to_string(held->value()) : "none"},
+                    {"before", before},
                     {"routes", std::to_string(it.it->routes.size())},
                     {"from", source_.in_contact() ? "store" : "peer"}});
     }
@@ -568,15 +504,7 @@
     http1::server readiness_;
     http1::server metrics_;
     peer_exchange peers_;
-    digest_exchange digests_;
-    incarnation start_{static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(
-            std::chrono::system_clock::now().time_since_epoch())
-            .count())};
-    std::uint64_t digest_sequence_ = 0;
-    std::uint64_t told_changes_ = 0;
-    time_point told_at_{};
-    net::timer digest_timer_;
+    digest_task digests_;
     entry_source source_;
     entry_map entries_;
     net::timer tick_timer_;
