--- a/src/gateway/admit.hpp
+++ b/src/gateway/admit.hpp
@@ -28,6 +28,8 @@
     deadline,
     retry_budget,
     attempts_used,
+    /// The answer could not be whole in the time that is left.
+    hopeless,
     client_gone,
 };
 
--- a/src/gateway/host_state.hpp
+++ b/src/gateway/host_state.hpp
@@ -2,6 +2,7 @@
 
 #include "core/random.hpp"
 #include "directory/target_directory.hpp"
+#include "dispatch/feasibility.hpp"
 #include "dispatch/load_book.hpp"
 #include "dispatch/shutdown.hpp"
 #include "dispatch/suspicion.hpp"
@@ -78,6 +79,7 @@
     std::map<relay*, std::shared_ptr<relay>> relays;
     dispatch::usual_time stream_time{first_stream_time};
     dispatch::reading_time reading_time;
+    dispatch::stream_shape stream_shape;
     /// Set at SIGTERM.
     std::optional<time_point> leaving_since;
 };
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -186,6 +186,15 @@
     return out;
 }
 
+auto relay::hopeless(time_point now) const -> bool
+{
+    return streaming() &&
+           !dispatch::may_end_in_time(
+               host_.stream_shape,
+               host_.reading_time.expect(facts_.size.prompt.value()),
+               last_event_, admitted_.give_up_at, now);
+}
+
 void relay::try_next(time_point now)
 {
     auto const point = std::exchange(resume_at_, std::nullopt);
@@ -198,6 +207,19 @@
         send(point->target, point->copy, now);
         return;
     }
+    if (hopeless(now))
+    {
+        auto const needed =
+            host_.stream_shape.least_time_after(last_event_) +
+            host_.reading_time.expect(facts_.size.prompt.value());
+        log::write(log::level::info, "request_hopeless",
+                   {{"request", facts_.id.value()},
+                    {"time_left_ms", milliseconds(admitted_.give_up_at - now)},
+                    {"usual_least_ms", milliseconds(needed)}});
+        end_unserved(refusal_reason::hopeless,
+                     dispatch::final_status(state_, now), now);
+        return;
+    }
     auto const target = dispatch::place(view(), placement(), now, host_.random);
     if (target)
     {
@@ -376,6 +398,11 @@
                       evidence::answered, now);
     leave_target();
     host_.stream_time.observe(now - arrived_at_);
+    if (!facts_.resume_after && last_event_)
+    {
+        host_.stream_shape.observe(*last_event_,
+                                   now - arrived_at_ - first_event_after_);
+    }
     client_->finish();
     finish("complete", success, now);
 }
@@ -491,8 +518,10 @@
         return;
     }
     constexpr auto not_run = 503;
+    auto const comes_back =
+        status == not_run && why != refusal_reason::hopeless;
     auto const retry_after =
-        status == not_run ? std::optional{retry_after_busy} : std::nullopt;
+        comes_back ? std::optional{retry_after_busy} : std::nullopt;
     reply_own({status, why, retry_after});
     finish(to_string(why), status, now);
 }
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -108,6 +108,8 @@
     void release_copy(net::endpoint const& at, std::string const& name);
     void finish(std::string_view outcome, int status, time_point now);
     [[nodiscard]] auto streaming() const -> bool;
+    /// The stream cannot end in time, even if it is sent now.
+    [[nodiscard]] auto hopeless(time_point now) const -> bool;
 
     host_state& host_;
     http1::request message_;
