--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -454,6 +454,13 @@
         }
         host_.leaving_since = now;
         clients_.close_after_answers();
+        auto const last =
+            dispatch::last_answer_at(now, host_.settings.shutdown_grace);
+        auto const all = host_.relays;
+        for (auto const& [key, it] : all)
+        {
+            it->end_by(last, now);
+        }
         log::write(log::level::info, "leaving",
                    {{"open_requests", std::to_string(host_.relays.size())}});
     }
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -129,7 +129,6 @@
     state_.kind = route.kind;
     state_.resumable = route.resumable;
     state_.max_runs = route.max_attempts;
-    state_.give_up_at = admitted_.give_up_at;
     last_event_ = facts_.resume_after;
     host_.counts.request(admitted_.service->id, now);
     client_->on_gone(
@@ -140,11 +139,23 @@
                 it->on_client_gone(net::event_loop::now());
             }
         });
-    deadline_ = host_.loop.after(admitted_.give_up_at - now, [this]
-                                 { on_deadline(net::event_loop::now()); });
+    end_by(host_.leaving_since
+               ? dispatch::last_answer_at(*host_.leaving_since,
+                                          host_.settings.shutdown_grace)
+               : admitted_.give_up_at,
+           now);
     try_next(now);
 }
 
+void relay::end_by(time_point at, time_point now)
+{
+    admitted_.give_up_at = std::min(admitted_.give_up_at, at);
+    state_.give_up_at = admitted_.give_up_at;
+    deadline_ =
+        host_.loop.after(std::max(admitted_.give_up_at - now, 0us),
+                         [this] { on_deadline(net::event_loop::now()); });
+}
+
 void relay::refuse(refusal const& it, time_point now)
 {
     host_.metrics.refused(to_string(it.why));
@@ -532,7 +543,9 @@
     {
         state_.may_have_run = true;
     }
-    end_unserved(refusal_reason::deadline, dispatch::final_status(state_, now),
+    // The timer may be a moment early.
+    auto const at = std::max(now, admitted_.give_up_at);
+    end_unserved(refusal_reason::deadline, dispatch::final_status(state_, at),
                  now);
 }
 
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -67,6 +67,8 @@
     /// may have been there gets another one.
     void on_target_lost(target_id const& id, time_point now);
     void on_domain_in_doubt(domain_id const& domain);
+    /// The host leaves: the request has its final answer by `at`.
+    void end_by(time_point at, time_point now);
     /// Another host found `id` unreachable.
     void on_target_in_doubt(target_id const& id);
 
