--- a/src/dispatch/cut_domain_replay_test.cpp
+++ b/src/dispatch/cut_domain_replay_test.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/attempt_policy.hpp"
 #include "dispatch/placement.hpp"
+#include "dispatch/replay_engines.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -13,8 +14,6 @@
 namespace
 {
 
-constexpr auto domain_count = std::size_t{4};
-constexpr auto target_count = std::size_t{36};
 /// A connection that hangs is given up after this time.
 constexpr auto connect_time = duration{250ms};
 constexpr auto cut_time = duration{6s};
@@ -29,26 +28,12 @@
     duration longest{};
 };
 
-auto engines() -> std::vector<directory::listed_target>
-{
-    auto out = std::vector<directory::listed_target>{};
-    for (auto i = std::size_t{0}; i < target_count; ++i)
-    {
-        auto it = directory::listed_target{};
-        it.id = target_id{"t" + std::to_string(i)};
-        it.domain = domain_id{"d" + std::to_string(i % domain_count)};
-        it.slots = 64;
-        out.push_back(it);
-    }
-    return out;
-}
-
 /// One request at a time: its tries do not overlap with the next arrival's.
 /// `tests`: one request at a time tests a domain in doubt. Otherwise a doubt
 /// that is over is forgotten, and every request may try the domain.
 auto replay(bool tests, std::uint64_t seed) -> outcome
 {
-    auto const targets = engines();
+    auto const targets = replay_engines();
     auto const reachable = domain_id{"d0"};
     auto doubts = suspicion{};
     // What runs goes on where it is reached, so those targets look busier.
--- a/src/dispatch/placement_replay_test.cpp
+++ b/src/dispatch/placement_replay_test.cpp
@@ -1,4 +1,5 @@
 #include "dispatch/placement.hpp"
+#include "dispatch/replay_engines.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -16,8 +17,6 @@
 {
 
 constexpr auto host_count = std::size_t{8};
-constexpr auto target_count = std::size_t{36};
-constexpr auto domain_count = std::size_t{4};
 /// Half of the digests' period, the way between domains, and as much again
 /// for a busy host.
 constexpr auto digest_lag = duration{23ms};
@@ -52,20 +51,6 @@
     return out;
 }
 
-auto engines() -> std::vector<directory::listed_target>
-{
-    auto out = std::vector<directory::listed_target>{};
-    for (auto i = std::size_t{0}; i < target_count; ++i)
-    {
-        auto it = directory::listed_target{};
-        it.id = target_id{"t" + std::to_string(i)};
-        it.domain = domain_id{"d" + std::to_string(i % domain_count)};
-        it.slots = 64;
-        out.push_back(it);
-    }
-    return out;
-}
-
 using choice = std::function<std::size_t(
     std::vector<directory::listed_target> const&, arrival const&,
     load_book const& own, fleet::fleet_view const& others, random_source&)>;
@@ -86,11 +71,11 @@
     {
         return a.at > b.at;
     };
-    auto const targets = engines();
+    auto const targets = replay_engines();
     auto books = std::vector<load_book>(host_count);
     auto views = std::vector<fleet::fleet_view>(host_count);
     auto sequences = std::vector<std::uint64_t>(host_count);
-    auto free_at = std::vector<time_point>(target_count);
+    auto free_at = std::vector<time_point>(replay_targets);
     auto queue = std::vector<pending>{};
     auto digests = std::deque<std::pair<time_point, fleet::digest>>{};
     auto random = random_source{7};
@@ -241,7 +226,7 @@
 
 BOOST_AUTO_TEST_CASE(lies_in_another_domain_and_never_at_a_doubtful_target)
 {
-    auto const targets = engines();
+    auto const targets = replay_engines();
     auto doubts = suspicion{};
     auto const loads = load_book{};
     auto const others = fleet::fleet_view{};
@@ -266,7 +251,7 @@
 
 BOOST_AUTO_TEST_CASE(counts_as_load_where_it_lies)
 {
-    auto targets = engines();
+    auto targets = replay_engines();
     targets.resize(1);
     auto const doubts = suspicion{};
     auto loads = load_book{};
--- /dev/null
+++ b/src/dispatch/replay_engines.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "directory/target_directory.hpp"
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+/// The engines that replays of recorded arrivals run against.
+namespace primrosedeal::dispatch
+{
+
+constexpr auto replay_domains = std::size_t{4};
+constexpr auto replay_targets = std::size_t{36};
+
+/// Equal engines `t0`, `t1`, ... in the domains `d0` to `d3` in turn.
+inline auto replay_engines() -> std::vector<directory::listed_target>
+{
+    constexpr auto slots = 64;
+    auto out = std::vector<directory::listed_target>{};
+    for (auto i = std::size_t{0}; i < replay_targets; ++i)
+    {
+        auto it = directory::listed_target{};
+        it.id = target_id{"t" + std::to_string(i)};
+        it.domain = domain_id{"d" + std::to_string(i % replay_domains)};
+        it.slots = slots;
+        out.push_back(it);
+    }
+    return out;
+}
+
+} // namespace primrosedeal::dispatch
