Read-through: one parse of numbers, one way to free ports, less in the feed

- Numbers: the template added to core stood in order_key and field too, and its check again in event_splitter, parse_endpoint and checked_yaml.
- Relay: two functions that probe a stream's copies differed in a comparison.
- Feed: a tick sent what was unsent as a message and an empty one after it; the message made takes what is unsent.
Guarded posts stand once.

Behaviour stays as it is; tests keep their assertions.

--- a/src/configuration/field.cpp
+++ b/src/configuration/field.cpp
@@ -1,10 +1,10 @@
 #include "configuration/field.hpp"
 
 #include "core/overloaded.hpp"
+#include "core/parse_number.hpp"
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <cmath>
 #include <sstream>
 
@@ -154,19 +154,6 @@
     unit{"ms", 1ms}, unit{"us", 1us},
 };
 
-template <class Number>
-auto parse_number(std::string_view text) -> std::optional<Number>
-{
-    auto value = Number{};
-    auto const* end = text.data() + text.size();
-    auto const [rest, ec] = std::from_chars(text.data(), end, value);
-    if (ec != std::errc{} || rest != end)
-    {
-        return std::nullopt;
-    }
-    return value;
-}
-
 auto format_ratio(double it) -> std::string
 {
     auto buf = std::array<char, 32>{};
--- a/src/gateway/entry_source.cpp
+++ b/src/gateway/entry_source.cpp
@@ -100,7 +100,6 @@
     }
     if (peers_.followers() > 0)
     {
-        flush();
         peers_.publish(make_message());
     }
 }
@@ -155,18 +154,23 @@
                           it->entries.end());
 }
 
+void entry_source::post(std::function<void()> work)
+{
+    loop_.post(
+        [held = std::weak_ptr{alive_}, work = std::move(work)]
+        {
+            if (!held.expired())
+            {
+                work();
+            }
+        });
+}
+
 void entry_source::use_feed_soon()
 {
     if (feed_ && !feed_->in_use)
     {
-        loop_.post(
-            [this, held = std::weak_ptr{alive_}]
-            {
-                if (!held.expired())
-                {
-                    use_feed_if_caught_up(net::event_loop::now());
-                }
-            });
+        post([this] { use_feed_if_caught_up(net::event_loop::now()); });
     }
 }
 
@@ -363,14 +367,7 @@
     unsent_.push_back(std::move(entry));
     if (!std::exchange(flush_posted_, true))
     {
-        loop_.post(
-            [this, held = std::weak_ptr{alive_}]
-            {
-                if (!held.expired())
-                {
-                    flush();
-                }
-            });
+        post([this] { flush(); });
     }
 }
 
--- a/src/gateway/entry_source.hpp
+++ b/src/gateway/entry_source.hpp
@@ -9,6 +9,7 @@
 #include "gateway/store_follower.hpp"
 #include "net/event_loop.hpp"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -100,6 +101,8 @@
     void contact_regained(time_point last_answer);
     void publish(external::watch_event const& it);
     void flush();
+    /// Runs `work` soon, unless this object is gone by then.
+    void post(std::function<void()> work);
     [[nodiscard]] auto make_message() -> std::string;
 
     net::event_loop& loop_;
--- a/src/gateway/entry_source_test.cpp
+++ b/src/gateway/entry_source_test.cpp
@@ -1,7 +1,7 @@
 #include "gateway/entry_source.hpp"
 
 #include "core/random.hpp"
-#include "http1/server.hpp"
+#include "standins/free_ports.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -315,6 +315,17 @@
         steps_.push_back({std::move(condition), std::move(work)});
     }
 
+    /// A step: the store stops answering the first host and changes.
+    void when_second_follows_first_loses_the_store()
+    {
+        when([this] { return second_follows(); },
+             [this]
+             {
+                 first.path.set_reachable(false);
+                 put("k", "1");
+             });
+    }
+
     /// Returns whether all steps were made.
     auto run() -> bool
     {
@@ -367,20 +378,9 @@
         return first.entries == store.items && second.entries == store.items;
     }
 
-    /// Free ones, since a listener's port has to be known before it listens.
-    static auto ports(net::event_loop& loop) -> std::array<std::uint16_t, 2>
-    {
-        auto const nothing = [](auto const&, auto const&) {
-        };
-        auto first = http1::server{loop, nothing};
-        auto second = http1::server{loop, nothing};
-        auto const any = net::endpoint{"127.0.0.1", 0};
-        return {first.listen(any), second.listen(any)};
-    }
-
     net::event_loop loop;
     shared_store store;
-    std::array<std::uint16_t, 2> at = ports(loop);
+    std::vector<std::uint16_t> at = standins::free_ports(loop, "127.0.0.1", 2);
     test_host first{loop, store, "a", at[0]};
     test_host second{loop, store, "b", at[1]};
     bool digests_pass = true;
@@ -501,12 +501,7 @@
 BOOST_FIXTURE_TEST_CASE(watches_itself_once_the_other_loses_the_store,
                         two_hosts)
 {
-    when([&] { return second_follows(); },
-         [&]
-         {
-             first.path.set_reachable(false);
-             put("k", "1");
-         });
+    when_second_follows_first_loses_the_store();
     when([&] { return second.entries == store.items; },
          [&]
          {
@@ -519,12 +514,7 @@
 BOOST_FIXTURE_TEST_CASE(serves_the_other_while_the_store_refuses_that_one,
                         two_hosts)
 {
-    when([&] { return second_follows(); },
-         [&]
-         {
-             first.path.set_reachable(false);
-             put("k", "1");
-         });
+    when_second_follows_first_loses_the_store();
     when([&] { return second.entries == store.items; },
          [&] { first.source.replaced_by_peer(second.source.at(), {}); });
     when([&] { return first.source.in_contact(); }, [&] { put("l", "1"); });
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -67,10 +67,10 @@
     /// may have been there gets another one.
     void on_target_lost(target_id const& id, time_point now);
     void on_domain_in_doubt(domain_id const& domain);
-    /// The host leaves: the request has its final answer by `at`.
-    void end_by(time_point at, time_point now);
     /// Another host found `id` unreachable.
     void on_target_in_doubt(target_id const& id);
+    /// The request has its final answer by `at`, if not before.
+    void end_by(time_point at, time_point now);
 
 private:
     void begin(time_point now);
@@ -101,13 +101,15 @@
         -> std::optional<resume_point>;
     /// Tells the other relays of a loss that may concern their copies.
     void warn_others(directory::listed_target const& lost, time_point now);
+    /// Probes the targets of the copies for which `concerned` holds.
+    template <class Concerned>
+    void check_copies(Concerned const& concerned);
     void check_copy(directory::listed_target const& target);
     /// Asks for a spare copy if the stream runs and has none.
     void protect(time_point now);
     void ask_for_copy(time_point now);
     void on_copied(std::optional<net::http_response> const& it, time_point now);
     void drop_spare();
-    void release_copy(net::endpoint const& at, std::string const& name);
     void finish(std::string_view outcome, int status, time_point now);
     [[nodiscard]] auto streaming() const -> bool;
     /// The stream cannot end in time, even if it is sent now.
--- a/src/gateway/relay_copies.cpp
+++ b/src/gateway/relay_copies.cpp
@@ -66,30 +66,30 @@
     }
 }
 
-void relay::on_domain_in_doubt(domain_id const& domain)
+template <class Concerned>
+void relay::check_copies(Concerned const& concerned)
 {
     if (current_ && current_->copy && !current_->copy_lost &&
-        current_->copy->domain == domain)
+        concerned(*current_->copy))
     {
         check_copy(*current_->copy);
     }
-    if (spare_ && spare_->to.domain == domain)
+    if (spare_ && concerned(spare_->to))
     {
         check_copy(spare_->to);
     }
 }
 
+void relay::on_domain_in_doubt(domain_id const& domain)
+{
+    check_copies([&](directory::listed_target const& it)
+                 { return it.domain == domain; });
+}
+
 void relay::on_target_in_doubt(target_id const& id)
 {
-    if (current_ && current_->copy && !current_->copy_lost &&
-        current_->copy->id == id)
-    {
-        check_copy(*current_->copy);
-    }
-    if (spare_ && spare_->to.id == id)
-    {
-        check_copy(spare_->to);
-    }
+    check_copies([&](directory::listed_target const& it)
+                 { return it.id == id; });
 }
 
 void relay::check_copy(directory::listed_target const& target)
@@ -184,15 +184,12 @@
     host_.loads.copy_dropped(spare_->to.id, facts_.size);
     if (spare_->name)
     {
-        release_copy(current_->target.address, *spare_->name);
+        auto const& at = current_->target.address;
+        host_.errands.start(host_.loop, at,
+                            host_.wire.make_release(at, *spare_->name),
+                            release_timeout);
     }
     spare_.reset();
 }
 
-void relay::release_copy(net::endpoint const& at, std::string const& name)
-{
-    host_.errands.start(host_.loop, at, host_.wire.make_release(at, name),
-                        release_timeout);
-}
-
 } // namespace primrosedeal::gateway
--- a/src/http1/event_splitter.cpp
+++ b/src/http1/event_splitter.cpp
@@ -1,6 +1,6 @@
 #include "http1/event_splitter.hpp"
 
-#include <charconv>
+#include "core/parse_number.hpp"
 
 namespace primrosedeal::http1
 {
@@ -30,10 +30,7 @@
         {
             line.remove_suffix(1);
         }
-        auto id = std::uint64_t{0};
-        auto const [at, ec] =
-            std::from_chars(line.data(), line.data() + line.size(), id);
-        if (ec == std::errc{} && at == line.data() + line.size())
+        if (auto const id = parse_number<std::uint64_t>(line))
         {
             return id;
         }
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -1,10 +1,11 @@
 #include "net/http_message.hpp"
 
+#include "core/parse_number.hpp"
+
 #include <arpa/inet.h>
 #include <strings.h>
 
 #include <algorithm>
-#include <charconv>
 
 namespace primrosedeal::net
 {
@@ -21,13 +22,11 @@
     {
         return std::nullopt;
     }
-    auto it = endpoint{std::string{text.substr(0, colon)}, 0};
-    auto const digits = text.substr(colon + 1);
-    auto const* const last = digits.data() + digits.size();
-    auto const [end, ec] = std::from_chars(digits.data(), last, it.port);
+    auto const port = parse_number<std::uint16_t>(text.substr(colon + 1));
+    auto it = endpoint{std::string{text.substr(0, colon)}, port.value_or(0)};
     auto parsed = in_addr{};
-    auto const valid = ec == std::errc{} && end == last &&
-                       inet_pton(AF_INET, it.address.c_str(), &parsed) == 1;
+    auto const valid =
+        port && inet_pton(AF_INET, it.address.c_str(), &parsed) == 1;
     return valid ? std::optional{it} : std::nullopt;
 }
 
--- a/src/order/order_key.cpp
+++ b/src/order/order_key.cpp
@@ -1,11 +1,12 @@
 #include "order/order_key.hpp"
 
+#include "core/parse_number.hpp"
+
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
 
 #include <algorithm>
-#include <charconv>
 #include <stdexcept>
 #include <vector>
 
@@ -71,19 +72,6 @@
     return fields;
 }
 
-template <class Number>
-auto parse_number(std::string_view text) -> std::optional<Number>
-{
-    auto value = Number{};
-    auto const* const end = text.data() + text.size();
-    auto const [stop, ec] = std::from_chars(text.data(), end, value);
-    if (text.empty() || ec != std::errc{} || stop != end)
-    {
-        return std::nullopt;
-    }
-    return value;
-}
-
 auto is_key_character(char c) -> bool
 {
     return c > ' ' && c < '\x7f';
--- a/src/settings/checked_yaml.cpp
+++ b/src/settings/checked_yaml.cpp
@@ -1,5 +1,7 @@
 #include "settings/checked_yaml.hpp"
 
+#include "core/parse_number.hpp"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -131,15 +133,12 @@
     {
         return *fallback;
     }
-    auto n = std::uint64_t{0};
-    auto const text = value.value_or("");
-    auto const* const last = text.data() + text.size();
-    auto const [end, ec] = std::from_chars(text.data(), last, n);
-    if (ec != std::errc{} || end != last || n < least || n > most)
+    auto const n = parse_number<std::uint64_t>(value.value_or(""));
+    if (!n || *n < least || *n > most)
     {
         fail(key, expected);
     }
-    return n;
+    return *n;
 }
 
 auto checked_map::time(std::string const& key, duration least, duration most,
