Log why a process or a client's connection ended

A process that ended by an exception printed a line without a time on standard error; one that ended by a signal printed nothing. request_ended said client_gone without telling a close from a reset. process_failed and client_lost, with a counter, tell the hypotheses of docs/incidents/lost-kept-connections.md apart. No decision changes.

--- a/src/cli/gateway_command.cpp
+++ b/src/cli/gateway_command.cpp
@@ -1,6 +1,7 @@
 #include "cli/subcommands.hpp"
 
 #include "gateway/gateway.hpp"
+#include "log/crash_report.hpp"
 #include "log/log.hpp"
 #include "platform/protocol.hpp"
 #include "platform/settings.hpp"
@@ -27,6 +28,7 @@
             words.empty() ? platform::settings_path() : words.front();
         auto const settings = platform::load_settings(file);
         auto const logging = log::scope{};
+        log::install_crash_report();
         auto loop = net::event_loop{};
         auto const wire = platform::wire_protocol{};
         auto store = platform::store_client{
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -11,6 +11,7 @@
 #include "log/log.hpp"
 
 #include <csignal>
+#include <exception>
 #include <random>
 #include <utility>
 
@@ -108,7 +109,7 @@
         tick();
         poll_peers();
         digests_.start();
-        loop_.run();
+        run_loop();
         auto const left = host_.relays.size();
         log::write(log::level::info, "stopped",
                    {{"unanswered", std::to_string(left)}});
@@ -116,6 +117,22 @@
     }
 
 private:
+    void run_loop()
+    {
+        try
+        {
+            loop_.run();
+        }
+        catch (std::exception const& e)
+        {
+            log::write(
+                log::level::error, "process_failed",
+                {{"why", e.what()},
+                 {"open_requests", std::to_string(host_.relays.size())}});
+            throw;
+        }
+    }
+
     auto make_digest_events() -> digest_task_events
     {
         auto out = digest_task_events{};
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -135,11 +135,11 @@
     last_event_ = metadata_.resume_after;
     host_.request_counts.request(admitted_.service->id, now);
     client_->on_gone(
-        [self = weak_from_this()]
+        [self = weak_from_this()](http1::client_loss how)
         {
             if (auto const it = self.lock())
             {
-                it->on_client_disconnected(net::event_loop::now());
+                it->on_client_disconnected(how, net::event_loop::now());
             }
         });
     limit_deadline(
@@ -556,8 +556,13 @@
                      dispatch::final_status(state_, at), now);
 }
 
-void relay::on_client_disconnected(time_point now)
+void relay::on_client_disconnected(http1::client_loss how, time_point now)
 {
+    host_.metrics.client_lost(to_string(how));
+    log::write(log::level::info, "client_lost",
+               {{"request", metadata_.id.value()},
+                {"how", std::string{to_string(how)}},
+                {"answer_started", state_.answer_started ? "true" : "false"}});
     release_target();
     finish("client_gone", 0, now);
 }
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -95,7 +95,7 @@
     void on_response(target_response const& it, time_point now);
     void on_failure(dispatch::attempt_failure how,
                     std::optional<target_response> response, time_point now);
-    void on_client_disconnected(time_point now);
+    void on_client_disconnected(http1::client_loss how, time_point now);
     void on_deadline(time_point now);
     void retry_or_end(time_point now);
     void end_with_failure(refusal_reason reason, int status, time_point now);
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -55,6 +55,20 @@
 
 } // namespace
 
+auto to_string(client_loss it) -> std::string_view
+{
+    switch (it)
+    {
+    case client_loss::closed:
+        return "closed";
+    case client_loss::reset:
+        return "reset";
+    case client_loss::not_reading:
+        return "not_reading";
+    }
+    return "unknown";
+}
+
 class connection;
 
 struct server::state
@@ -153,7 +167,7 @@
                 {
                     if (auto const it = self.lock())
                     {
-                        it->lost();
+                        it->lost(client_loss::not_reading);
                     }
                 });
         }
@@ -174,7 +188,7 @@
         }
     }
 
-    void on_gone(std::function<void()> work)
+    void on_gone(std::function<void(client_loss)> work)
     {
         gone_ = std::move(work);
     }
@@ -203,10 +217,11 @@
                    : evbuffer_get_length(bufferevent_get_output(bev_));
     }
 
-    static void on_event(bufferevent* /*bev*/, short /*what*/, void* arg)
+    static void on_event(bufferevent* /*bev*/, short what, void* arg)
     {
         auto const self = static_cast<connection*>(arg)->shared_from_this();
-        self->lost();
+        self->lost((what & BEV_EVENT_EOF) != 0 ? client_loss::closed
+                                               : client_loss::reset);
     }
 
     void parse()
@@ -328,14 +343,14 @@
     }
 
     /// The client or its connection has gone.
-    void lost()
+    void lost(client_loss how)
     {
         auto const gone = std::move(gone_);
         release();
         close_socket();
         if (gone)
         {
-            gone();
+            gone(how);
         }
         owner_.connections.erase(this);
     }
@@ -376,7 +391,7 @@
         constexpr auto request_timeout = 408;
         if (ending_)
         {
-            lost();
+            lost(client_loss::not_reading);
         }
         else if (parser_.started())
         {
@@ -400,7 +415,7 @@
     request_parser parser_;
     net::timer timer_;
     time_point idle_since_{};
-    std::function<void()> gone_;
+    std::function<void(client_loss)> gone_;
     bool answering_ = false;
     bool keep_alive_ = true;
     bool head_request_ = false;
@@ -458,7 +473,7 @@
         }
     }
 
-    void on_gone(std::function<void()> work) override
+    void on_gone(std::function<void(client_loss)> work) override
     {
         if (auto const it = to_.lock())
         {
--- a/src/http1/server.hpp
+++ b/src/http1/server.hpp
@@ -13,6 +13,19 @@
 namespace primrosedeal::http1
 {
 
+/// How a connection ended on which an answer was owed.
+enum class client_loss
+{
+    /// The client closed its connection.
+    closed,
+    /// The connection was reset or failed.
+    reset,
+    /// The client did not read its answer.
+    not_reading,
+};
+
+auto to_string(client_loss it) -> std::string_view;
+
 /// The way back to one client for one request. Calls after the client has
 /// gone do nothing.
 class exchange
@@ -36,7 +49,7 @@
     virtual void abort() = 0;
 
     /// Runs `work` once if the client goes before its answer is complete.
-    virtual void on_gone(std::function<void()> work) = 0;
+    virtual void on_gone(std::function<void(client_loss)> work) = 0;
 };
 
 struct server_limits
--- a/src/log/log_test.cpp
+++ b/src/log/log_test.cpp
@@ -1,13 +1,17 @@
+#include "log/crash_report.hpp"
 #include "log/log.hpp"
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
 #include <fcntl.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <array>
+#include <csignal>
+#include <stdexcept>
 #include <string>
 
 namespace primrosedeal::log
@@ -109,4 +113,74 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_process_that_fails)
+
+namespace
+{
+
+struct ended_child
+{
+    std::string output;
+    int status = 0;
+};
+
+/// Runs `work` in a child process whose log goes to a pipe.
+template <class Work>
+auto run_in_child(Work const& work) -> ended_child
+{
+    auto ends = std::array<int, 2>{};
+    BOOST_REQUIRE(::pipe(ends.data()) == 0);
+    auto const pid = ::fork();
+    BOOST_REQUIRE(pid >= 0);
+    if (pid == 0)
+    {
+        auto const logging = scope{level::info, ends[1]};
+        install_crash_report(ends[1]);
+        work();
+        ::_exit(0);
+    }
+    ::close(ends[1]);
+    auto out = ended_child{};
+    char buf[4096];
+    for (auto n = ::read(ends[0], buf, sizeof buf); n > 0;
+         n = ::read(ends[0], buf, sizeof buf))
+    {
+        out.output.append(buf, static_cast<std::size_t>(n));
+    }
+    ::close(ends[0]);
+    ::waitpid(pid, &out.status, 0);
+    return out;
+}
+
+void throw_error()
+{
+    throw std::runtime_error("no such call");
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(logs_the_fatal_signal_that_ends_it)
+{
+    auto const it = run_in_child([] { std::raise(SIGSEGV); });
+    BOOST_TEST(WIFSIGNALED(it.status));
+    BOOST_TEST(WTERMSIG(it.status) == SIGSEGV);
+    auto const line = nlohmann::json::parse(it.output);
+    BOOST_TEST(line.at("event") == "process_failed");
+    BOOST_TEST(line.at("signal") == std::to_string(SIGSEGV));
+    BOOST_TEST(line.at("time_ms").get<std::int64_t>() > 0);
+}
+
+BOOST_AUTO_TEST_CASE(logs_the_exception_that_ends_it)
+{
+    auto const it = run_in_child([]() noexcept { throw_error(); });
+    BOOST_TEST(WIFSIGNALED(it.status));
+    BOOST_TEST(WTERMSIG(it.status) == SIGABRT);
+    auto const first = it.output.substr(0, it.output.find('\n'));
+    auto const line = nlohmann::json::parse(first);
+    BOOST_TEST(line.at("event") == "process_failed");
+    BOOST_TEST(line.at("why") == "no such call");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace primrosedeal::log
--- a/src/metrics/gateway_metrics.cpp
+++ b/src/metrics/gateway_metrics.cpp
@@ -40,6 +40,8 @@
                          "Requests that this host ended itself.")),
       failures_(counters(*registry_, "gateway_attempt_failures_total",
                          "Attempts without a usable answer.")),
+      clients_lost_(counters(*registry_, "gateway_clients_lost_total",
+                             "Connections that ended before their answer.")),
       pauses_(histograms(*registry_, "gateway_continuation_seconds",
                          "Pause of a stream that went on elsewhere.")),
       target_changes_(counters(*registry_, "gateway_target_changes_total",
@@ -83,6 +85,11 @@
     failures_.Add({{"how", std::string{how}}}).Increment();
 }
 
+void gateway_metrics::client_lost(std::string_view how)
+{
+    clients_lost_.Add({{"how", std::string{how}}}).Increment();
+}
+
 void gateway_metrics::stream_continued(bool from_copy, duration pause)
 {
     pauses_.Add({{"from", from_copy ? "copy" : "prompt"}}, request_buckets())
--- a/src/metrics/gateway_metrics.hpp
+++ b/src/metrics/gateway_metrics.hpp
@@ -25,6 +25,7 @@
                        duration took);
     void refused(std::string_view reason);
     void attempt_failed(std::string_view how);
+    void client_lost(std::string_view how);
     void stream_continued(bool from_copy, duration pause);
     void first_event(duration since_arrival);
     void target_changed(std::string_view to);
@@ -41,6 +42,7 @@
     prometheus::Family<prometheus::Histogram>& request_time_;
     prometheus::Family<prometheus::Counter>& refusals_;
     prometheus::Family<prometheus::Counter>& failures_;
+    prometheus::Family<prometheus::Counter>& clients_lost_;
     prometheus::Family<prometheus::Histogram>& pauses_;
     prometheus::Family<prometheus::Counter>& target_changes_;
     prometheus::Histogram& first_event_;
