Add a failing test: a fetch whose connection times out reports twice

A fetch and the connection that it opens have the same timeout. When both are due, the fetch reports its failure, then the connection reports its own, and the fetch calls a handler that it has already given away: std::bad_function_call leaves the event loop and the process ends with all its requests.

--- a/src/http1/connection_test.cpp
+++ b/src/http1/connection_test.cpp
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #include <string>
+#include <vector>
 
 namespace primrosedeal::http1
 {
@@ -91,6 +92,50 @@
     std::uint16_t port;
 };
 
+/// Listens with a full queue, so that further connections stay pending.
+class unresponsive_listener
+{
+public:
+    unresponsive_listener() : fd_(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        auto to = sockaddr_in{};
+        to.sin_family = AF_INET;
+        to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        auto* const address = reinterpret_cast<sockaddr*>(&to);
+        auto n = socklen_t{sizeof to};
+        BOOST_REQUIRE(::bind(fd_, address, n) == 0);
+        BOOST_REQUIRE(::listen(fd_, 0) == 0);
+        BOOST_REQUIRE(::getsockname(fd_, address, &n) == 0);
+        at = {"127.0.0.1", ntohs(to.sin_port)};
+        constexpr auto more_than_queue = 8;
+        for (auto i = 0; i < more_than_queue; ++i)
+        {
+            waiting_.push_back(
+                ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+            static_cast<void>(::connect(waiting_.back(), address, n));
+        }
+    }
+
+    unresponsive_listener(unresponsive_listener const&) = delete;
+    auto operator=(unresponsive_listener const&)
+        -> unresponsive_listener& = delete;
+
+    ~unresponsive_listener()
+    {
+        for (auto const fd : waiting_)
+        {
+            ::close(fd);
+        }
+        ::close(fd_);
+    }
+
+    net::endpoint at;
+
+private:
+    int fd_;
+    std::vector<int> waiting_;
+};
+
 /// Bytes that a plain socket gets for `sent` until its peer's end.
 auto talk(world& it, std::uint16_t port, std::string const& sent) -> std::string
 {
@@ -318,6 +363,29 @@
     run_until([&] { return failed; });
 }
 
+// The timeout of the fetch and that of its connection are due together.
+BOOST_FIXTURE_TEST_CASE(reports_once_when_its_connection_times_out, world)
+{
+    constexpr auto allowed = duration{50ms};
+    constexpr auto settle_time = duration{200ms};
+    auto const target = unresponsive_listener{};
+    auto reports = 0;
+    auto may_have_sent = true;
+    auto const it =
+        fetch{loop, target.at, get("/"), allowed,
+              [&](std::optional<net::http_response> const& answer, bool sent)
+              {
+                  ++reports;
+                  BOOST_TEST(!answer);
+                  may_have_sent = sent;
+              }};
+    auto settled = false;
+    auto const settle = loop.after(settle_time, [&] { settled = true; });
+    run_until([&] { return settled; });
+    BOOST_TEST(reports == 1);
+    BOOST_TEST(!may_have_sent);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace primrosedeal::http1
