Close the connection of a fetch before it reports

Callers saw: all requests of one host end at one moment without an answer, while their targets still read the prompts (LOST).

Cause: a fetch and its connection share one timeout, and libevent finds both due in one pass since both are counted from the pass in which they were set. The fetch reported first and left the connection's timer; where the owner destroys the fetch later (release of a copy, a copy request of a running stream, a paused watch), that timer reported to a fetch whose handler was gone. The exception left the event loop and ended the process. It takes a target that does not complete the connection for 1 s (release) or 1.5 s (copy) while its streams go on or have just ended: a lossy link, a cut, a full queue, a silent target.

The fetch now closes its connection before it reports, so nothing can report again whenever its owner destroys it.

--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -254,6 +254,8 @@
         auto const sent = call && call->may_have_sent();
         auto const report = std::move(done);
         deadline.cancel();
+        // The call's own timeout may be due in the same pass of the loop.
+        call.reset();
         auto out = answered ? std::optional{std::move(response)} : std::nullopt;
         report(std::move(out), sent);
     }
--- a/src/http1/client.hpp
+++ b/src/http1/client.hpp
@@ -64,7 +64,8 @@
 };
 
 /// Collects a whole answer, or reports a failure: no connection, or nothing
-/// more of the answer, for `patience`.
+/// more of the answer, for `patience`. Reports once; its connection is closed
+/// by then. May be destroyed inside its handler.
 class fetch
 {
 public:
