Ignore messages on a link that expects none

Callers saw: every request of a host ends at one moment, once a peer that follows its feed sends a message on the link.

Cause: on_message was the only callback of a session that was called without a check, and the sessions that peer_exchange accepts have none. The std::bad_function_call left the event loop.

The message is skipped, as the contract of session_events now says of any empty callback.

--- a/src/membership/session.cpp
+++ b/src/membership/session.cpp
@@ -409,8 +409,11 @@
             {
                 break;
             }
-            events.on_message(
-                std::string_view{input_buffer}.substr(at + length_bytes, n));
+            if (events.on_message)
+            {
+                events.on_message(std::string_view{input_buffer}.substr(
+                    at + length_bytes, n));
+            }
             at += length_bytes + n;
         }
         input_buffer.erase(0, at);
--- a/src/membership/session.hpp
+++ b/src/membership/session.hpp
@@ -40,8 +40,8 @@
     std::size_t max_body_bytes = std::size_t{2} * 1024 * 1024;
 };
 
-/// Callbacks, run on the loop's thread. `on_closed` runs last and once, unless
-/// the session is destroyed first.
+/// Callbacks, run on the loop's thread; any of them may be empty. `on_closed`
+/// runs last and once, unless the session is destroyed first.
 struct session_events
 {
     std::function<void(host_id const& peer)> on_ready;
