Take nothing more from a feed that was left

Callers saw: a host misses changes of the store for good. It holds an entry and a revision from a feed that it has left, and opens its own watch behind them.

Cause: a link is destroyed from the event loop after its feed was left, so its other messages of the same read still came, and so did its end. on_message then used an empty optional, which is undefined; with the storage as it was left it applied the entries and raised the delivered revision. If another host was followed by then, a message of the old feed counted as one of the new feed, and the end of the old link excluded the new host.

That the old link's end excluded the new host was found by reading.

Both callbacks of a link now hold a mark that ends with its feed.

--- a/src/gateway/entry_source.cpp
+++ b/src/gateway/entry_source.cpp
@@ -123,9 +123,20 @@
     feed_->last_message_at = now;
     feed_->link = peers_.follow(
         at->second,
-        [this](std::string_view bytes)
-        { on_message(bytes, net::event_loop::now()); },
-        [this] { stop_following("closed", net::event_loop::now()); });
+        [this, held = std::weak_ptr{feed_->alive}](std::string_view bytes)
+        {
+            if (!held.expired())
+            {
+                on_message(bytes, net::event_loop::now());
+            }
+        },
+        [this, held = std::weak_ptr{feed_->alive}]
+        {
+            if (!held.expired())
+            {
+                stop_following("closed", net::event_loop::now());
+            }
+        });
 }
 
 void entry_source::on_message(std::string_view bytes, time_point now)
--- a/src/gateway/entry_source.hpp
+++ b/src/gateway/entry_source.hpp
@@ -29,6 +29,9 @@
 {
     host_id id;
     std::shared_ptr<void> link;
+    /// Ends with the feed. The link may outlive it for a moment, and its
+    /// callbacks do nothing by then.
+    std::shared_ptr<int> alive = std::make_shared<int>(0);
     time_point last_message_at{};
     /// Revision of the feed's first message; earlier changes must come from
     /// another source.
--- a/src/gateway/entry_source_test.cpp
+++ b/src/gateway/entry_source_test.cpp
@@ -543,6 +543,26 @@
     BOOST_TEST(run());
 }
 
+BOOST_FIXTURE_TEST_CASE(takes_nothing_more_from_a_feed_that_it_left, two_hosts)
+{
+    when([&] { return second_follows(); },
+         [&]
+         {
+             // Both messages arrive in one read.
+             first.peers.publish("unreadable");
+             auto late = fleet::feed_message{};
+             late.in_contact = true;
+             late.at = external::store_revision{100};
+             late.entries = {{"late", "1", false, late.at}};
+             first.peers.publish(fleet::encode(late));
+         });
+    when([&] { return second.connection.watches() == 1; },
+         [&] { put("k", "1"); });
+    when([&] { return second.entries == store.items; }, [] {});
+    BOOST_TEST(run());
+    BOOST_TEST(!second.entries.contains("late"));
+}
+
 BOOST_AUTO_TEST_CASE(never_misses_a_change_whatever_fails)
 {
     constexpr auto seeds = std::uint64_t{40};
