Keep a connection whose request has come but is not parsed yet

Callers saw: a request on a kept connection ends without a byte of an answer (LOST) when it comes as the connection's idle time ends or as a leaving host closes its idle connections.

Cause: callbacks of a connection are deferred, so its bytes are read before the timers of a pass of the loop run, and parsed after them. The timer took the connection for idle and half-closed it, and the request was drained unseen. It takes a busy pass, or a pause of the host beyond the idle time.

A connection with unparsed bytes is not idle.

The plain socket of talk() became a class, so that a test may send later.

--- a/src/http1/connection_test.cpp
+++ b/src/http1/connection_test.cpp
@@ -136,34 +136,63 @@
     std::vector<int> waiting_;
 };
 
+/// A client of a plain socket.
+class plain_client
+{
+public:
+    explicit plain_client(std::uint16_t port)
+        : fd_(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        auto to = sockaddr_in{};
+        to.sin_family = AF_INET;
+        to.sin_port = htons(port);
+        to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        BOOST_REQUIRE(
+            ::connect(fd_, reinterpret_cast<sockaddr*>(&to), sizeof to) == 0);
+    }
+
+    plain_client(plain_client const&) = delete;
+    auto operator=(plain_client const&) -> plain_client& = delete;
+
+    ~plain_client()
+    {
+        ::close(fd_);
+    }
+
+    void send(std::string const& bytes) const
+    {
+        BOOST_REQUIRE(::send(fd_, bytes.data(), bytes.size(), 0) ==
+                      static_cast<ssize_t>(bytes.size()));
+    }
+
+    /// Bytes received until the peer's end.
+    auto receive_all(world& it) const -> std::string
+    {
+        auto out = std::string{};
+        it.run_until(
+            [&]
+            {
+                char buf[4096];
+                auto const n = ::recv(fd_, buf, sizeof buf, MSG_DONTWAIT);
+                if (n > 0)
+                {
+                    out.append(buf, static_cast<std::size_t>(n));
+                }
+                return n == 0;
+            });
+        return out;
+    }
+
+private:
+    int fd_;
+};
+
 /// Bytes that a plain socket gets for `sent` until its peer's end.
 auto talk(world& it, std::uint16_t port, std::string const& sent) -> std::string
 {
-    auto const fd = ::socket(AF_INET, SOCK_STREAM, 0);
-    auto to = sockaddr_in{};
-    to.sin_family = AF_INET;
-    to.sin_port = htons(port);
-    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    BOOST_REQUIRE(::connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) ==
-                  0);
-    BOOST_REQUIRE(::send(fd, sent.data(), sent.size(), 0) ==
-                  static_cast<ssize_t>(sent.size()));
-    auto out = std::string{};
-    auto ended = false;
-    it.run_until(
-        [&]
-        {
-            char buf[4096];
-            auto const n = ::recv(fd, buf, sizeof buf, MSG_DONTWAIT);
-            if (n > 0)
-            {
-                out.append(buf, static_cast<std::size_t>(n));
-            }
-            ended = n == 0;
-            return ended;
-        });
-    ::close(fd);
-    return out;
+    auto const client = plain_client{port};
+    client.send(sent);
+    return client.receive_all(it);
 }
 
 } // namespace
@@ -238,6 +267,42 @@
     BOOST_TEST(got.ends_with("4\r\npart\r\n"));
 }
 
+// A request and the end of its connection's idle time are due in one pass of
+// the loop, as after a pause of the host.
+BOOST_FIXTURE_TEST_CASE(answers_a_request_that_comes_as_its_idle_time_ends,
+                        world)
+{
+    constexpr auto idle = duration{100ms};
+    auto it =
+        server{loop, [](request const&, std::shared_ptr<exchange> const& client)
+               {
+                   client->reply({200, {}}, "whole", true);
+               }};
+    auto limits = server_limits{};
+    limits.idle_timeout = idle;
+    it.set_limits(limits);
+    auto const client = plain_client{it.listen(local)};
+    run_until([&] { return it.connections() == 1; });
+    client.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    ::usleep(2 * idle.count());
+    BOOST_TEST(client.receive_all(*this).ends_with("\r\n\r\nwhole"));
+}
+
+BOOST_FIXTURE_TEST_CASE(answers_a_request_that_comes_as_idle_ones_are_closed,
+                        world)
+{
+    auto it =
+        server{loop, [](request const&, std::shared_ptr<exchange> const& client)
+               {
+                   client->reply({200, {}}, "whole", true);
+               }};
+    auto const client = plain_client{it.listen(local)};
+    run_until([&] { return it.connections() == 1; });
+    client.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    auto const close = loop.after(0s, [&] { it.close_idle(); });
+    BOOST_TEST(client.receive_all(*this).ends_with("\r\n\r\nwhole"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(the_targets_side)
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -113,7 +113,8 @@
 
     [[nodiscard]] auto idle() const -> bool
     {
-        return bev_ != nullptr && !answering_ && !ending_ && !parser_.started();
+        return bev_ != nullptr && !answering_ && !ending_ &&
+               !parser_.started() && unread() == 0;
     }
 
     void end_gently()
@@ -210,6 +211,12 @@
         }
     }
 
+    /// Bytes that have been received and not been parsed yet.
+    [[nodiscard]] auto unread() const -> std::size_t
+    {
+        return evbuffer_get_length(bufferevent_get_input(bev_));
+    }
+
     [[nodiscard]] auto unsent() const -> std::size_t
     {
         return bev_ == nullptr
@@ -404,6 +411,11 @@
             // A new configuration allows longer pauses.
             arm(left);
         }
+        else if (unread() > 0)
+        {
+            // A request has come in this pass of the loop; it is parsed next.
+            arm(owner_.limits.idle_timeout);
+        }
         else
         {
             end_gently();
