Exchange evidence against parts; count crashes for each request

Cause: crashes count over all hosts; one request may crash two targets at most; a crash that a request caused says nothing about its domain.

Change: digests carry the evidence with its age, in two elements after those of earlier versions, which ignore them; the lists are halved with the others. fleet_view names the lowest live host. after_failure ends a request at max_crashes. discount_loss takes a loss back from its domain.

--- a/src/dispatch/attempt_policy.cpp
+++ b/src/dispatch/attempt_policy.cpp
@@ -69,7 +69,8 @@
     auto const in_time = now + min_time_for_attempt < it.deadline_at;
     auto const runs_left = it.runs < it.max_runs;
     auto const refusals_left = it.refusals < max_refusals;
-    if (retryable(it) && in_time && runs_left && refusals_left)
+    auto const crashes_left = it.crashes < max_crashes;
+    if (retryable(it) && in_time && runs_left && refusals_left && crashes_left)
     {
         return try_again{};
     }
--- a/src/dispatch/attempt_policy.hpp
+++ b/src/dispatch/attempt_policy.hpp
@@ -54,6 +54,8 @@
     std::uint32_t max_runs = 1;
     /// Attempts in which the request is known not to have run.
     std::uint32_t refusals = 0;
+    /// Targets that crashed as they began the answer.
+    std::uint32_t crashes = 0;
     /// The client's own deadline or the route's timeout.
     time_point deadline_at{};
 };
@@ -74,6 +76,10 @@
 /// Attempts that may be refused or fail to connect before the request ends.
 constexpr auto max_refusals = std::uint32_t{6};
 
+/// Targets that one request may crash as they begin its answer. Whatever is in
+/// the request may be the reason, so it is not sent to target after target.
+constexpr auto max_crashes = std::uint32_t{2};
+
 /// A request with less time than this left is not retried.
 constexpr auto min_time_for_attempt = duration{15ms};
 
--- a/src/dispatch/dispatch_test.cpp
+++ b/src/dispatch/dispatch_test.cpp
@@ -86,6 +86,21 @@
     BOOST_TEST(end_status(it, 0) == 502);
 }
 
+BOOST_AUTO_TEST_CASE(is_not_retried_after_two_targets_crashed)
+{
+    auto it = state_of(routes::request_kind::streaming);
+    it.resumable = true;
+    it.may_have_run = true;
+    it.max_runs = 5;
+    it.runs = 1;
+    it.crashes = 1;
+    BOOST_TEST(end_status(it, 0) == 0);
+    it.runs = 2;
+    BOOST_TEST(end_status(it, 0) == 0);
+    it.crashes = max_crashes;
+    BOOST_TEST(end_status(it, 0) == 502);
+}
+
 BOOST_AUTO_TEST_CASE(of_a_stream_is_retried_only_if_resumable)
 {
     auto it = state_of(routes::request_kind::streaming);
@@ -184,6 +199,89 @@
 }
 
 // One service fails a constant seventh of its calls while healthy.
+BOOST_AUTO_TEST_SUITE(whose_loss_is_put_down_to_a_request)
+
+BOOST_AUTO_TEST_CASE(no_longer_counts_against_its_domain)
+{
+    auto it = failure_detector{};
+    it.report(target_id{"a"}, domain, observation::unreachable, at(0));
+    it.discount_loss(target_id{"a"}, domain, at(10));
+    it.report(target_id{"b"}, domain, observation::unreachable, at(20));
+    BOOST_TEST(!it.domain_suspected(domain, at(20)));
+    BOOST_TEST(
+        (it.health_of(target_id{"a"}, domain, at(20)) == health::excluded));
+}
+
+BOOST_AUTO_TEST_CASE(ends_the_suspicion_that_rested_on_it)
+{
+    auto it = failure_detector{};
+    it.report(target_id{"a"}, domain, observation::unreachable, at(0));
+    it.report(target_id{"b"}, domain, observation::unreachable, at(100));
+    BOOST_TEST(it.domain_suspected(domain, at(100)));
+    it.discount_loss(target_id{"c"}, domain, at(110));
+    it.discount_loss(target_id{"a"}, domain_id{"other"}, at(110));
+    BOOST_TEST(it.domain_suspected(domain, at(110)));
+    it.discount_loss(target_id{"a"}, domain, at(120));
+    BOOST_TEST(!it.domain_suspected(domain, at(120)));
+    BOOST_TEST(!it.domain_unverified(domain));
+}
+
+BOOST_AUTO_TEST_CASE(leaves_a_suspicion_that_rests_on_other_losses)
+{
+    auto it = failure_detector{};
+    it.report(target_id{"a"}, domain, observation::unreachable, at(0));
+    it.report(target_id{"b"}, domain, observation::unreachable, at(100));
+    it.report(target_id{"c"}, domain, observation::unreachable, at(200));
+    it.discount_loss(target_id{"c"}, domain, at(210));
+    BOOST_TEST(it.domain_suspected(domain, at(210)));
+    it.discount_loss(target_id{"b"}, domain, at(220));
+    BOOST_TEST(!it.domain_suspected(domain, at(220)));
+}
+
+BOOST_AUTO_TEST_CASE(ends_the_suspicion_after_later_losses_too)
+{
+    auto it = failure_detector{};
+    it.report(target_id{"a"}, domain, observation::unreachable, at(0));
+    it.report(target_id{"b"}, domain, observation::unreachable, at(100));
+    it.report(target_id{"c"}, domain, observation::unreachable, at(700));
+    BOOST_TEST(it.domain_suspected(domain, at(700)));
+    it.discount_loss(target_id{"a"}, domain, at(710));
+    BOOST_TEST(!it.domain_suspected(domain, at(710)));
+}
+
+BOOST_AUTO_TEST_CASE(does_not_disturb_a_probe_of_its_domain)
+{
+    auto it = failure_detector{};
+    it.report(target_id{"a"}, domain, observation::unreachable, at(0));
+    it.report(target_id{"b"}, domain, observation::unreachable, at(0));
+    it.sent_to(domain, at(900));
+    it.discount_loss(target_id{"a"}, domain, at(910));
+    it.discount_loss(target_id{"b"}, domain, at(910));
+    BOOST_TEST(it.domain_suspected(domain, at(910)));
+    it.report(target_id{"c"}, domain, observation::unreachable, at(1000));
+    BOOST_TEST(it.domain_suspected(domain, at(2799)));
+    BOOST_TEST(!it.domain_suspected(domain, at(2800)));
+}
+
+BOOST_AUTO_TEST_CASE(as_that_of_a_probe_permits_the_next_probe)
+{
+    auto it = failure_detector{};
+    it.report(target_id{"a"}, domain, observation::unreachable, at(0));
+    it.report(target_id{"b"}, domain, observation::unreachable, at(0));
+    it.sent_to(domain, at(900));
+    it.report(target_id{"c"}, domain, observation::unreachable, at(1000));
+    BOOST_TEST(it.domain_suspected(domain, at(1100)));
+    it.discount_loss(target_id{"c"}, domain, at(1100));
+    BOOST_TEST(!it.domain_suspected(domain, at(1100)));
+    BOOST_TEST(it.domain_unverified(domain));
+    it.sent_to(domain, at(1200));
+    it.report(target_id{"d"}, domain, observation::unreachable, at(1300));
+    BOOST_TEST(it.domain_suspected(domain, at(3099)));
+    BOOST_TEST(!it.domain_suspected(domain, at(3100)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_CASE(is_not_excluded_for_a_constant_error_rate)
 {
     auto it = failure_detector{};
--- a/src/dispatch/failure_detector.cpp
+++ b/src/dispatch/failure_detector.cpp
@@ -87,12 +87,22 @@
     }
     if (std::exchange(it.probing, false))
     {
+        it.causes = {id};
+        it.causes_needed = 1;
+        it.length_before = it.suspicion_length;
         it.suspicion_length =
             std::min(it.suspicion_length * 2, limits_.max_domain_suspicion);
         it.suspected_until = now + it.suspicion_length;
     }
     else if (distinct.size() >= limits_.domain_loss_threshold)
     {
+        if (now >= it.suspected_until)
+        {
+            it.causes.clear();
+            it.length_before = it.suspicion_length;
+        }
+        it.causes.merge(distinct);
+        it.causes_needed = limits_.domain_loss_threshold;
         it.suspicion_length =
             std::max(it.suspicion_length, limits_.initial_domain_suspicion);
         it.suspected_until =
@@ -124,6 +134,7 @@
     {
         it->second.suspicion_length = 0s;
         it->second.probing = false;
+        it->second.causes.clear();
     }
 }
 
@@ -152,6 +163,25 @@
     records_[id].hinted_until = now + limits_.hint_duration;
 }
 
+void failure_detector::discount_loss(target_id const& id,
+                                     domain_id const& domain, time_point now)
+{
+    auto const found = domains_.find(domain);
+    if (found == domains_.end())
+    {
+        return;
+    }
+    auto& it = found->second;
+    std::erase_if(it.losses, [&](auto const& seen) { return seen.id == id; });
+    auto const was_cause = it.causes.erase(id) > 0;
+    if (was_cause && it.causes.size() < it.causes_needed && !it.probing)
+    {
+        it.causes.clear();
+        it.suspicion_length = it.length_before;
+        it.suspected_until = std::min(it.suspected_until, now);
+    }
+}
+
 void failure_detector::remove_target(target_id const& id)
 {
     records_.erase(id);
--- a/src/dispatch/failure_detector.hpp
+++ b/src/dispatch/failure_detector.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <string_view>
 
 /// Detects failed targets and failure domains from the outcomes of this host's
@@ -98,6 +99,12 @@
     /// affected, so the target is suspected for a while but not excluded.
     void hint(target_id const& id, time_point now);
 
+    /// The loss of `id` was put down to a request, so it no longer counts
+    /// against `domain`. A suspicion without enough other losses ends. A probe
+    /// in progress goes on, and a domain whose probe failed stays suspected.
+    void discount_loss(target_id const& id, domain_id const& domain,
+                       time_point now);
+
     /// Deletes all state of a target that was removed.
     void remove_target(target_id const& id);
 
@@ -127,6 +134,11 @@
         duration suspicion_length{};
         /// A probe was sent and has neither succeeded nor failed.
         bool probing = false;
+        /// Losses that the last suspicion rests on, and how many it needs.
+        std::set<target_id> causes;
+        std::size_t causes_needed = 0;
+        /// `suspicion_length` without them.
+        duration length_before{};
     };
 
     void record_loss(target_id const& id, domain_id const& domain,
--- a/src/fleet/digest.cpp
+++ b/src/fleet/digest.cpp
@@ -2,8 +2,15 @@
 
 #include <msgpack.hpp>
 
+#include <algorithm>
 #include <exception>
+#include <limits>
 #include <tuple>
+#include <utility>
+
+// Hosts of different versions run side by side during a rolling restart. They
+// ignore elements after those that they know, so new elements go to the end and
+// may be absent.
 
 namespace primrosedeal::fleet
 {
@@ -19,6 +26,19 @@
                std::vector<count_row>, std::vector<std::string>,
                std::vector<std::string>, std::int64_t, std::string>;
 
+/// Part, crash, run and age in milliseconds.
+using accusation_row =
+    std::tuple<std::uint64_t, std::uint64_t, std::uint64_t, std::uint32_t>;
+/// Part and age in milliseconds.
+using clearance_row = std::tuple<std::uint64_t, std::uint32_t>;
+using evidence_fields =
+    std::tuple<std::vector<accusation_row>, std::vector<clearance_row>>;
+using all_fields = decltype(std::tuple_cat(std::declval<fields>(),
+                                           std::declval<evidence_fields>()));
+constexpr auto old_size = std::tuple_size_v<fields>;
+constexpr auto accusations_index = old_size;
+constexpr auto clearances_index = old_size + 1;
+
 /// Encodes an absent `store_contact`.
 constexpr auto absent_contact = std::int64_t{-1};
 
@@ -27,41 +47,98 @@
 constexpr auto max_text = std::size_t{1024};
 constexpr auto max_depth = std::size_t{4};
 
-auto pack(fields const& it) -> std::string
+auto pack(all_fields const& it) -> std::string
 {
     auto buf = msgpack::sbuffer{};
     msgpack::pack(buf, it);
     return {buf.data(), buf.size()};
 }
 
-/// Halves the longest list of targets, so that the digest fits a datagram.
-/// Returns false if all lists are empty.
-auto halve_longest_list(fields& it) -> bool
+/// Halves the longest list, so that the digest fits a datagram. Returns false
+/// if all lists are empty.
+auto halve_longest_list(all_fields& it) -> bool
 {
-    auto& loads = std::get<3>(it);
-    auto& lost = std::get<5>(it);
-    auto& replaced = std::get<6>(it);
-    if (loads.size() >= lost.size() && loads.size() >= replaced.size())
+    auto const lists = std::tie(
+        std::get<3>(it), std::get<5>(it), std::get<6>(it),
+        std::get<accusations_index>(it), std::get<clearances_index>(it));
+    auto const longest = std::apply(
+        [](auto const&... list) { return std::max({list.size()...}); }, lists);
+    auto halved = longest == 0;
+    auto const halve = [&](auto& list)
     {
-        auto const any = !loads.empty();
-        loads.resize(loads.size() / 2);
-        return any;
+        if (!halved && list.size() == longest)
+        {
+            list.resize(list.size() / 2);
+            halved = true;
+        }
+    };
+    std::apply([&](auto&... list) { (halve(list), ...); }, lists);
+    return longest > 0;
+}
+
+auto to_age(time_point at, time_point now) -> std::uint32_t
+{
+    constexpr auto most =
+        std::int64_t{std::numeric_limits<std::uint32_t>::max()};
+    auto const age =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - at).count();
+    return static_cast<std::uint32_t>(
+        std::clamp(std::int64_t{age}, std::int64_t{0}, most));
+}
+
+auto from_age(std::uint32_t age, time_point now) -> time_point
+{
+    return now - std::chrono::milliseconds{age};
+}
+
+/// A crash must not get older with each hop, nor a clearance younger, so the
+/// ages of the former are rounded down and those of the latter up.
+void add_evidence(all_fields& out, quarantine::report const& it, time_point now)
+{
+    constexpr auto round_up = duration{999};
+    for (auto const& each : it.accusations)
+    {
+        std::get<accusations_index>(out).emplace_back(
+            each.part.value(), each.crash.value(), each.run.value(),
+            to_age(each.at, now));
+    }
+    for (auto const& each : it.clearances)
+    {
+        std::get<clearances_index>(out).emplace_back(
+            each.part.value(), to_age(each.at - round_up, now));
+    }
+}
+
+auto to_report(evidence_fields const& it, time_point now) -> quarantine::report
+{
+    auto out = quarantine::report{};
+    for (auto const& [part, crash, run, age] : std::get<0>(it))
+    {
+        out.accusations.push_back(
+            {quarantine::part_id{part}, quarantine::crash_id{crash},
+             quarantine::run_id{run}, from_age(age, now)});
+    }
+    for (auto const& [part, age] : std::get<1>(it))
+    {
+        out.clearances.push_back(
+            {quarantine::part_id{part}, from_age(age, now)});
     }
-    auto& longer = lost.size() > replaced.size() ? lost : replaced;
-    longer.resize(longer.size() / 2);
-    return true;
+    return out;
 }
 
 } // namespace
 
-auto encode(digest const& it) -> std::string
+auto encode(digest const& it, time_point now) -> std::string
 {
     auto const contact = it.store_contact
                              ? std::int64_t{it.store_contact->count()}
                              : absent_contact;
-    auto out = fields{
-        it.host.value(), it.process_start.value(), it.sequence, {}, {}, {}, {},
-        contact,         it.domain.value()};
+    auto out = all_fields{};
+    std::get<0>(out) = it.host.value();
+    std::get<1>(out) = it.process_start.value();
+    std::get<2>(out) = it.sequence;
+    std::get<7>(out) = contact;
+    std::get<8>(out) = it.domain.value();
     for (auto const& [id, load] : it.loads)
     {
         std::get<3>(out).emplace_back(id.value(), load.requests,
@@ -81,6 +158,7 @@
     {
         std::get<6>(out).push_back(id.value());
     }
+    add_evidence(out, it.evidence, now);
     auto bytes = pack(out);
     while (bytes.size() > max_digest_bytes && halve_longest_list(out))
     {
@@ -89,7 +167,8 @@
     return bytes;
 }
 
-auto decode_digest(std::string const& bytes) -> std::optional<digest>
+auto decode_digest(std::string const& bytes, time_point now)
+    -> std::optional<digest>
 {
     try
     {
@@ -123,6 +202,14 @@
         {
             out.store_contact = duration{contact};
         }
+        if (auto const& all = handle.get().via.array;
+            all.size >= old_size + std::tuple_size_v<evidence_fields>)
+        {
+            out.evidence = to_report(
+                {all.ptr[accusations_index].as<std::vector<accusation_row>>(),
+                 all.ptr[clearances_index].as<std::vector<clearance_row>>()},
+                now);
+        }
         return out;
     }
     catch (std::exception const&)
--- a/src/fleet/digest.hpp
+++ b/src/fleet/digest.hpp
@@ -3,6 +3,7 @@
 #include "core/ids.hpp"
 #include "core/units.hpp"
 #include "dispatch/load_tracker.hpp"
+#include "quarantine/part_quarantine.hpp"
 
 #include <cstdint>
 #include <map>
@@ -45,15 +46,20 @@
     /// How long the store has answered the host without a failed call; nothing
     /// while the store does not answer or the host does not watch it.
     std::optional<duration> store_contact;
+    /// Evidence against parts of prompts; absent in digests of hosts of earlier
+    /// versions, which ignore it.
+    quarantine::report evidence;
 };
 
 /// Largest digest in bytes, sent as one datagram. Entries that do not fit are
 /// omitted.
 constexpr auto max_digest_bytes = std::size_t{8} << 10U;
 
-auto encode(digest const& it) -> std::string;
+/// Hosts share no clock, so evidence travels with its age at `now`.
+auto encode(digest const& it, time_point now) -> std::string;
 
 /// Returns nothing if `bytes` is not a valid digest.
-auto decode_digest(std::string const& bytes) -> std::optional<digest>;
+auto decode_digest(std::string const& bytes, time_point now)
+    -> std::optional<digest>;
 
 } // namespace primrosedeal::fleet
--- a/src/fleet/fleet_test.cpp
+++ b/src/fleet/fleet_test.cpp
@@ -1,8 +1,11 @@
 #include "fleet/fleet_view.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <msgpack.hpp>
 #include <rapidcheck.h>
 
+#include <tuple>
+
 namespace primrosedeal::fleet
 {
 
@@ -64,7 +67,7 @@
             {
                 it.store_contact = duration{start % 1000};
             }
-            auto const out = decode_digest(encode(it));
+            auto const out = decode_digest(encode(it, at(0)), at(0));
             RC_ASSERT(out.has_value());
             RC_ASSERT(out->host == it.host);
             RC_ASSERT(out->domain == it.domain);
@@ -77,6 +80,152 @@
         });
 }
 
+BOOST_AUTO_TEST_SUITE(with_evidence_against_parts)
+
+auto with_evidence() -> digest
+{
+    auto out = make_digest(1, 1);
+    out.evidence.accusations = {
+        {quarantine::part_id{~0ULL}, quarantine::crash_id{2},
+         quarantine::run_id{3}, at(1000)},
+        {quarantine::part_id{4}, quarantine::crash_id{5}, quarantine::run_id{6},
+         at(2000)}};
+    out.evidence.clearances = {{quarantine::part_id{7}, at(3000)}};
+    return out;
+}
+
+BOOST_AUTO_TEST_CASE(carries_its_age_between_hosts_with_other_clocks)
+{
+    auto const it = with_evidence();
+    auto const out = decode_digest(encode(it, at(5000)), at(105000));
+    BOOST_REQUIRE(out);
+    auto expected = it.evidence;
+    for (auto& each : expected.accusations)
+    {
+        each.at += 100s;
+    }
+    expected.clearances[0].at += 100s;
+    BOOST_TEST((out->evidence == expected));
+}
+
+BOOST_AUTO_TEST_CASE(makes_no_crash_older_and_no_clearance_younger)
+{
+    auto it = with_evidence();
+    auto const sent_at = at(5000) + 1us;
+    auto const out = decode_digest(encode(it, sent_at), sent_at);
+    BOOST_REQUIRE(out);
+    for (auto i = std::size_t{0}; i < it.evidence.accusations.size(); ++i)
+    {
+        auto const change =
+            out->evidence.accusations[i].at - it.evidence.accusations[i].at;
+        BOOST_TEST((change >= 0us && change < 1ms));
+    }
+    auto const change =
+        it.evidence.clearances[0].at - out->evidence.clearances[0].at;
+    BOOST_TEST((change >= 0us && change < 1ms));
+}
+
+BOOST_AUTO_TEST_CASE(from_the_future_is_taken_for_new)
+{
+    auto const out = decode_digest(encode(with_evidence(), at(0)), at(0));
+    BOOST_REQUIRE(out);
+    BOOST_TEST((out->evidence.accusations[0].at == at(0)));
+    BOOST_TEST((out->evidence.clearances[0].at == at(0)));
+}
+
+BOOST_AUTO_TEST_CASE(fits_a_datagram_and_keeps_the_first_entries)
+{
+    auto it = with_evidence();
+    auto const first = it.evidence.accusations.front();
+    constexpr auto many = 2000U;
+    for (auto i = 0U; i < many; ++i)
+    {
+        auto const id = target_id{"target-" + std::to_string(i)};
+        it.loads[id] = {1, 2, 3};
+        it.evidence.accusations.push_back(
+            {quarantine::part_id{~0ULL - i}, quarantine::crash_id{~0ULL - i},
+             quarantine::run_id{~0ULL - i}, at(0)});
+        it.evidence.clearances.push_back(
+            {quarantine::part_id{~0ULL - i}, at(0)});
+    }
+    auto const bytes = encode(it, at(1000));
+    BOOST_TEST(bytes.size() <= max_digest_bytes);
+    auto const out = decode_digest(bytes, at(1000));
+    BOOST_REQUIRE(out);
+    BOOST_TEST(!out->loads.empty());
+    BOOST_TEST(!out->evidence.clearances.empty());
+    BOOST_REQUIRE(!out->evidence.accusations.empty());
+    BOOST_TEST((out->evidence.accusations.front() == first));
+}
+
+// Recorded from the version before digests carried evidence.
+std::string const old_form =
+    std::string{"\x99\xa2h7\x2a\x03\x91\x94\xa2t1\x02\x64\xcc\xc8\x91\x93\xa1s"
+                "\x05\x06\x91\xa2t2\x91\xa2t3\xcd\x01\xf4\xa1"
+                "d"};
+
+BOOST_AUTO_TEST_CASE(is_not_needed_from_a_host_of_an_earlier_version)
+{
+    auto const out = decode_digest(old_form, at(0));
+    BOOST_REQUIRE(out);
+    BOOST_TEST(out->host.value() == "h7");
+    BOOST_TEST(out->domain.value() == "d");
+    BOOST_TEST(out->sequence == 3U);
+    BOOST_TEST(out->loads.at(target_id{"t1"}).memory_tokens == 200U);
+    BOOST_TEST((out->lost == std::vector{target_id{"t2"}}));
+    BOOST_TEST((out->replaced == std::vector{target_id{"t3"}}));
+    BOOST_TEST((out->store_contact == duration{500}));
+    BOOST_TEST((out->evidence == quarantine::report{}));
+}
+
+/// Decodes as hosts of the earlier version do.
+auto decode_as_before(std::string const& bytes)
+{
+    using load_row =
+        std::tuple<std::string, std::uint32_t, std::uint64_t, std::uint64_t>;
+    using count_row = std::tuple<std::string, std::uint64_t, std::int64_t>;
+    using fields =
+        std::tuple<std::string, std::uint64_t, std::uint64_t,
+                   std::vector<load_row>, std::vector<count_row>,
+                   std::vector<std::string>, std::vector<std::string>,
+                   std::int64_t, std::string>;
+    return msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr,
+                           msgpack::unpack_limit(4096, 0, 1024, 0, 0, 4))
+        .get()
+        .as<fields>();
+}
+
+BOOST_AUTO_TEST_CASE(does_not_disturb_a_host_of_an_earlier_version)
+{
+    auto it = *decode_digest(old_form, at(0));
+    it.evidence = with_evidence().evidence;
+    auto const bytes = encode(it, at(5000));
+    BOOST_TEST(bytes.size() > old_form.size());
+    BOOST_TEST((decode_as_before(bytes) == decode_as_before(old_form)));
+}
+
+BOOST_AUTO_TEST_CASE(that_is_malformed_is_rejected_or_ignored)
+{
+    auto const whole = encode(with_evidence(), at(5000));
+    for (auto n = std::size_t{0}; n < whole.size(); ++n)
+    {
+        BOOST_TEST(!decode_digest(whole.substr(0, n), at(0)).has_value());
+    }
+    rc::check(
+        [&](std::uint8_t value)
+        {
+            for (auto n = std::size_t{0}; n < whole.size(); ++n)
+            {
+                auto bytes = whole;
+                bytes[n] = static_cast<char>(value);
+                auto const out = decode_digest(bytes, at(0));
+                RC_ASSERT(!out || out->evidence.accusations.size() <= 16U);
+            }
+        });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_CASE(always_fits_a_datagram)
 {
     auto it = make_digest(1, 1);
@@ -88,9 +237,9 @@
         it.lost.push_back(id);
         it.replaced.push_back(id);
     }
-    auto const bytes = encode(it);
+    auto const bytes = encode(it, at(0));
     BOOST_TEST(bytes.size() <= max_digest_bytes);
-    auto const out = decode_digest(bytes);
+    auto const out = decode_digest(bytes, at(0));
     BOOST_REQUIRE(out);
     BOOST_TEST(!out->loads.empty());
     BOOST_TEST(!out->lost.empty());
@@ -101,10 +250,10 @@
     rc::check(
         [](std::string const& bytes)
         {
-            auto const it = decode_digest(bytes);
+            auto const it = decode_digest(bytes, at(0));
             RC_ASSERT(!it || !bytes.empty());
         });
-    BOOST_TEST(!decode_digest("").has_value());
+    BOOST_TEST(!decode_digest("", at(0)).has_value());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -143,6 +292,21 @@
     BOOST_TEST(it.load_of(id).requests == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(names_the_lowest_host_that_is_live)
+{
+    auto it = fleet_view{};
+    BOOST_TEST(!it.lowest_host().has_value());
+    it.apply(make_digest(2, 1), at(0));
+    it.apply(make_digest(1, 1), at(0));
+    it.apply(make_digest(3, 1), at(2000));
+    BOOST_TEST((it.lowest_host() == host_id{"h1"}));
+    it.apply(make_digest(2, 2), at(2000));
+    it.expire(at(3000));
+    BOOST_TEST((it.lowest_host() == host_id{"h2"}));
+    it.expire(at(9000));
+    BOOST_TEST(!it.lowest_host().has_value());
+}
+
 BOOST_AUTO_TEST_CASE(counts_attempts_of_others_within_the_window)
 {
     auto it = fleet_view{};
--- a/src/fleet/fleet_view.cpp
+++ b/src/fleet/fleet_view.cpp
@@ -108,6 +108,11 @@
     }
 }
 
+auto fleet_view::lowest_host() const -> std::optional<host_id>
+{
+    return hosts_.empty() ? std::nullopt : std::optional{hosts_.begin()->first};
+}
+
 auto fleet_view::load_of(target_id const& id) const -> dispatch::target_load
 {
     auto const it = loads_.find(id);
--- a/src/fleet/fleet_view.hpp
+++ b/src/fleet/fleet_view.hpp
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <deque>
 #include <map>
+#include <optional>
 #include <vector>
 
 /// Aggregates the load and the further attempts of the other hosts from their
@@ -57,6 +58,9 @@
         return hosts_.size();
     }
 
+    /// The smallest id of the other hosts whose digests are current.
+    [[nodiscard]] auto lowest_host() const -> std::optional<host_id>;
+
 private:
     struct sample
     {
--- a/src/gateway/digest_exchange.cpp
+++ b/src/gateway/digest_exchange.cpp
@@ -68,8 +68,8 @@
         {
             return;
         }
-        auto const it =
-            fleet::decode_digest(buf.substr(0, static_cast<std::size_t>(n)));
+        auto const it = fleet::decode_digest(
+            buf.substr(0, static_cast<std::size_t>(n)), net::event_loop::now());
         if (it)
         {
             on_digest_(*it);
@@ -80,7 +80,7 @@
 void digest_exchange::send(fleet::digest const& it,
                            std::set<net::endpoint> const& to)
 {
-    auto const bytes = fleet::encode(it);
+    auto const bytes = fleet::encode(it, net::event_loop::now());
     for (auto const& peer : to)
     {
         auto const address = net::to_sockaddr(peer);
