Keep requests with a part that crashes targets away from them

Cause: a request whose prompt holds such a part was sent to a further target after each crash, up to the route's attempts, and each new request of that kind again; nothing connected the crashes. Class: retries that spread a fault of the request itself.

A request that crashed three targets is ended.

--- a/src/dispatch/attempt_policy.hpp
+++ b/src/dispatch/attempt_policy.hpp
@@ -78,7 +78,7 @@
 
 /// Targets that one request may crash as they begin its answer. Whatever is in
 /// the request may be the reason, so it is not sent to target after target.
-constexpr auto max_crashes = std::uint32_t{2};
+constexpr auto max_crashes = std::uint32_t{3};
 
 /// A request with less time than this left is not retried.
 constexpr auto min_time_for_attempt = duration{15ms};
--- a/src/explain/explain.cpp
+++ b/src/explain/explain.cpp
@@ -115,6 +115,17 @@
     return out;
 }
 
+/// Why a part of the request's prompt is quarantined; empty if none is.
+auto quarantine_of(std::vector<log_line> const& lines) -> std::string
+{
+    auto const* const it = last_of(lines, "request_quarantined");
+    return it == nullptr
+               ? std::string{}
+               : "; part " + field(*it, "part") + " of its prompt crashed " +
+                     field(*it, "crashes") + " targets under " +
+                     field(*it, "requests") + " requests";
+}
+
 } // namespace
 
 auto find_request_lines(std::istream& in, std::string const& request)
@@ -154,13 +165,14 @@
                " before any "
                "target: " +
                field(*refused, "reason") + ", by configuration " +
-               field(*refused, "configuration");
+               field(*refused, "configuration") + quarantine_of(lines);
     }
     auto const* const end = last_of(lines, "request_ended");
     if (end == nullptr)
     {
         return "the process ended while the request was open; see its "
-               "`leaving` and `stopped` lines and the next `started`";
+               "`process_failed`, `leaving` and `stopped` lines and the next "
+               "`started`";
     }
     if (field(*end, "outcome") == "complete")
     {
@@ -170,7 +182,8 @@
     return "ended as " + field(*end, "outcome") + " with status " +
            field(*end, "status") + " after " + field(*end, "attempts") +
            " attempts, " + field(*end, "runs") + " of which may have run" +
-           (failures.empty() ? "" : "; failed: " + failures);
+           (failures.empty() ? "" : "; failed: " + failures) +
+           quarantine_of(lines);
 }
 
 auto to_string(log_line const& it) -> std::string
--- a/src/explain/explain_test.cpp
+++ b/src/explain/explain_test.cpp
@@ -23,6 +23,8 @@
 {"time_ms":537333,"level":"info","event":"attempt_failed","request":"3ca1eee746f5759b","attempt":"2","target":"i-2d94ee1596","domain":"kgl-b","how":"misdirected","set_aside":"false","domain_in_doubt":"false","last_event":"95"}
 {"time_ms":538335,"level":"info","event":"stream_continued","request":"3ca1eee746f5759b","attempt":"3","target":"i-35f8b5ff0a","from_copy":"false","pause_ms":"1034"}
 {"time_ms":539198,"level":"info","event":"request_ended","request":"3ca1eee746f5759b","kind":"streaming","outcome":"complete","status":"200","attempts":"3","runs":"0","took_ms":"6458","first_event_ms":"875","longest_pause_ms":"1034","last_event":"123"}
+{"time_ms":541000,"level":"info","event":"request_quarantined","request":"poison","part":"91bd3f06","crashes":"3","requests":"2","until_ms":"19500"}
+{"time_ms":541000,"level":"info","event":"request_refused","request":"poison","status":"503","reason":"quarantined","host":"h","path":"/p","configuration":"6"}
 {"time_ms":540000,"level":"info","event":"request_sent","request":"cut","attempt":"1","target":"t","domain":"d"}
 )"};
 
@@ -43,6 +45,14 @@
                "configuration 6");
 }
 
+BOOST_AUTO_TEST_CASE(that_was_quarantined_is_the_part_and_what_it_crashed)
+{
+    BOOST_TEST(cause("poison") ==
+               "refused with 503 before any target: quarantined, by "
+               "configuration 6; part 91bd3f06 of its prompt crashed 3 targets "
+               "under 2 requests");
+}
+
 BOOST_AUTO_TEST_CASE(that_failed_at_every_target_lists_each_failure)
 {
     BOOST_TEST(cause("d02b0982d03a0125") ==
--- a/src/gateway/admit.cpp
+++ b/src/gateway/admit.cpp
@@ -43,6 +43,10 @@
         return "hopeless";
     case refusal_reason::client_gone:
         return "client_gone";
+    case refusal_reason::quarantined:
+        return "quarantined";
+    case refusal_reason::target_crashes:
+        return "target_crashes";
     }
     return "unknown";
 }
--- a/src/gateway/admit.hpp
+++ b/src/gateway/admit.hpp
@@ -32,6 +32,10 @@
     /// The response cannot be completed before the deadline.
     hopeless,
     client_gone,
+    /// A part of the prompt is quarantined.
+    quarantined,
+    /// Targets crashed as they began the answer.
+    target_crashes,
 };
 
 auto to_string(refusal_reason it) -> std::string_view;
--- a/src/gateway/digest_task.cpp
+++ b/src/gateway/digest_task.cpp
@@ -18,6 +18,14 @@
 constexpr auto min_digest_period = duration{20ms};
 constexpr auto max_digest_period = duration{1s};
 
+/// Digests that carry new evidence on prompt parts, since datagrams get lost.
+constexpr auto evidence_repeats = 4U;
+/// Interval at which known evidence is sent again, for hosts that have missed
+/// it. In larger fleets it is longer, so that each host receives as many
+/// repetitions as in one of `evidence_refresh_hosts`.
+constexpr auto evidence_refresh_period = duration{1s};
+constexpr auto evidence_refresh_hosts = std::size_t{8};
+
 /// Increases with each start of a host, unless its clock was set back; then its
 /// digests are accepted once those of the earlier process have expired.
 auto new_incarnation() -> incarnation
@@ -59,6 +67,7 @@
             {{"peer", it.host.value()},
              {"hosts_heard", std::to_string(host_.other_hosts.live_hosts())}});
     }
+    host_.quarantine.merge(it.evidence, now);
     for (auto const& id : it.replaced)
     {
         events_.on_replaced(id, now);
@@ -76,9 +85,10 @@
 
 void digest_task::send(time_point now)
 {
-    auto const has_changes = host_.loads.change_count() != sent_changes_ ||
-                             !host_.newly_lost.empty() ||
-                             !host_.newly_replaced.empty();
+    auto const has_changes =
+        host_.loads.change_count() != sent_changes_ ||
+        host_.quarantine.change_count() != sent_evidence_ ||
+        !host_.newly_lost.empty() || !host_.newly_replaced.empty();
     if (has_changes || now - sent_at_ >= max_digest_period)
     {
         sent_changes_ = host_.loads.change_count();
@@ -101,9 +111,31 @@
     out.lost = std::exchange(host_.newly_lost, {});
     out.replaced = std::exchange(host_.newly_replaced, {});
     out.store_contact = events_.store_contact(now);
+    out.evidence = due_evidence(now);
     return out;
 }
 
+auto digest_task::due_evidence(time_point now) -> quarantine::report
+{
+    if (std::exchange(sent_evidence_, host_.quarantine.change_count()) !=
+        host_.quarantine.change_count())
+    {
+        evidence_repeats_left_ = evidence_repeats;
+    }
+    auto const hosts = host_.other_hosts.live_hosts() + 1;
+    auto const groups =
+        (hosts + evidence_refresh_hosts - 1) / evidence_refresh_hosts;
+    auto const period =
+        evidence_refresh_period * static_cast<duration::rep>(groups);
+    if (evidence_repeats_left_ == 0 && now - evidence_sent_at_ < period)
+    {
+        return {};
+    }
+    evidence_repeats_left_ -= evidence_repeats_left_ > 0 ? 1 : 0;
+    evidence_sent_at_ = now;
+    return host_.quarantine.make_report(now);
+}
+
 /// All hosts receive digests on the same port.
 auto digest_task::receivers() const -> std::set<net::endpoint>
 {
--- a/src/gateway/digest_task.hpp
+++ b/src/gateway/digest_task.hpp
@@ -35,6 +35,8 @@
     void on_digest(fleet::digest const& it, time_point now);
     void send(time_point now);
     auto make_digest(time_point now) -> fleet::digest;
+    /// The evidence on prompt parts if it is new or due again.
+    auto due_evidence(time_point now) -> quarantine::report;
     [[nodiscard]] auto receivers() const -> std::set<net::endpoint>;
 
     host_state& host_;
@@ -45,6 +47,9 @@
     std::uint64_t sequence_ = 0;
     std::uint64_t sent_changes_ = 0;
     time_point sent_at_{};
+    std::uint64_t sent_evidence_ = 0;
+    std::uint32_t evidence_repeats_left_ = 0;
+    time_point evidence_sent_at_{};
     net::timer timer_;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -465,6 +465,7 @@
                         {"hosts_heard",
                          std::to_string(host_.other_hosts.live_hosts())}});
         }
+        host_.quarantine.expire(now);
         host_.metrics.log_lines_dropped(log::dropped_lines());
         source_.tick(now);
         register_host(now);
--- a/src/gateway/host_state.hpp
+++ b/src/gateway/host_state.hpp
@@ -14,6 +14,7 @@
 #include "gateway/settings.hpp"
 #include "metrics/gateway_metrics.hpp"
 #include "net/event_loop.hpp"
+#include "quarantine/part_quarantine.hpp"
 #include "routes/route_table.hpp"
 
 #include <map>
@@ -68,6 +69,7 @@
     directory::target_directory targets;
     dispatch::failure_detector detector;
     dispatch::load_tracker loads;
+    quarantine::part_quarantine quarantine;
     fleet::fleet_view other_hosts;
     fleet::own_counts request_counts;
     std::size_t known_host_count = assumed_host_count;
--- a/src/gateway/protocol.hpp
+++ b/src/gateway/protocol.hpp
@@ -12,6 +12,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 /// The information that the gateway needs from messages, independent of header
 /// names, paths and formats on the wire. An adapter implements `protocol`; it
@@ -31,6 +32,8 @@
     std::optional<std::string> key;
     /// Zero for plain calls.
     dispatch::work_size size;
+    /// Ids of the parts of the prompt that other requests may share.
+    std::vector<std::string> shared_parts;
 };
 
 /// Identifies a copy of a running request's KV cache.
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -6,6 +6,7 @@
 #include "log/log.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 // Decisions are made in `admit`, `dispatch` and `routes`; this file executes
@@ -68,6 +69,17 @@
     return out;
 }
 
+auto reason_of_end(dispatch::request_state const& it, time_point now)
+    -> refusal_reason
+{
+    if (now >= it.deadline_at)
+    {
+        return refusal_reason::deadline;
+    }
+    return it.crashes >= dispatch::max_crashes ? refusal_reason::target_crashes
+                                               : refusal_reason::attempts_used;
+}
+
 auto make_error_head(int status, std::optional<duration> retry_after)
     -> http1::response_head
 {
@@ -133,6 +145,8 @@
     state_.resumable = route.resumable;
     state_.max_runs = route.max_attempts;
     last_event_ = metadata_.resume_after;
+    std::transform(metadata_.shared_parts.begin(), metadata_.shared_parts.end(),
+                   std::back_inserter(shared_parts_), quarantine::to_part_id);
     host_.request_counts.request(admitted_.service->id, now);
     client_->on_gone(
         [self = weak_from_this()](http1::client_loss how)
@@ -212,6 +226,10 @@
 
 void relay::start_next_attempt(time_point now)
 {
+    if (refuse_if_quarantined(now))
+    {
+        return;
+    }
     auto const point = std::exchange(resume_point_, std::nullopt);
     auto const usable =
         point && host_.targets.takes_new_work(point->target.id) &&
@@ -370,6 +388,7 @@
     {
         ensure_copy(now);
     }
+    on_run_progress(now);
     if (it.id && last_event_ && *it.id <= *last_event_)
     {
         // The client has received this event from an earlier attempt.
@@ -412,6 +431,7 @@
 {
     host_.detector.report(current_->target.id, current_->target.domain,
                           observation::answered, now);
+    on_run_proven(now);
     release_target();
     host_.stream_time_estimator.observe(now - arrived_at_);
     if (!metadata_.resume_after && last_event_)
@@ -475,6 +495,10 @@
     {
         error_response_ = std::move(response);
     }
+    if (how == attempt_failure::broken && streaming())
+    {
+        on_run_broken(target, now);
+    }
     resume_point_ = resume_point_after_failure();
     if (replacement_ && resume_point_)
     {
@@ -497,10 +521,7 @@
     auto const step = dispatch::after_failure(state_, now);
     if (auto const* const end = std::get_if<dispatch::end_request>(&step))
     {
-        end_with_failure(now >= admitted_.deadline_at
-                             ? refusal_reason::deadline
-                             : refusal_reason::attempts_used,
-                         end->status, now);
+        end_with_failure(reason_of_end(state_, now), end->status, now);
         return;
     }
     auto const purpose = state_.answer_started
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -51,6 +51,9 @@
     /// The prompt is counted as prefilled in this host's loads.
     bool prefilled = false;
     bool has_event = false;
+    std::optional<time_point> first_event_at;
+    /// The target has survived the beginning of the answer.
+    bool proven = false;
     bool copy_lost = false;
     std::unique_ptr<attempt> io;
 };
@@ -116,6 +119,21 @@
     void on_copy_result(std::optional<net::http_response> const& it,
                         time_point now);
     void drop_replacement();
+    /// The connection to `target` broke under the current run.
+    void on_run_broken(directory::listed_target const& target, time_point now);
+    /// Whether the target may just have begun this answer.
+    [[nodiscard]] auto may_have_just_begun(time_point now) const -> bool;
+    static void record_crash(host_state& host,
+                             directory::listed_target const& target,
+                             request_id const& id,
+                             std::vector<quarantine::part_id> const& parts,
+                             duration waited);
+    void on_run_progress(time_point now);
+    void on_run_proven(time_point now);
+    /// Refuses the request if it contains a quarantined part; returns whether
+    /// it has.
+    [[nodiscard]] auto refuse_if_quarantined(time_point now) -> bool;
+    [[nodiscard]] auto part_name(quarantine::part_id id) const -> std::string;
     void finish(std::string_view outcome, int status, time_point now);
     [[nodiscard]] auto streaming() const -> bool;
     /// Whether the stream cannot end before its deadline even if an attempt
@@ -126,6 +144,8 @@
     http1::request message_;
     std::shared_ptr<http1::exchange> client_;
     request_metadata metadata_;
+    /// Hashes of `metadata_.shared_parts`.
+    std::vector<quarantine::part_id> shared_parts_;
     /// Keeps the route alive while a newer configuration is in force.
     std::shared_ptr<routes::route_table const> table_;
     admitted admitted_;
--- a/src/metrics/gateway_metrics.cpp
+++ b/src/metrics/gateway_metrics.cpp
@@ -42,6 +42,8 @@
                          "Attempts without a usable answer.")),
       clients_lost_(counters(*registry_, "gateway_clients_lost_total",
                              "Connections that ended before their answer.")),
+      crashes_(counters(*registry_, "gateway_target_crashes_total",
+                        "Targets that crashed as they began an answer.")),
       pauses_(histograms(*registry_, "gateway_continuation_seconds",
                          "Pause of a stream that went on elsewhere.")),
       target_changes_(counters(*registry_, "gateway_target_changes_total",
@@ -90,6 +92,11 @@
     clients_lost_.Add({{"how", std::string{how}}}).Increment();
 }
 
+void gateway_metrics::target_crashed(std::string_view cause)
+{
+    crashes_.Add({{"cause", std::string{cause}}}).Increment();
+}
+
 void gateway_metrics::stream_continued(bool from_copy, duration pause)
 {
     pauses_.Add({{"from", from_copy ? "copy" : "prompt"}}, request_buckets())
--- a/src/metrics/gateway_metrics.hpp
+++ b/src/metrics/gateway_metrics.hpp
@@ -26,6 +26,9 @@
     void refused(std::string_view reason);
     void attempt_failed(std::string_view how);
     void client_lost(std::string_view how);
+    /// A target crashed as it began an answer; `cause` is what it is put down
+    /// to.
+    void target_crashed(std::string_view cause);
     void stream_continued(bool from_copy, duration pause);
     void first_event(duration since_arrival);
     void target_changed(std::string_view to);
@@ -43,6 +46,7 @@
     prometheus::Family<prometheus::Counter>& refusals_;
     prometheus::Family<prometheus::Counter>& failures_;
     prometheus::Family<prometheus::Counter>& clients_lost_;
+    prometheus::Family<prometheus::Counter>& crashes_;
     prometheus::Family<prometheus::Histogram>& pauses_;
     prometheus::Family<prometheus::Counter>& target_changes_;
     prometheus::Histogram& first_event_;
--- a/src/quarantine/part_quarantine.cpp
+++ b/src/quarantine/part_quarantine.cpp
@@ -126,15 +126,16 @@
     }
 }
 
-/// Whether the part has been cleared since the crash.
+/// Whether the part was cleared shortly before the crash or since.
 auto part_quarantine::refute(accusation const& it, time_point now) -> bool
 {
     auto const proven = proven_at(it.part);
-    auto const by_proof = proven && it.at <= *proven;
+    auto const by_proof = proven && it.at <= *proven + limits_.proof_validity;
     auto const known = acquittals_.find(it.part);
-    auto const by_known = known != acquittals_.end() &&
-                          (it.at <= known->second.until() ||
-                           known->second.crashes.contains(it.crash));
+    auto const by_known =
+        known != acquittals_.end() &&
+        (it.at <= known->second.until() + limits_.proof_validity ||
+         known->second.crashes.contains(it.crash));
     if (!by_proof && !by_known)
     {
         return false;
@@ -209,9 +210,10 @@
     ++changes_;
 }
 
-/// Deletes evidence against `part` that is not newer than `until`.
-void part_quarantine::clear(part_id part, time_point until, time_point now)
+/// Deletes the evidence that an answer with `part` at `proven` refutes.
+void part_quarantine::clear(part_id part, time_point proven, time_point now)
 {
+    auto const until = proven + limits_.proof_validity;
     auto const found = suspects_.find(part);
     if (found == suspects_.end())
     {
--- a/src/quarantine/part_quarantine.hpp
+++ b/src/quarantine/part_quarantine.hpp
@@ -52,6 +52,10 @@
     std::size_t crash_threshold = 3;
     /// Distinct requests among them; one request alone accuses all its parts.
     std::size_t request_threshold = 2;
+    /// Time after an answer with a part for which crashes are not put down to
+    /// that part: several targets that are lost together end many requests
+    /// with the same sound parts.
+    duration proof_validity = 5s;
     /// Time from the last crash until one request is admitted as a trial;
     /// doubles with each crash beyond the threshold.
     duration initial_backoff = 20s;
@@ -135,9 +139,10 @@
     void record_progress(std::span<part_id const> parts, time_point now);
 
     /// Adds the evidence of another host. The earliest time of a crash wins. A
-    /// clearance deletes evidence that is not newer, and such evidence is
-    /// ignored when it is heard again. Evidence against a part that this host
-    /// has proven since is answered by a clearance in its next reports.
+    /// clearance deletes evidence up to the end of its validity, and such
+    /// evidence is ignored when it is heard again. Evidence against a part that
+    /// this host has proven since is answered by a clearance in its next
+    /// reports.
     void merge(report const& it, time_point now);
 
     /// The evidence of this host and of all others that it has heard.
@@ -223,7 +228,7 @@
     auto place_for(accusation const& it, source from, time_point now)
         -> suspect*;
     void insert(suspect& to, accusation const& it, source from);
-    void clear(part_id part, time_point until, time_point now);
+    void clear(part_id part, time_point proven, time_point now);
     auto acquittal_of(part_id part, time_point now) -> acquittal&;
     void remember_cleared(acquittal& it, crash_id crash) const;
     void prove(part_id part, time_point now);
