--- a/src/quarantine/part_quarantine.cpp
+++ b/src/quarantine/part_quarantine.cpp
@@ -344,13 +344,11 @@
         }
         return std::nullopt;
     }
-    auto out = make_verdict(*reasons.front(), now);
-    for (auto const& it : reasons)
-    {
-        auto const other = make_verdict(*it, now);
-        out = other.until > out.until ? other : out;
-    }
-    return out;
+    auto const longest = std::max_element(
+        reasons.begin(), reasons.end(),
+        [&](auto const& a, auto const& b)
+        { return next_trial(a->second, now) < next_trial(b->second, now); });
+    return make_verdict(**longest, now);
 }
 
 auto part_quarantine::explains(crash_id crash, time_point now) const -> bool
--- a/src/quarantine/part_quarantine.hpp
+++ b/src/quarantine/part_quarantine.hpp
@@ -122,7 +122,8 @@
 class part_quarantine
 {
 public:
-    explicit part_quarantine(quarantine_limits limits = {}) : limits_(limits) {}
+    part_quarantine() = default;
+    explicit part_quarantine(quarantine_limits limits) : limits_(limits) {}
 
     /// `crash` ended `run`, whose answer the target may just have begun.
     /// `parts` are those that other requests may share. If several runs accuse
--- /dev/null
+++ b/src/quarantine/part_quarantine_test.cpp
@@ -0,0 +1,721 @@
+#include "quarantine/part_quarantine.hpp"
+
+#include "core/random.hpp"
+#include "quarantine/part_quarantine_reference.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include <array>
+#include <string>
+#include <utility>
+
+namespace primrosedeal::quarantine
+{
+
+namespace
+{
+
+using part_list = std::vector<part_id>;
+
+auto at(std::int64_t ms) -> time_point
+{
+    return time_point{std::chrono::milliseconds{ms}};
+}
+
+auto part(std::uint64_t n) -> part_id
+{
+    return part_id{n};
+}
+
+/// Parts that sound requests share, and the one that crashes targets.
+auto const shared = part(1);
+auto const poison = part(2);
+
+/// Crashes `n` to `n + count - 1`, each under a request of its own, a second
+/// apart from `n` seconds.
+void crash(part_quarantine& it, std::uint64_t n, std::uint64_t count,
+           part_list const& parts)
+{
+    for (auto i = n; i < n + count; ++i)
+    {
+        it.record_crash(crash_id{i}, run_id{i}, parts,
+                        at(static_cast<std::int64_t>(i) * 1000));
+    }
+}
+
+auto refuses(part_quarantine& it, part_list const& parts, std::int64_t ms)
+    -> bool
+{
+    return it.check(parts, false, at(ms)).has_value();
+}
+
+auto admits_trial(part_quarantine& it, part_list const& parts, std::int64_t ms)
+    -> bool
+{
+    return !it.check(parts, true, at(ms)).has_value();
+}
+
+void tell(part_quarantine const& from, part_quarantine& to, std::int64_t ms)
+{
+    to.merge(from.make_report(at(ms)), at(ms));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(a_part)
+
+BOOST_AUTO_TEST_CASE(is_named_alike_on_all_hosts)
+{
+    constexpr auto xxh3_of_a = 0xe6c632b61e964e1fULL;
+    BOOST_TEST(to_part_id("a").value() == xxh3_of_a);
+    BOOST_TEST(to_crash_id(target_id{"a"}).value() == xxh3_of_a);
+    BOOST_TEST(to_run_id(request_id{"a"}).value() == xxh3_of_a);
+    BOOST_TEST(to_part_id("b").value() != xxh3_of_a);
+}
+
+BOOST_AUTO_TEST_SUITE(that_crashes_targets)
+
+BOOST_AUTO_TEST_CASE(is_quarantined_after_three_crashes)
+{
+    auto it = part_quarantine{};
+    BOOST_TEST(!refuses(it, {poison}, 0));
+    crash(it, 1, 2, {poison});
+    BOOST_TEST(!refuses(it, {poison}, 2000));
+    crash(it, 3, 1, {poison});
+    auto const why = it.check(part_list{part(9), poison}, false, at(3000));
+    BOOST_REQUIRE(why);
+    BOOST_TEST(why->part == poison);
+    BOOST_TEST(why->crashes == 3U);
+    BOOST_TEST(why->requests == 3U);
+    BOOST_TEST((why->until == at(23000)));
+    BOOST_TEST(!refuses(it, {part(9)}, 3000));
+}
+
+BOOST_AUTO_TEST_CASE(is_not_quarantined_for_the_retries_of_one_request)
+{
+    auto it = part_quarantine{};
+    for (auto n = 1U; n <= 5; ++n)
+    {
+        it.record_crash(crash_id{n}, run_id{1}, part_list{poison}, at(n));
+    }
+    BOOST_TEST(!refuses(it, {poison}, 5));
+    it.record_crash(crash_id{6}, run_id{2}, part_list{poison}, at(6));
+    BOOST_TEST(refuses(it, {poison}, 6));
+}
+
+BOOST_AUTO_TEST_CASE(is_accused_once_by_each_crash)
+{
+    auto it = part_quarantine{};
+    for (auto n = 1U; n <= 5; ++n)
+    {
+        it.record_crash(crash_id{1}, run_id{n}, part_list{poison, poison},
+                        at(n));
+    }
+    auto const accusations = it.make_report(at(5)).accusations;
+    BOOST_REQUIRE(accusations.size() == 1U);
+    BOOST_TEST(accusations[0].run == run_id{1});
+    BOOST_TEST((accusations[0].at == at(1)));
+    BOOST_TEST(it.change_count() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(explains_its_crashes_once_it_is_quarantined)
+{
+    auto it = part_quarantine{};
+    crash(it, 1, 2, {poison});
+    BOOST_TEST(!it.explains(crash_id{1}, at(2000)));
+    crash(it, 3, 1, {poison});
+    BOOST_TEST(it.explains(crash_id{1}, at(3000)));
+    BOOST_TEST(it.explains(crash_id{3}, at(3000)));
+    BOOST_TEST(!it.explains(crash_id{4}, at(3000)));
+    BOOST_TEST(!it.explains(crash_id{3}, at(900000)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(that_was_answered)
+
+BOOST_AUTO_TEST_CASE(is_cleared)
+{
+    auto it = part_quarantine{};
+    crash(it, 1, 5, {shared, poison});
+    it.record_progress(part_list{shared}, at(5500));
+    BOOST_TEST(!refuses(it, {shared}, 5500));
+    BOOST_TEST(refuses(it, {shared, poison}, 5500));
+}
+
+BOOST_AUTO_TEST_CASE(has_to_be_accused_anew)
+{
+    auto it = part_quarantine{};
+    crash(it, 1, 2, {shared});
+    it.record_progress(part_list{shared}, at(2500));
+    crash(it, 3, 2, {shared});
+    BOOST_TEST(!refuses(it, {shared}, 4000));
+    crash(it, 5, 1, {shared});
+    BOOST_TEST(refuses(it, {shared}, 5000));
+}
+
+BOOST_AUTO_TEST_CASE(costs_nothing_while_it_is_not_accused)
+{
+    auto it = part_quarantine{};
+    it.record_progress(part_list{shared, poison}, at(0));
+    BOOST_TEST(it.change_count() == 0U);
+    BOOST_TEST((it.make_report(at(0)) == report{}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(that_occurs_with_a_poisonous_one)
+
+// A request with only one of two parts that occurred together tells them apart.
+BOOST_AUTO_TEST_CASE(is_no_reason_without_it)
+{
+    auto it = part_quarantine{};
+    crash(it, 1, 4, {shared, poison});
+    BOOST_TEST(refuses(it, {shared, poison}, 4000));
+    BOOST_TEST(!refuses(it, {shared}, 4000));
+    BOOST_TEST(!refuses(it, {poison}, 4000));
+    it.record_crash(crash_id{5}, run_id{5}, part_list{poison}, at(5000));
+    BOOST_TEST(refuses(it, {poison}, 5000));
+    BOOST_TEST(!refuses(it, {shared}, 5000));
+}
+
+BOOST_AUTO_TEST_CASE(is_a_reason_if_a_crash_is_its_own)
+{
+    auto it = part_quarantine{};
+    crash(it, 1, 4, {shared, poison});
+    it.record_crash(crash_id{5}, run_id{5}, part_list{shared}, at(5000));
+    BOOST_TEST(refuses(it, {shared}, 5000));
+    BOOST_TEST(!refuses(it, {poison}, 5000));
+}
+
+BOOST_AUTO_TEST_CASE(is_a_reason_if_the_other_is_not_quarantined)
+{
+    auto it = part_quarantine{};
+    crash(it, 1, 4, {shared, poison});
+    it.record_progress(part_list{poison}, at(4500));
+    BOOST_TEST(refuses(it, {shared}, 4500));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_quarantine)
+
+BOOST_AUTO_TEST_CASE(admits_one_request_on_one_host_after_its_backoff)
+{
+    auto it = part_quarantine{};
+    crash(it, 1, 3, {poison});
+    BOOST_TEST(!admits_trial(it, {poison}, 22999));
+    BOOST_TEST(refuses(it, {poison}, 23000));
+    BOOST_TEST(admits_trial(it, {poison}, 23000));
+    BOOST_TEST(!admits_trial(it, {poison}, 23000));
+    BOOST_TEST(!admits_trial(it, {poison}, 42999));
+    BOOST_TEST(admits_trial(it, {poison}, 43000));
+}
+
+BOOST_AUTO_TEST_CASE(names_a_time_to_come)
+{
+    auto it = part_quarantine{};
+    crash(it, 1, 3, {poison});
+    for (auto ms = std::int64_t{3000}; ms < 200000; ms += 500)
+    {
+        auto const why = it.check(part_list{poison}, false, at(ms));
+        BOOST_REQUIRE(why);
+        BOOST_TEST((why->until > at(ms)));
+        BOOST_TEST((why->until <= at(ms) + 20s));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(lasts_longer_with_each_crash)
+{
+    auto it = part_quarantine{};
+    auto const backoffs = std::array{20s, 40s, 80s, 160s, 160s, 160s, 160s};
+    crash(it, 1, 2, {poison});
+    for (auto n = std::uint64_t{3}; n < 3 + backoffs.size(); ++n)
+    {
+        crash(it, n, 1, {poison});
+        auto const now = at(static_cast<std::int64_t>(n) * 1000);
+        auto const why = it.check(part_list{poison}, false, now);
+        BOOST_REQUIRE(why);
+        BOOST_TEST((why->until == now + backoffs.at(n - 3)));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(that_was_mistaken_ends_with_its_first_trial)
+{
+    auto tried = part_quarantine{};
+    auto other = part_quarantine{};
+    crash(tried, 1, 4, {shared});
+    tell(tried, other, 4000);
+    BOOST_TEST(refuses(other, {shared}, 43999));
+    BOOST_TEST(admits_trial(tried, {shared}, 44000));
+    tried.record_progress(part_list{shared}, at(46000));
+    BOOST_TEST(!refuses(tried, {shared}, 46000));
+    tell(tried, other, 46020);
+    BOOST_TEST(!refuses(other, {shared}, 46020));
+}
+
+BOOST_AUTO_TEST_CASE(of_two_parts_lasts_as_long_as_the_longer_one)
+{
+    auto it = part_quarantine{};
+    crash(it, 1, 3, {part(3)});
+    crash(it, 4, 3, {poison});
+    auto const why = it.check(part_list{part(3), poison}, true, at(24000));
+    BOOST_REQUIRE(why);
+    BOOST_TEST(why->part == poison);
+    BOOST_TEST(!admits_trial(it, {part(3), poison}, 25999));
+    BOOST_TEST(admits_trial(it, {part(3), poison}, 26000));
+    BOOST_TEST(!admits_trial(it, {part(3)}, 26000));
+}
+
+BOOST_AUTO_TEST_CASE(ends_with_its_evidence)
+{
+    auto it = part_quarantine{};
+    crash(it, 1, 3, {poison});
+    BOOST_TEST(refuses(it, {poison}, 300999));
+    BOOST_TEST(!refuses(it, {poison}, 301000));
+    it.expire(at(301000));
+    BOOST_TEST(it.make_report(at(301000)).accusations.size() == 2U);
+    it.expire(at(400000));
+    BOOST_TEST((it.make_report(at(400000)) == report{}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_mass_loss)
+
+// The runs of a lost domain contain parts that all requests share and parts of
+// single requests.
+BOOST_AUTO_TEST_CASE(of_targets_refuses_no_request_for_long)
+{
+    auto it = part_quarantine{};
+    for (auto n = 1U; n <= 9; ++n)
+    {
+        it.record_crash(crash_id{n}, run_id{n},
+                        part_list{shared, part(100 + n % 3), part(200 + n)},
+                        at(1000 + n));
+    }
+    for (auto n = 1U; n <= 9; ++n)
+    {
+        BOOST_TEST(!refuses(it, {part(200 + n)}, 1010));
+    }
+    it.record_progress(part_list{shared, part(100)}, at(1500));
+    BOOST_TEST(!refuses(it, {shared, part(100), part(300)}, 1500));
+    it.record_progress(part_list{shared, part(101)}, at(1600));
+    BOOST_TEST(!refuses(it, {shared, part(101), part(300)}, 1600));
+}
+
+BOOST_AUTO_TEST_CASE(does_not_accuse_parts_that_were_answered_elsewhere_since)
+{
+    auto here = part_quarantine{};
+    auto there = part_quarantine{};
+    crash(here, 1, 3, {shared});
+    there.record_progress(part_list{shared}, at(3500));
+    BOOST_TEST(refuses(here, {shared}, 4000));
+    tell(here, there, 4000);
+    BOOST_TEST(!refuses(there, {shared}, 4000));
+    tell(there, here, 4020);
+    BOOST_TEST(!refuses(here, {shared}, 4020));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_host)
+
+BOOST_AUTO_TEST_CASE(that_starts_late_learns_from_any_other)
+{
+    auto first = part_quarantine{};
+    auto second = part_quarantine{};
+    crash(first, 1, 4, {poison});
+    tell(first, second, 4020);
+    // The first host is lost.
+    auto late = part_quarantine{};
+    tell(second, late, 9000);
+    BOOST_TEST(refuses(late, {poison}, 9000));
+    BOOST_TEST(!admits_trial(late, {poison}, 43999));
+    BOOST_TEST(admits_trial(late, {poison}, 44000));
+}
+
+BOOST_AUTO_TEST_CASE(that_was_cut_off_returns_with_evidence_that_was_refuted)
+{
+    auto cut_off = part_quarantine{};
+    auto other = part_quarantine{};
+    crash(cut_off, 1, 3, {shared});
+    tell(cut_off, other, 3000);
+    other.record_progress(part_list{shared}, at(4000));
+    BOOST_TEST(refuses(cut_off, {shared}, 20000));
+    tell(cut_off, other, 20000);
+    BOOST_TEST(!refuses(other, {shared}, 20000));
+    tell(other, cut_off, 20000);
+    BOOST_TEST(!refuses(cut_off, {shared}, 20000));
+}
+
+BOOST_AUTO_TEST_CASE(does_not_pass_on_the_clearances_of_others)
+{
+    auto first = part_quarantine{};
+    auto second = part_quarantine{};
+    crash(first, 1, 1, {shared});
+    first.record_progress(part_list{shared}, at(1500));
+    BOOST_TEST(first.make_report(at(1500)).clearances.size() == 1U);
+    tell(first, second, 1600);
+    BOOST_TEST((second.make_report(at(1600)) == report{}));
+}
+
+// Heard times are later than the true ones.
+BOOST_AUTO_TEST_CASE(recognises_a_cleared_crash_whose_time_was_delayed)
+{
+    auto it = part_quarantine{};
+    crash(it, 1, 3, {shared});
+    auto late = it.make_report(at(3000));
+    it.record_progress(part_list{shared}, at(3010));
+    for (auto& each : late.accusations)
+    {
+        each.at = at(3030);
+    }
+    it.merge(late, at(3040));
+    BOOST_TEST(!refuses(it, {shared}, 3040));
+    BOOST_TEST(it.make_report(at(3040)).accusations.empty());
+}
+
+BOOST_AUTO_TEST_CASE(takes_the_earliest_time_of_a_crash)
+{
+    auto first = part_quarantine{};
+    auto second = part_quarantine{};
+    crash(first, 1, 3, {poison});
+    auto late = first.make_report(at(3000));
+    for (auto& each : late.accusations)
+    {
+        each.at += 50ms;
+    }
+    second.merge(late, at(3100));
+    auto const changes = second.change_count();
+    tell(first, second, 3200);
+    BOOST_TEST(second.change_count() == changes);
+    BOOST_TEST((second.make_report(at(3200)).accusations ==
+                first.make_report(at(3200)).accusations));
+    second.merge(late, at(3300));
+    BOOST_TEST((second.make_report(at(3300)).accusations ==
+                first.make_report(at(3300)).accusations));
+}
+
+// Each message delays the evidence, so without a limit on the age of what is
+// heard two hosts would keep it alive.
+BOOST_AUTO_TEST_CASE(forgets_a_crash_although_others_still_tell_of_it)
+{
+    auto hosts = std::array<part_quarantine, 2>{};
+    crash(hosts[0], 1, 3, {poison});
+    for (auto ms = std::int64_t{3000}; ms < 310000; ms += 20)
+    {
+        for (auto i = std::size_t{0}; i < hosts.size(); ++i)
+        {
+            auto it = hosts.at(i).make_report(at(ms));
+            for (auto& each : it.accusations)
+            {
+                each.at += 20ms;
+            }
+            hosts.at(1 - i).merge(it, at(ms + 20));
+            hosts.at(i).expire(at(ms + 20));
+        }
+    }
+    for (auto& it : hosts)
+    {
+        BOOST_TEST((it.make_report(at(310000)) == report{}));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ignores_times_to_come)
+{
+    auto it = part_quarantine{};
+    it.merge({{}, {{poison, at(900000)}}}, at(500));
+    crash(it, 1, 3, {poison});
+    BOOST_TEST(refuses(it, {poison}, 3000));
+    auto ahead = report{};
+    for (auto n = 1U; n <= 3; ++n)
+    {
+        ahead.accusations.push_back(
+            {shared, crash_id{n}, run_id{n}, at(900000)});
+    }
+    it.merge(ahead, at(3000));
+    BOOST_TEST(refuses(it, {shared, poison}, 3000));
+    it.record_progress(part_list{shared}, at(3001));
+    BOOST_TEST(!refuses(it, {shared}, 3001));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(the_bounds)
+
+BOOST_AUTO_TEST_CASE(hold_whatever_is_recorded_and_heard)
+{
+    auto const limits = quarantine_limits{};
+    auto it = part_quarantine{};
+    auto random = random_source{1};
+    for (auto n = 0; n < 20000; ++n)
+    {
+        auto const now = at(n);
+        auto const parts = part_list{part(random.below(1000)), part(random())};
+        switch (random.below(3))
+        {
+        case 0:
+            it.record_crash(crash_id{random()}, run_id{random()}, parts, now);
+            break;
+        case 1:
+            it.record_progress(parts, now);
+            break;
+        default:
+            it.merge({{{parts[0], crash_id{random()}, run_id{random()}, now}},
+                      {{part(random.below(1000)), now}}},
+                     now);
+        }
+        auto const out = it.make_report(now);
+        BOOST_REQUIRE(out.accusations.size() <= limits.max_reported);
+        BOOST_REQUIRE(out.clearances.size() <= limits.max_parts);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(keep_the_first_crashes_and_the_last_one)
+{
+    auto it = part_quarantine{};
+    crash(it, 1, 20, {poison});
+    auto const out = it.make_report(at(20000)).accusations;
+    auto crashes = std::set<crash_id>{};
+    for (auto const& each : out)
+    {
+        crashes.insert(each.crash);
+    }
+    BOOST_TEST(out.size() == 8U);
+    BOOST_TEST(crashes.contains(crash_id{1}));
+    BOOST_TEST(crashes.contains(crash_id{7}));
+    BOOST_TEST(crashes.contains(crash_id{20}));
+    auto const why = it.check(part_list{poison}, false, at(20000));
+    BOOST_REQUIRE(why);
+    BOOST_TEST((why->until == at(180000)));
+}
+
+BOOST_AUTO_TEST_CASE(keep_a_quarantine_when_many_other_parts_are_accused)
+{
+    auto it = part_quarantine{};
+    crash(it, 1, 3, {poison});
+    for (auto n = 0U; n < 1000; ++n)
+    {
+        it.record_crash(crash_id{100 + n}, run_id{100 + n},
+                        part_list{part(100 + n)}, at(4000 + n));
+    }
+    BOOST_TEST(refuses(it, {poison}, 6000));
+    auto const out = it.make_report(at(6000)).accusations;
+    BOOST_TEST(out.size() == 66U);
+    BOOST_TEST(out.front().part == poison);
+    BOOST_TEST(out.back().part == part(1037));
+}
+
+BOOST_AUTO_TEST_CASE(do_not_make_hosts_replace_each_others_evidence_in_turn)
+{
+    auto hosts = std::array<part_quarantine, 2>{};
+    for (auto n = 0U; n < 100; ++n)
+    {
+        hosts.at(n % 2).record_crash(crash_id{n}, run_id{n}, part_list{part(n)},
+                                     at(1000 + n));
+    }
+    auto const exchange = [&](std::int64_t ms)
+    {
+        tell(hosts[0], hosts[1], ms);
+        tell(hosts[1], hosts[0], ms);
+    };
+    exchange(2000);
+    auto const changes =
+        std::pair{hosts[0].change_count(), hosts[1].change_count()};
+    exchange(3000);
+    BOOST_TEST((changes ==
+                std::pair{hosts[0].change_count(), hosts[1].change_count()}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(three_hosts)
+
+namespace
+{
+
+constexpr auto host_count = std::size_t{3};
+constexpr auto part_count = std::uint64_t{4};
+
+/// A step of a random history. The numbers select hosts, parts and so on.
+struct step
+{
+    std::uint64_t kind;
+    std::uint64_t host;
+    std::uint64_t to;
+    std::uint64_t parts;
+    std::uint64_t crash;
+};
+
+auto to_parts(std::uint64_t bits) -> part_list
+{
+    auto out = part_list{};
+    for (auto n = std::uint64_t{0}; n < part_count; ++n)
+    {
+        if ((bits >> n & 1U) != 0)
+        {
+            out.push_back(part(n));
+        }
+    }
+    return out;
+}
+
+struct pair_of_hosts
+{
+    part_quarantine real;
+    reference_quarantine slow;
+};
+
+struct message
+{
+    std::uint64_t to;
+    report real;
+    report slow;
+};
+
+auto sorted(report it) -> report
+{
+    std::sort(it.accusations.begin(), it.accusations.end(),
+              [](auto const& a, auto const& b) {
+                  return std::tie(a.part, a.crash) < std::tie(b.part, b.crash);
+              });
+    std::sort(it.clearances.begin(), it.clearances.end(),
+              [](auto const& a, auto const& b) { return a.part < b.part; });
+    return it;
+}
+
+void compare(pair_of_hosts& it, time_point now)
+{
+    auto const limits = quarantine_limits{};
+    RC_ASSERT(sorted(it.real.make_report(now)) ==
+              sorted(it.slow.make_report()));
+    for (auto bits = 0U; bits < 1U << part_count; ++bits)
+    {
+        auto const parts = to_parts(bits);
+        RC_ASSERT(it.real.check(parts, false, now).has_value() ==
+                  it.slow.refuses(parts, limits));
+    }
+    for (auto n = 0U; n < 8; ++n)
+    {
+        RC_ASSERT(it.real.explains(crash_id{n}, now) ==
+                  it.slow.explains(crash_id{n}, limits));
+    }
+}
+
+} // namespace
+
+// Messages are delayed, repeated, reordered and lost.
+BOOST_AUTO_TEST_CASE(decide_as_the_reference_does)
+{
+    rc::check(
+        [](std::vector<std::array<std::uint8_t, 5>> const& history)
+        {
+            auto hosts = std::array<pair_of_hosts, host_count>{};
+            auto under_way = std::vector<message>{};
+            auto now = at(0);
+            for (auto const& raw : history)
+            {
+                auto const it = step{raw[0] % 6U, raw[1] % host_count,
+                                     raw[2] % host_count, raw[3], raw[4] % 8U};
+                now += 10ms;
+                auto& host = hosts.at(it.host);
+                auto const parts = to_parts(it.parts);
+                auto const run = run_id{it.parts / 16 % 4};
+                switch (it.kind)
+                {
+                case 0:
+                case 1:
+                    host.real.record_crash(crash_id{it.crash}, run, parts, now);
+                    host.slow.record_crash(crash_id{it.crash}, run, parts, now);
+                    break;
+                case 2:
+                    if (it.crash < 3)
+                    {
+                        host.real.record_progress(parts, now);
+                        host.slow.record_progress(parts, now);
+                    }
+                    break;
+                case 3:
+                    under_way.push_back({it.to, host.real.make_report(now),
+                                         host.slow.make_report()});
+                    break;
+                default:
+                    if (!under_way.empty())
+                    {
+                        auto const n =
+                            (it.parts + 256 * it.crash) % under_way.size();
+                        auto const& msg = under_way.at(n);
+                        hosts.at(msg.to).real.merge(msg.real, now);
+                        hosts.at(msg.to).slow.merge(msg.slow);
+                        if (it.crash % 2 == 0)
+                        {
+                            under_way.erase(under_way.begin() +
+                                            static_cast<std::ptrdiff_t>(n));
+                        }
+                    }
+                }
+                compare(host, now);
+            }
+            for (auto& host : hosts)
+            {
+                compare(host, now);
+            }
+        });
+}
+
+// A crash breaks the connections of several hosts at one moment. After enough
+// exchanges all hosts hold the same accusations.
+BOOST_AUTO_TEST_CASE(agree_once_all_messages_arrive)
+{
+    rc::check(
+        [](std::vector<std::array<std::uint8_t, 3>> const& history)
+        {
+            constexpr auto max_crashes = 8U;
+            auto hosts = std::array<part_quarantine, host_count>{};
+            auto now = at(0);
+            auto crashes = 0U;
+            for (auto const& raw : history)
+            {
+                now += 10ms;
+                auto const parts = to_parts(raw[2]);
+                if (raw[0] % 3 == 0 || crashes == max_crashes)
+                {
+                    hosts.at(raw[1] % host_count).record_progress(parts, now);
+                    continue;
+                }
+                ++crashes;
+                for (auto i = std::size_t{0}; i < host_count; ++i)
+                {
+                    if ((raw[1] >> i & 1U) != 0)
+                    {
+                        hosts.at(i).record_crash(crash_id{crashes},
+                                                 run_id{raw[2] / 16U + i},
+                                                 parts, now);
+                    }
+                }
+            }
+            for (auto round = std::size_t{0}; round < host_count; ++round)
+            {
+                for (auto const& from : hosts)
+                {
+                    for (auto& to : hosts)
+                    {
+                        to.merge(from.make_report(now), now);
+                    }
+                }
+            }
+            auto const expected = sorted(hosts[0].make_report(now)).accusations;
+            for (auto const& it : hosts)
+            {
+                RC_ASSERT(sorted(it.make_report(now)).accusations == expected);
+            }
+        });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace primrosedeal::quarantine
