--- a/src/quarantine/part_quarantine.hpp
+++ b/src/quarantine/part_quarantine.hpp
@@ -4,7 +4,6 @@
 #include "core/strong.hpp"
 #include "core/units.hpp"
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <list>
@@ -126,7 +125,8 @@
 class part_quarantine
 {
 public:
-    explicit part_quarantine(quarantine_limits limits = {}) : limits_(limits) {}
+    part_quarantine() = default;
+    explicit part_quarantine(quarantine_limits limits) : limits_(limits) {}
 
     /// `crash` ended `run`, whose answer the target may just have begun.
     /// `parts` are those that other requests may share. If several runs accuse
@@ -174,9 +174,6 @@
     {
         time_point at;
         run_id run;
-
-        friend auto operator<=>(crash_record const&,
-                                crash_record const&) = default;
     };
 
     /// Evidence against one part.
