Test answers that end with their connection

A target that answers with the bytes of its script, for tests of what HTTP servers do not send, and an attempt's tests with it: an answer with neither a length nor chunks is whole if its connection is closed in good order and broken if it is reset, plain or a stream; a stream that ends inside an event is broken; large bodies, events and small chunks are taken; a head, an extension of a chunk and a trailer without end are ended as damaged (http_parser's bound of 80 KB).

--- /dev/null
+++ b/src/gateway/attempt_test.cpp
@@ -0,0 +1,331 @@
+#include "gateway/attempt.hpp"
+
+#include "platform/names.hpp"
+#include "platform/protocol.hpp"
+#include "standins/raw_target.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <event2/event.h>
+
+#include <malloc.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+// One attempt at a scripted target over loopback. Bounds are in bytes: what the
+// target could send before its connection was closed, which includes what the
+// kernel buffered for both ends, and what this process had allocated.
+namespace primrosedeal::gateway
+{
+
+namespace
+{
+
+using dispatch::attempt_failure;
+using standins::answer_end;
+using standins::raw_answer;
+using standins::raw_target;
+
+/// Long enough to be a failure of the test and not of the machine.
+constexpr auto patience = duration{20s};
+constexpr auto mebibyte = std::size_t{1} << 20U;
+/// What a target sends that would never stop by itself.
+constexpr auto endless = 96 * mebibyte;
+/// What the kernel may buffer for both ends of a connection.
+constexpr auto kernel_buffers = 12 * mebibyte;
+/// Largest answer and largest event that an attempt may hold.
+constexpr auto body_bound = 8 * mebibyte;
+constexpr auto event_bound = mebibyte;
+
+auto const signed_head = std::string{"HTTP/1.1 200 OK\r\n"} +
+                         std::string{platform::names::signature} + ": sig\r\n";
+
+/// `bytes` as chunks of `size`.
+auto chunked(std::string const& bytes) -> std::string
+{
+    char size[32];
+    std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
+    return size + bytes + "\r\n";
+}
+
+auto event(int id, std::string const& data = "t") -> std::string
+{
+    return "id: " + std::to_string(id) + "\ndata: " + data + "\n\n";
+}
+
+/// Bytes that this process has allocated, without what is free for reuse.
+auto allocated() -> std::size_t
+{
+    auto const it = ::mallinfo2();
+    return it.uordblks + it.hblkhd;
+}
+
+struct outcome
+{
+    std::vector<std::string> events;
+    std::optional<target_response> response;
+    std::optional<attempt_failure> failure;
+    bool stream_ended = false;
+
+    [[nodiscard]] auto over() const -> bool
+    {
+        return response || failure || stream_ended;
+    }
+};
+
+struct attempts
+{
+    /// One attempt up to its end, and until the target saw its connection end.
+    auto run(raw_target& target, bool streaming) -> outcome
+    {
+        auto out = outcome{};
+        auto events = attempt_events{};
+        events.on_event =
+            [&](http1::response_head const&, http1::stream_event it)
+        {
+            out.events.push_back(std::move(it.bytes));
+        };
+        events.on_stream_end = [&]
+        {
+            out.stream_ended = true;
+        };
+        events.on_response = [&](target_response it)
+        {
+            out.response = std::move(it);
+        };
+        events.on_failure =
+            [&](attempt_failure how, std::optional<target_response> const&)
+        {
+            out.failure = how;
+        };
+        auto plan = attempt_plan{};
+        plan.target.address = {"127.0.0.1", target.port()};
+        plan.id = request_id{"r1"};
+        plan.message = {"POST", "/a", {{"Host", "h"}}, "prompt", true};
+        plan.connect_timeout = patience;
+        plan.streaming = streaming;
+        // No silence of a busy machine ends the attempt.
+        plan.stream_timing.gap_objective = 10 * patience;
+        plan.stream_timing.expected_first = patience;
+        plan.stream_timing.first_event_due =
+            net::event_loop::now() + 10 * patience;
+        auto const it = attempt{loop,
+                                wire,
+                                prober,
+                                std::move(plan),
+                                std::move(events),
+                                net::event_loop::now()};
+        run_until([&] { return out.over(); });
+        return out;
+    }
+
+    template <class Done>
+    void run_until(Done const& done)
+    {
+        auto const end = net::event_loop::now() + patience;
+        while (!done() && net::event_loop::now() < end)
+        {
+            auto const tick = loop.after(5ms, [] {});
+            event_base_loop(loop.base(), EVLOOP_ONCE);
+        }
+        BOOST_REQUIRE(done());
+    }
+
+    /// What comes of an answer that begins with `first` and goes on with
+    /// `repeated`.
+    auto answer_without_end(std::string first, std::string repeated,
+                            bool streaming) -> outcome
+    {
+        auto target = raw_target{
+            loop, [&](std::string const&)
+            {
+                return raw_answer{first, repeated, endless, answer_end::closed};
+            }};
+        auto const before = allocated();
+        target.on_sent = [&]
+        {
+            auto const now = allocated();
+            peak = std::max(peak, now > before ? now - before : 0);
+        };
+        auto out = run(target, streaming);
+        sent = target.sent();
+        return out;
+    }
+
+    bool initialised = (net::initialise_process(), true);
+    net::event_loop loop;
+    platform::wire_protocol wire;
+    connect_prober prober{loop};
+    std::size_t sent = 0;
+    std::size_t peak = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(an_attempt)
+
+BOOST_AUTO_TEST_SUITE(whose_target_sends_without_end)
+
+BOOST_FIXTURE_TEST_CASE(ends_a_head_without_end, attempts)
+{
+    auto const heads = std::vector<std::pair<std::string, std::string>>{
+        {"HTTP/1.1 200 ", "x"},
+        {"HTTP/1.1 200 OK\r\n", "X-A: b\r\n"},
+        {"HTTP/1.1 200 OK\r\nX-A: ", "b"},
+        {"", "\r\n"},
+        {"", "x"}};
+    for (auto const streaming : {false, true})
+    {
+        for (auto const& [first, repeated] : heads)
+        {
+            auto const it = answer_without_end(first, repeated, streaming);
+            BOOST_TEST((it.failure == attempt_failure::damaged), repeated);
+            BOOST_TEST(sent < kernel_buffers, repeated);
+        }
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(ends_an_extension_and_a_trailer_without_end, attempts)
+{
+    auto const head = signed_head + "Transfer-Encoding: chunked\r\n\r\n";
+    auto const bodies = std::vector<std::pair<std::string, std::string>>{
+        {head + "1;", "a"}, {head + "0\r\n", "X-A: b\r\n"}};
+    for (auto const& [first, repeated] : bodies)
+    {
+        auto const it = answer_without_end(first, repeated, false);
+        BOOST_TEST((it.failure == attempt_failure::damaged), first);
+        BOOST_TEST(sent < kernel_buffers, first);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(takes_a_proper_answer)
+
+BOOST_FIXTURE_TEST_CASE(of_several_megabytes, attempts)
+{
+    auto const body = std::string(6 * mebibyte, 'x');
+    auto target =
+        raw_target{loop, [&](std::string const&)
+                   {
+                       return raw_answer{signed_head + "Content-Length: " +
+                                             std::to_string(body.size()) +
+                                             "\r\n\r\n" + body,
+                                         {}};
+                   }};
+    auto const it = run(target, false);
+    BOOST_REQUIRE(it.response);
+    BOOST_TEST((it.response->body == body));
+}
+
+// The smallest chunks cost five bytes of framing for each byte of body.
+BOOST_FIXTURE_TEST_CASE(in_chunks_of_one_byte, attempts)
+{
+    auto bytes = signed_head + "Transfer-Encoding: chunked\r\n\r\n";
+    constexpr auto chunks = 200000;
+    for (auto i = 0; i < chunks; ++i)
+    {
+        bytes += "1\r\nx\r\n";
+    }
+    auto target = raw_target{loop, [&](std::string const&)
+                             {
+                                 return raw_answer{bytes + "0\r\n\r\n", {}};
+                             }};
+    auto const it = run(target, false);
+    BOOST_REQUIRE(it.response);
+    BOOST_TEST(it.response->body.size() == chunks);
+}
+
+BOOST_FIXTURE_TEST_CASE(with_large_events, attempts)
+{
+    auto const large = event(1, std::string(256 << 10U, 'x'));
+    auto bytes = signed_head + "\r\n";
+    constexpr auto events = 40;
+    for (auto i = 0; i < events; ++i)
+    {
+        bytes += large + ": still there\n\n";
+    }
+    auto target =
+        raw_target{loop, [&](std::string const&)
+                   {
+                       return raw_answer{bytes, {}, 0, answer_end::closed};
+                   }};
+    auto const it = run(target, true);
+    BOOST_TEST(it.stream_ended);
+    BOOST_TEST(it.events.size() == 2U * events);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// Such an answer has neither a length nor chunks.
+BOOST_AUTO_TEST_SUITE(whose_answer_ends_with_its_connection)
+
+BOOST_FIXTURE_TEST_CASE(has_it_whole_if_closed_in_good_order, attempts)
+{
+    for (auto const* const version : {"HTTP/1.0 ", "HTTP/1.1 "})
+    {
+        auto const head =
+            version + signed_head.substr(std::string{version}.size()) + "\r\n";
+        auto plain = raw_target{
+            loop, [&](std::string const&)
+            {
+                return raw_answer{head + "whole", {}, 0, answer_end::closed};
+            }};
+        auto const it = run(plain, false);
+        BOOST_REQUIRE(it.response);
+        BOOST_TEST(it.response->body == "whole");
+        auto stream = raw_target{
+            loop, [&](std::string const&)
+            {
+                return raw_answer{
+                    head + event(1) + event(2), {}, 0, answer_end::closed};
+            }};
+        auto const streamed = run(stream, true);
+        BOOST_TEST(streamed.stream_ended);
+        BOOST_TEST(streamed.events.size() == 2U);
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(is_broken_if_it_is_reset, attempts)
+{
+    for (auto const streaming : {false, true})
+    {
+        auto target = raw_target{
+            loop, [&](std::string const&)
+            {
+                return raw_answer{
+                    signed_head + "\r\n" + event(1), {}, 0, answer_end::reset};
+            }};
+        auto const it = run(target, streaming);
+        BOOST_TEST((it.failure == attempt_failure::broken));
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(is_broken_if_a_stream_ends_inside_an_event, attempts)
+{
+    for (auto const* const rest : {"id: 2\nda", "id: 2\ndata: t\n"})
+    {
+        auto target = raw_target{loop, [&](std::string const&)
+                                 {
+                                     return raw_answer{signed_head + "\r\n" +
+                                                           event(1) + rest,
+                                                       {},
+                                                       0,
+                                                       answer_end::closed};
+                                 }};
+        auto const it = run(target, true);
+        BOOST_TEST((it.failure == attempt_failure::broken), rest);
+        BOOST_TEST(it.events.size() == 1U, rest);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace primrosedeal::gateway
--- /dev/null
+++ b/src/standins/raw_target.cpp
@@ -0,0 +1,190 @@
+#include "standins/raw_target.hpp"
+
+#include "net/socket_address.hpp"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <list>
+#include <utility>
+
+namespace primrosedeal::standins
+{
+
+namespace
+{
+
+/// Bytes handed to a connection at a time.
+constexpr auto piece_bytes = std::size_t{64} << 10U;
+
+} // namespace
+
+struct raw_target::state
+{
+    raw_target& owner;
+    net::event_loop& loop;
+    script work;
+    evconnlistener* listener = nullptr;
+    std::uint16_t port = 0;
+    int runs = 0;
+    std::size_t sent = 0;
+    int closed_by_peer = 0;
+    std::list<connection> connections;
+};
+
+struct raw_target::connection
+{
+    state& owner;
+    bufferevent* bev;
+    std::list<connection>::iterator self;
+    std::string head;
+    raw_answer answer;
+    std::size_t queued = 0;
+    std::size_t left = 0;
+    bool answering = false;
+
+    connection(state& target, evutil_socket_t fd)
+        : owner(target), bev(bufferevent_socket_new(target.loop.base(), fd,
+                                                    BEV_OPT_CLOSE_ON_FREE))
+    {
+        bufferevent_setcb(bev, on_read, on_drained, on_event, this);
+        bufferevent_enable(bev, EV_READ | EV_WRITE);
+    }
+
+    connection(connection const&) = delete;
+    auto operator=(connection const&) -> connection& = delete;
+
+    ~connection()
+    {
+        bufferevent_free(bev);
+    }
+
+    static void on_read(bufferevent* bev, void* arg)
+    {
+        auto& it = *static_cast<connection*>(arg);
+        char buf[4096];
+        auto n = bufferevent_read(bev, buf, sizeof buf);
+        while (n > 0)
+        {
+            it.head.append(buf, n);
+            n = bufferevent_read(bev, buf, sizeof buf);
+        }
+        if (!it.answering && it.head.find("\r\n\r\n") != std::string::npos)
+        {
+            it.answering = true;
+            ++it.owner.runs;
+            it.answer = it.owner.work(it.head);
+            it.answer.first.empty() ? it.send_more()
+                                    : it.queue(it.answer.first);
+        }
+    }
+
+    void queue(std::string const& bytes)
+    {
+        queued += bytes.size();
+        left = bytes.size();
+        bufferevent_write(bev, bytes.data(), bytes.size());
+    }
+
+    static void on_drained(bufferevent* /*bev*/, void* arg)
+    {
+        auto& it = *static_cast<connection*>(arg);
+        it.owner.sent += std::exchange(it.left, 0);
+        if (it.owner.owner.on_sent)
+        {
+            it.owner.owner.on_sent();
+        }
+        it.send_more();
+    }
+
+    void send_more()
+    {
+        if (!answering)
+        {
+            return;
+        }
+        if (!answer.repeated.empty() && queued < answer.max_bytes)
+        {
+            auto bytes = std::string{};
+            while (bytes.size() < piece_bytes)
+            {
+                bytes += answer.repeated;
+            }
+            queue(bytes);
+            return;
+        }
+        if (answer.end == answer_end::stays_open)
+        {
+            return;
+        }
+        if (answer.end == answer_end::reset)
+        {
+            auto const now = linger{1, 0};
+            setsockopt(bufferevent_getfd(bev), SOL_SOCKET, SO_LINGER, &now,
+                       sizeof now);
+        }
+        owner.connections.erase(self);
+    }
+
+    static void on_event(bufferevent* /*bev*/, short /*what*/, void* arg)
+    {
+        auto& it = *static_cast<connection*>(arg);
+        ++it.owner.closed_by_peer;
+        it.owner.connections.erase(it.self);
+    }
+};
+
+raw_target::raw_target(net::event_loop& loop, script work)
+    : state_(new state{*this, loop, std::move(work), nullptr, 0, 0, 0, 0, {}})
+{
+    auto const at = net::to_sockaddr({"127.0.0.1", 0});
+    auto const on_accept =
+        [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* arg)
+    {
+        auto& it = *static_cast<state*>(arg);
+        it.connections.emplace_front(it, fd);
+        it.connections.front().self = it.connections.begin();
+    };
+    constexpr auto backlog = 16;
+    state_->listener = evconnlistener_new_bind(
+        loop.base(), on_accept, state_.get(),
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, backlog,
+        reinterpret_cast<sockaddr const*>(&at), sizeof at);
+    auto bound = sockaddr_in{};
+    auto n = socklen_t{sizeof bound};
+    getsockname(evconnlistener_get_fd(state_->listener),
+                reinterpret_cast<sockaddr*>(&bound), &n);
+    state_->port = ntohs(bound.sin_port);
+}
+
+raw_target::~raw_target()
+{
+    state_->connections.clear();
+    evconnlistener_free(state_->listener);
+}
+
+auto raw_target::port() const -> std::uint16_t
+{
+    return state_->port;
+}
+
+auto raw_target::runs() const -> int
+{
+    return state_->runs;
+}
+
+auto raw_target::sent() const -> std::size_t
+{
+    return state_->sent;
+}
+
+auto raw_target::closed_by_peer() const -> int
+{
+    return state_->closed_by_peer;
+}
+
+} // namespace primrosedeal::standins
