Bound the framing of a target's answer

Callers would see: their requests wait until the deadline while a target sends interim answers (100, 103) without end, or chunks that are nearly all extension, as fast as the link is; the host parses all of it.

Cause: http_parser bounds one head, and begins its count again at each interim answer and each chunk.

The parser counts the bytes of an answer that are no body. More than 128 KB beside 16 for each byte of body are malformed, so the connection is closed and the attempt has failed as damaged, which the failure detector counts. Chunks of one byte have five to twelve such bytes and pass.

--- a/src/gateway/attempt_test.cpp
+++ b/src/gateway/attempt_test.cpp
@@ -171,6 +171,18 @@
 
 BOOST_AUTO_TEST_SUITE(whose_target_sends_without_end)
 
+BOOST_FIXTURE_TEST_CASE(ends_interim_answers_without_end, attempts)
+{
+    for (auto const* const interim :
+         {"HTTP/1.1 100 Continue\r\n\r\n",
+          "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"})
+    {
+        auto const it = answer_without_end("", interim, false);
+        BOOST_TEST((it.failure == attempt_failure::damaged), interim);
+        BOOST_TEST(sent < kernel_buffers, interim);
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(ends_a_head_without_end, attempts)
 {
     auto const heads = std::vector<std::pair<std::string, std::string>>{
@@ -190,6 +202,15 @@
     }
 }
 
+BOOST_FIXTURE_TEST_CASE(ends_chunks_that_are_nearly_all_extension, attempts)
+{
+    auto const it =
+        answer_without_end(signed_head + "Transfer-Encoding: chunked\r\n\r\n",
+                           "1;" + std::string(2000, 'a') + "\r\nx\r\n", false);
+    BOOST_TEST((it.failure == attempt_failure::damaged));
+    BOOST_TEST(sent < kernel_buffers);
+}
+
 BOOST_FIXTURE_TEST_CASE(ends_an_extension_and_a_trailer_without_end, attempts)
 {
     auto const head = signed_head + "Transfer-Encoding: chunked\r\n\r\n";
--- a/src/http1/message.cpp
+++ b/src/http1/message.cpp
@@ -14,6 +14,11 @@
 
 /// Bytes of head an answer may have.
 constexpr auto max_response_head = std::size_t{64} << 10U;
+/// Bytes of an answer beside its body: heads, interim answers, sizes and
+/// extensions of chunks. A chunk of one byte has five of them, or twelve if its
+/// size is written with leading zeros.
+constexpr auto max_framing = std::size_t{128} << 10U;
+constexpr auto max_framing_per_body_byte = std::size_t{16};
 
 auto has_control_character(std::string_view text) -> bool
 {
@@ -377,7 +382,13 @@
     {
         http_parser_execute(&parser_, &settings, data, n);
         auto const error = HTTP_PARSER_ERRNO(&parser_);
-        progress_.malformed = error != HPE_OK && error != HPE_PAUSED;
+        framing_bytes_ += n - std::min(n, progress_.body.size());
+        body_bytes_ += progress_.body.size();
+        progress_.malformed =
+            (error != HPE_OK && error != HPE_PAUSED) ||
+            (!complete_ &&
+             framing_bytes_ >
+                 max_framing + max_framing_per_body_byte * body_bytes_);
     }
     return std::move(progress_);
 }
--- a/src/http1/message.hpp
+++ b/src/http1/message.hpp
@@ -154,7 +154,8 @@
     http_parser parser_{};
     header_collector headers_;
     response_progress progress_;
-    std::size_t head_bytes_ = 0;
+    std::size_t framing_bytes_ = 0;
+    std::size_t body_bytes_ = 0;
     bool head_request_ = false;
     bool interim_ = false;
     bool complete_ = false;
