Bound the body of a plain answer

Callers would see: all requests of a host end at one moment, without an answer.

Cause: an attempt kept every byte of an answer that is not streamed: a plain call's, and the error answer of a stream. A target that sends without end, with neither a length nor chunks, in chunks or within a large length, fills the 260 MB of a host in half a second of a fast link.

Beyond 8 MB the attempt closes the connection at once and has failed as damaged: bytes arrived, so the request may have run. The bound is one of each attempt.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -19,6 +19,9 @@
 constexpr auto misdirected_request = 421;
 constexpr auto first_server_error = 500;
 constexpr auto first_redirect = 300;
+/// Largest body of a response that is not streamed, in bytes. A host has some
+/// 260 MB for all its requests.
+constexpr auto max_body_bytes = std::size_t{8} << 20U;
 
 auto classify_failure(http1::response_head const& head,
                       response_metadata const& metadata)
@@ -132,6 +135,11 @@
     {
         if (!streams)
         {
+            if (body.size() + bytes.size() > max_body_bytes)
+            {
+                fail(attempt_failure::damaged);
+                return;
+            }
             body += bytes;
             return;
         }
--- a/src/gateway/attempt_test.cpp
+++ b/src/gateway/attempt_test.cpp
@@ -171,6 +171,29 @@
 
 BOOST_AUTO_TEST_SUITE(whose_target_sends_without_end)
 
+BOOST_FIXTURE_TEST_CASE(ends_a_plain_answer_beyond_its_bound, attempts)
+{
+    auto const chunk = chunked(std::string(16000, 'x'));
+    auto const heads = std::vector<std::pair<std::string, std::string>>{
+        {signed_head + "Transfer-Encoding: chunked\r\n\r\n", chunk},
+        {signed_head + "\r\n", "x"},
+        {signed_head + "Content-Length: 400000000\r\n\r\n", "x"},
+        {"HTTP/1.1 500 No\r\n\r\n", "x"}};
+    for (auto const& [head, repeated] : heads)
+    {
+        auto const it = answer_without_end(head, repeated, false);
+        BOOST_TEST((it.failure == attempt_failure::damaged), head);
+        BOOST_TEST(sent < body_bound + kernel_buffers, head);
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(ends_a_failure_of_a_stream_beyond_its_bound, attempts)
+{
+    auto const it = answer_without_end("HTTP/1.1 500 No\r\n\r\n", "no", true);
+    BOOST_TEST((it.failure == attempt_failure::damaged));
+    BOOST_TEST(sent < body_bound + kernel_buffers);
+}
+
 BOOST_FIXTURE_TEST_CASE(ends_interim_answers_without_end, attempts)
 {
     for (auto const* const interim :
