Bound the bytes of a stream without an event

Callers would see: a host that answers nobody for seconds or ends, while the target of one stream sends an event without end; or a stream of blank lines or comments up to its deadline.

Cause: the splitter kept an event of any size, and searched all of it again for its end with each read; blocks without data had no bound.

An event with data must end within 1 MB of the last one, else the attempt has failed as damaged and the stream goes on elsewhere; events of 256 KB and comments between them pass. The splitter searches only bytes that it has not yet seen.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -22,6 +22,8 @@
 /// Largest body of a response that is not streamed, in bytes. A host has some
 /// 260 MB for all its requests.
 constexpr auto max_body_bytes = std::size_t{8} << 20U;
+/// Bytes of a stream in which an event with data must end.
+constexpr auto max_event_bytes = std::size_t{1} << 20U;
 
 auto classify_failure(http1::response_head const& head,
                       response_metadata const& metadata)
@@ -67,6 +69,8 @@
     std::optional<http1::response_head> head;
     std::string body;
     http1::event_splitter splitter;
+    /// Bytes of whole events since the last one that had data.
+    std::size_t bytes_without_data = 0;
     bool streams = false;
     bool ended = false;
 
@@ -147,12 +151,18 @@
         for (auto& event : splitter.feed(bytes))
         {
             plan.stream_timing.last_event = net::event_loop::now();
+            bytes_without_data =
+                event.has_data ? 0 : bytes_without_data + event.bytes.size();
             events.on_event(*head, std::move(event));
             if (ended)
             {
                 return;
             }
         }
+        if (bytes_without_data + splitter.rest().size() > max_event_bytes)
+        {
+            fail(attempt_failure::damaged);
+        }
     }
 
     void on_complete()
--- a/src/gateway/attempt_test.cpp
+++ b/src/gateway/attempt_test.cpp
@@ -194,6 +194,27 @@
     BOOST_TEST(sent < body_bound + kernel_buffers);
 }
 
+BOOST_FIXTURE_TEST_CASE(ends_a_stream_whose_event_never_ends, attempts)
+{
+    auto const it =
+        answer_without_end(signed_head + "\r\n" + event(1) + "id: 2\ndata: ",
+                           std::string(1000, 'x'), true);
+    BOOST_TEST((it.failure == attempt_failure::damaged));
+    BOOST_TEST(it.events.size() == 1U);
+    BOOST_TEST(sent < event_bound + kernel_buffers);
+}
+
+BOOST_FIXTURE_TEST_CASE(ends_a_stream_whose_bytes_hold_no_event, attempts)
+{
+    for (auto const* const repeated : {"\n\n", ": nothing\n\n"})
+    {
+        auto const it =
+            answer_without_end(signed_head + "\r\n", repeated, true);
+        BOOST_TEST((it.failure == attempt_failure::damaged), repeated);
+        BOOST_TEST(sent < event_bound + kernel_buffers, repeated);
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(ends_interim_answers_without_end, attempts)
 {
     for (auto const* const interim :
@@ -247,6 +268,24 @@
     }
 }
 
+// The target would send more than a gigabyte over all attempts.
+BOOST_FIXTURE_TEST_CASE(keeps_the_process_from_growing, attempts)
+{
+    auto const before = allocated();
+    constexpr auto rounds = 4;
+    for (auto i = 0; i < rounds; ++i)
+    {
+        answer_without_end(signed_head + "\r\n", "x", false);
+        // A string that grows is copied into one of twice its size.
+        BOOST_TEST(peak < 4 * body_bound);
+        answer_without_end("HTTP/1.1 500 No\r\n\r\n", "x", true);
+        BOOST_TEST(peak < 4 * body_bound);
+        answer_without_end(signed_head + "\r\ndata: ", "x", true);
+        BOOST_TEST(peak < 4 * body_bound);
+    }
+    BOOST_TEST(allocated() < before + mebibyte);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(takes_a_proper_answer)
--- a/src/http1/event_splitter.cpp
+++ b/src/http1/event_splitter.cpp
@@ -2,6 +2,8 @@
 
 #include "core/parse_number.hpp"
 
+#include <algorithm>
+
 namespace primrosedeal::http1
 {
 
@@ -38,10 +40,17 @@
     return std::nullopt;
 }
 
-/// Position behind the blank line that ends the first event, or npos.
-auto end_of_event(std::string_view buffer) -> std::size_t
+auto has_data_field(std::string_view event) -> bool
+{
+    return event.starts_with("data") ||
+           event.find("\ndata") != std::string_view::npos;
+}
+
+/// Position behind the blank line that ends the first event, or npos. Looks at
+/// line ends from `from` on.
+auto end_of_event(std::string_view buffer, std::size_t from) -> std::size_t
 {
-    for (auto at = buffer.find('\n'); at != std::string_view::npos;
+    for (auto at = buffer.find('\n', from); at != std::string_view::npos;
          at = buffer.find('\n', at + 1))
     {
         if (buffer.substr(at + 1, 1) == "\n")
@@ -62,15 +71,19 @@
 {
     buffer_ += bytes;
     auto out = std::vector<stream_event>{};
-    auto end = end_of_event(buffer_);
+    auto end = end_of_event(buffer_, scanned_);
     while (end != std::string::npos)
     {
         auto event = buffer_.substr(0, end);
         auto const id = id_of(event);
-        out.push_back({std::move(event), id});
+        auto const has_data = has_data_field(event);
+        out.push_back({std::move(event), id, has_data});
         buffer_.erase(0, end);
-        end = end_of_event(buffer_);
+        end = end_of_event(buffer_, 0);
     }
+    // A line end and a carriage return may be the start of a blank line.
+    constexpr auto undecided = std::size_t{2};
+    scanned_ = buffer_.size() - std::min(buffer_.size(), undecided);
     return out;
 }
 
--- a/src/http1/event_splitter.hpp
+++ b/src/http1/event_splitter.hpp
@@ -16,6 +16,8 @@
     std::string bytes;
     /// Its `id` field, if that is a number.
     std::optional<std::uint64_t> id;
+    /// It has a `data` field; a comment or a blank line alone has none.
+    bool has_data = false;
 };
 
 class event_splitter
@@ -31,6 +33,8 @@
 
 private:
     std::string buffer_;
+    /// Bytes of `buffer_` in which no event ends.
+    std::size_t scanned_ = 0;
 };
 
 } // namespace primrosedeal::http1
