Bound the answer that a fetch collects

Callers would see: all requests of a host end at one moment, after a target or the store answered a copy request, a release or a read without end.

Cause: a fetch kept every byte, and its timeout begins again with each.

Evidence: ends_an_answer_beyond_its_bound; before, the fetch had not closed the connection when the target had sent all of its 96 MB.

A body above the bound ends the fetch as one without an answer whose request may have been sent.

--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -242,6 +242,7 @@
     handler done;
     net::event_loop* loop = nullptr;
     duration patience{};
+    std::size_t max_body = 0;
 
     /// A large answer on a slow link takes long, but it keeps coming.
     void expect_progress()
@@ -262,13 +263,15 @@
 };
 
 fetch::fetch(net::event_loop& loop, net::endpoint const& to,
-             request const& message, duration patience, handler done)
+             request const& message, duration patience, handler done,
+             std::size_t max_body)
     : state_(std::make_unique<state>())
 {
     auto* const it = state_.get();
     it->done = std::move(done);
     it->loop = &loop;
     it->patience = patience;
+    it->max_body = max_body;
     auto events = call_events{};
     events.on_head = [it](response_head head)
     {
@@ -278,6 +281,11 @@
     };
     events.on_body = [it](std::string_view bytes)
     {
+        if (it->response.body.size() + bytes.size() > it->max_body)
+        {
+            it->finish(false);
+            return;
+        }
         it->expect_progress();
         it->response.body += bytes;
     };
--- a/src/http1/client.hpp
+++ b/src/http1/client.hpp
@@ -63,9 +63,13 @@
     std::unique_ptr<state> state_;
 };
 
+/// Bytes of body that the answer of a control call may have.
+constexpr auto max_control_answer = std::size_t{1} << 20U;
+
 /// Collects a whole answer, or reports a failure: no connection, or nothing
-/// more of the answer, for `patience`. Reports once; its connection is closed
-/// by then. May be destroyed inside its handler.
+/// more of the answer, for `patience`, or a body above `max_body` bytes.
+/// Reports once; its connection is closed by then. May be destroyed inside its
+/// handler.
 class fetch
 {
 public:
@@ -73,7 +77,8 @@
                                        bool may_have_sent)>;
 
     fetch(net::event_loop& loop, net::endpoint const& to,
-          request const& message, duration patience, handler done);
+          request const& message, duration patience, handler done,
+          std::size_t max_body = max_control_answer);
     fetch(fetch const&) = delete;
     auto operator=(fetch const&) -> fetch& = delete;
     ~fetch();
--- a/src/http1/connection_test.cpp
+++ b/src/http1/connection_test.cpp
@@ -1,5 +1,6 @@
 #include "http1/client.hpp"
 #include "http1/server.hpp"
+#include "standins/raw_target.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -363,6 +364,63 @@
     run_until([&] { return failed; });
 }
 
+BOOST_FIXTURE_TEST_CASE(ends_an_answer_beyond_its_bound, world)
+{
+    constexpr auto endless = std::size_t{96} << 20U;
+    constexpr auto kernel_buffers = std::size_t{12} << 20U;
+    for (auto const* const head :
+         {"HTTP/1.1 200 OK\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nContent-Length: 400000000\r\n\r\n"})
+    {
+        auto from = standins::raw_target{loop, [&](std::string const&)
+                                         {
+                                             return standins::raw_answer{
+                                                 head, "x", endless,
+                                                 standins::answer_end::closed};
+                                         }};
+        auto reports = 0;
+        auto answered = false;
+        auto may_have_sent = false;
+        auto const it = fetch{
+            loop, net::endpoint{"127.0.0.1", from.port()}, get("/"), patience,
+            [&](std::optional<net::http_response> const& answer, bool sent)
+            {
+                ++reports;
+                answered = answer.has_value();
+                may_have_sent = sent;
+            }};
+        run_until([&] { return reports > 0 && from.closed_by_peer() > 0; });
+        BOOST_TEST(reports == 1);
+        BOOST_TEST(!answered);
+        BOOST_TEST(may_have_sent);
+        BOOST_TEST(from.sent() < kernel_buffers);
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(takes_an_answer_within_the_bound_of_its_caller, world)
+{
+    auto const body = std::string(std::size_t{24} << 20U, 'x');
+    auto from = standins::raw_target{loop, [&](std::string const&)
+                                     {
+                                         return standins::raw_answer{
+                                             "HTTP/1.1 200 OK\r\n\r\n" + body,
+                                             {},
+                                             0,
+                                             standins::answer_end::closed};
+                                     }};
+    auto got = std::optional<std::optional<net::http_response>>{};
+    auto const it = fetch{loop,
+                          net::endpoint{"127.0.0.1", from.port()},
+                          get("/"),
+                          patience,
+                          [&](std::optional<net::http_response> answer, bool)
+                          { got = std::move(answer); },
+                          body.size()};
+    run_until([&] { return got.has_value(); });
+    BOOST_REQUIRE(got->has_value());
+    BOOST_TEST(((*got)->body == body));
+}
+
 // The timeout of the fetch and that of its connection are due together.
 BOOST_FIXTURE_TEST_CASE(reports_once_when_its_connection_times_out, world)
 {
