Bound the buffered answers of all attempts together

Cause: the bound was one of each attempt alone.

Bodies count what they hold together. Above 48 MB a body grows no further than its share of them, so what sends without end is ended first, and the answer of another target (1 MB in the test) passes.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -1,6 +1,7 @@
 #include "gateway/attempt.hpp"
 
 #include "core/overloaded.hpp"
+#include "gateway/response_body.hpp"
 
 #include <utility>
 
@@ -19,9 +20,6 @@
 constexpr auto misdirected_request = 421;
 constexpr auto first_server_error = 500;
 constexpr auto first_redirect = 300;
-/// Largest body of a response that is not streamed, in bytes. A host has some
-/// 260 MB for all its requests.
-constexpr auto max_body_bytes = std::size_t{8} << 20U;
 /// Bytes of a stream in which an event with data must end.
 constexpr auto max_event_bytes = std::size_t{1} << 20U;
 
@@ -67,7 +65,7 @@
     std::unique_ptr<http1::client_call> call;
     net::timer timeout_timer;
     std::optional<http1::response_head> head;
-    std::string body;
+    response_body body;
     http1::event_splitter splitter;
     /// Bytes of whole events since the last one that had data.
     std::size_t bytes_without_data = 0;
@@ -124,6 +122,7 @@
         ended = true;
         timeout_timer.cancel();
         call.reset();
+        body.take();
     }
 
     void on_head(http1::response_head it)
@@ -139,12 +138,10 @@
     {
         if (!streams)
         {
-            if (body.size() + bytes.size() > max_body_bytes)
+            if (!body.append(bytes))
             {
                 fail(attempt_failure::damaged);
-                return;
             }
-            body += bytes;
             return;
         }
         auto const held = shared_from_this();
@@ -175,7 +172,7 @@
         }
         auto const failed =
             classify_failure(*head, wire.read_response(*head, plan.id));
-        auto response = target_response{std::move(*head), std::move(body)};
+        auto response = target_response{std::move(*head), body.take()};
         if (failed == attempt_failure::target_error)
         {
             fail(*failed, std::move(response));
--- a/src/gateway/attempt_test.cpp
+++ b/src/gateway/attempt_test.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -80,26 +81,26 @@
 
 struct attempts
 {
-    /// One attempt up to its end, and until the target saw its connection end.
-    auto run(raw_target& target, bool streaming) -> outcome
+    /// Begins an attempt that reports into `out`.
+    auto begin(raw_target& target, bool streaming, outcome& out)
+        -> std::unique_ptr<attempt>
     {
-        auto out = outcome{};
         auto events = attempt_events{};
         events.on_event =
-            [&](http1::response_head const&, http1::stream_event it)
+            [&out](http1::response_head const&, http1::stream_event it)
         {
             out.events.push_back(std::move(it.bytes));
         };
-        events.on_stream_end = [&]
+        events.on_stream_end = [&out]
         {
             out.stream_ended = true;
         };
-        events.on_response = [&](target_response it)
+        events.on_response = [&out](target_response it)
         {
             out.response = std::move(it);
         };
         events.on_failure =
-            [&](attempt_failure how, std::optional<target_response> const&)
+            [&out](attempt_failure how, std::optional<target_response> const&)
         {
             out.failure = how;
         };
@@ -114,12 +115,15 @@
         plan.stream_timing.expected_first = patience;
         plan.stream_timing.first_event_due =
             net::event_loop::now() + 10 * patience;
-        auto const it = attempt{loop,
-                                wire,
-                                prober,
-                                std::move(plan),
-                                std::move(events),
-                                net::event_loop::now()};
+        return std::make_unique<attempt>(loop, wire, prober, std::move(plan),
+                                         std::move(events),
+                                         net::event_loop::now());
+    }
+
+    auto run(raw_target& target, bool streaming) -> outcome
+    {
+        auto out = outcome{};
+        auto const it = begin(target, streaming, out);
         run_until([&] { return out.over(); });
         return out;
     }
@@ -286,6 +290,57 @@
     BOOST_TEST(allocated() < before + mebibyte);
 }
 
+// Each answer was within its own bound, and all together ended the process.
+BOOST_FIXTURE_TEST_CASE(bounds_all_attempts_together, attempts)
+{
+    auto bad = raw_target{loop, [](std::string const&)
+                          {
+                              return raw_answer{signed_head + "\r\n", "x",
+                                                endless, answer_end::closed};
+                          }};
+    auto good = raw_target{loop, [](std::string const&)
+                           {
+                               return raw_answer{signed_head + "\r\n" +
+                                                     std::string(mebibyte, 'x'),
+                                                 {},
+                                                 0,
+                                                 answer_end::closed};
+                           }};
+    auto const before = allocated();
+    bad.on_sent = [&]
+    {
+        auto const now = allocated();
+        peak = std::max(peak, now > before ? now - before : 0);
+    };
+    constexpr auto at_once = std::size_t{32};
+    auto outcomes = std::vector<outcome>(at_once);
+    auto proper = outcome{};
+    {
+        auto running = std::vector<std::unique_ptr<attempt>>{};
+        for (auto& it : outcomes)
+        {
+            running.push_back(begin(bad, false, it));
+        }
+        running.push_back(begin(good, false, proper));
+        run_until(
+            [&]
+            {
+                return proper.over() &&
+                       std::all_of(outcomes.begin(), outcomes.end(),
+                                   [](outcome const& it) { return it.over(); });
+            });
+    }
+    for (auto const& it : outcomes)
+    {
+        BOOST_TEST((it.failure == attempt_failure::damaged));
+    }
+    BOOST_REQUIRE(proper.response);
+    BOOST_TEST(proper.response->body.size() == mebibyte);
+    constexpr auto together = 48 * mebibyte;
+    constexpr auto buffers_of_the_targets = 16 * mebibyte;
+    BOOST_TEST(peak < 2 * together + buffers_of_the_targets);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(takes_a_proper_answer)
