--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -1,6 +1,7 @@
 #include "gateway/attempt.hpp"
 
 #include "core/overloaded.hpp"
+#include "gateway/response_body.hpp"
 
 #include <utility>
 
@@ -19,6 +20,8 @@
 constexpr auto misdirected_request = 421;
 constexpr auto first_server_error = 500;
 constexpr auto first_redirect = 300;
+/// Bytes of a stream in which an event with data must end.
+constexpr auto max_event_bytes = std::size_t{1} << 20U;
 
 auto classify_failure(http1::response_head const& head,
                       response_metadata const& metadata)
@@ -62,8 +65,10 @@
     std::unique_ptr<http1::client_call> call;
     net::timer timeout_timer;
     std::optional<http1::response_head> head;
-    std::string body;
+    response_body body;
     http1::event_splitter splitter;
+    /// Bytes of whole events since the last one that had data.
+    std::size_t bytes_without_data = 0;
     bool streams = false;
     bool ended = false;
 
@@ -117,6 +122,7 @@
         ended = true;
         timeout_timer.cancel();
         call.reset();
+        body.take();
     }
 
     void on_head(http1::response_head it)
@@ -132,19 +138,28 @@
     {
         if (!streams)
         {
-            body += bytes;
+            if (!body.append(bytes))
+            {
+                fail(attempt_failure::damaged);
+            }
             return;
         }
         auto const held = shared_from_this();
         for (auto& event : splitter.feed(bytes))
         {
             plan.stream_timing.last_event = net::event_loop::now();
+            bytes_without_data =
+                event.has_data ? 0 : bytes_without_data + event.bytes.size();
             events.on_event(*head, std::move(event));
             if (ended)
             {
                 return;
             }
         }
+        if (bytes_without_data + splitter.rest().size() > max_event_bytes)
+        {
+            fail(attempt_failure::damaged);
+        }
     }
 
     void on_complete()
@@ -157,7 +172,7 @@
         }
         auto const failed =
             classify_failure(*head, wire.read_response(*head, plan.id));
-        auto response = target_response{std::move(*head), std::move(body)};
+        auto response = target_response{std::move(*head), body.take()};
         if (failed == attempt_failure::target_error)
         {
             fail(*failed, std::move(response));
