--- a/src/quarantine/part_quarantine_reference.hpp
+++ b/src/quarantine/part_quarantine_reference.hpp
@@ -54,9 +54,10 @@
         }
         for (auto const& [part, at] : latest(own_))
         {
-            auto const refutes = [part = part, at = at](auto const& it)
+            auto const refutes =
+                [part = part, until = at + proof_validity](auto const& it)
             {
-                return it.part == part && it.at <= at;
+                return it.part == part && it.at <= until;
             };
             if (std::any_of(accusations_.begin(), accusations_.end(), refutes))
             {
@@ -125,6 +126,8 @@
     }
 
 private:
+    static constexpr auto proof_validity = quarantine_limits{}.proof_validity;
+
     using by_crash = std::map<crash_id, accusation>;
 
     static auto latest(std::vector<clearance> const& all)
@@ -156,8 +159,9 @@
         clearances.insert(clearances.end(), heard_.begin(), heard_.end());
         for (auto const& [part, at] : latest(clearances))
         {
-            std::erase_if(out[part], [at = at](auto const& it)
-                          { return it.second.at <= at; });
+            std::erase_if(out[part],
+                          [until = at + proof_validity](auto const& it)
+                          { return it.second.at <= until; });
         }
         return out;
     }
