Take nothing more from a store watch that was ended

Callers saw: a host may hold an older value of a key than the revision that it reports, until the key is written again.

Cause: a pause destroys the watch from the event loop, so an answer of the same pass was still delivered, after newer changes had come by the feed. If the watcher had been resumed by then, the end of the earlier watch ended the new one and was reported as a loss of the store.

That the store's client delivers in that window was found by reading.

Watches now carry a generation, as reads did. on_watch_end no longer checks for a pause, since the watch of a paused watcher is of an older generation.

--- a/src/gateway/store_watcher.cpp
+++ b/src/gateway/store_watcher.cpp
@@ -50,7 +50,7 @@
     paused_ = true;
     in_contact_ = false;
     retry_.cancel();
-    ++read_generation_;
+    ++generation_;
     // This may run inside a callback of the watch, so destroy it later.
     loop_.post([held = std::shared_ptr<external::watch>{std::move(watch_)}] {});
 }
@@ -60,7 +60,7 @@
     paused_ = false;
     if (!watch_ && !in_contact_)
     {
-        ++read_generation_;
+        ++generation_;
         retry_.cancel();
         reconnect();
     }
@@ -99,10 +99,10 @@
 {
     read_needed_ = true;
     store_.range(external::call_purpose::configuration_read, all_keys(),
-                 [this, generation = ++read_generation_](
+                 [this, generation = ++generation_](
                      external::answer<external::range_result> const& it)
                  {
-                     if (generation == read_generation_)
+                     if (generation == generation_)
                      {
                          on_read(it);
                      }
@@ -131,19 +131,30 @@
 void store_watcher::open_watch()
 {
     auto handlers = external::watch_handlers{};
-    handlers.on_event = [this](external::watch_event const& it)
+    // An ended watch is destroyed later and may still report.
+    auto const generation = ++generation_;
+    handlers.on_event = [this, generation](external::watch_event const& it)
     {
-        on_call_answered(net::event_loop::now());
-        delivered_revision_ = std::max(delivered_revision_, it.at);
-        events_.on_entry(it);
+        if (generation == generation_)
+        {
+            on_call_answered(net::event_loop::now());
+            delivered_revision_ = std::max(delivered_revision_, it.at);
+            events_.on_entry(it);
+        }
     };
-    handlers.on_open = [this]
+    handlers.on_open = [this, generation]
     {
-        on_call_answered(net::event_loop::now());
+        if (generation == generation_)
+        {
+            on_call_answered(net::event_loop::now());
+        }
     };
-    handlers.on_end = [this](external::call_failure const& why)
+    handlers.on_end = [this, generation](external::call_failure const& why)
     {
-        on_watch_end(why);
+        if (generation == generation_)
+        {
+            on_watch_end(why);
+        }
     };
     watch_ = store_.watch_range(external::call_purpose::configuration_watch,
                                 all_keys(), delivered_revision_,
@@ -153,10 +164,6 @@
 void store_watcher::on_watch_end(external::call_failure const& why)
 {
     auto const held = std::move(watch_);
-    if (paused_)
-    {
-        return;
-    }
     if (why.fault == external::call_fault::refused)
     {
         // The store has compacted the history since the last event.
--- a/src/gateway/store_watcher.hpp
+++ b/src/gateway/store_watcher.hpp
@@ -87,9 +87,9 @@
     store_watcher_events events_;
     external::store_revision delivered_revision_;
     std::unique_ptr<external::watch> watch_;
-    /// Results of reads with an older generation are ignored: the read was
-    /// started before the last pause or superseded.
-    std::uint64_t read_generation_ = 0;
+    /// Results of reads and watches with an older generation are ignored: they
+    /// were started before the last pause or superseded.
+    std::uint64_t generation_ = 0;
     net::timer retry_;
     unsigned failures_ = 0;
     std::size_t hosts_ahead_ = 0;
--- /dev/null
+++ b/src/gateway/store_watcher_test.cpp
@@ -0,0 +1,120 @@
+#include "gateway/store_watcher.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <vector>
+
+namespace primrosedeal::gateway
+{
+
+namespace
+{
+
+/// An empty store whose watches are driven by the test.
+class empty_store : public external::key_value_service
+{
+public:
+    explicit empty_store(net::event_loop& loop) : loop_(loop) {}
+
+    void range(external::call_purpose /*purpose*/,
+               external::range_request const& /*request*/,
+               external::answer_handler<external::range_result> done) override
+    {
+        loop_.post([done = std::move(done)]
+                   { done(external::range_result{}); });
+    }
+
+    void commit(external::call_purpose /*purpose*/,
+                external::transaction const& /*request*/,
+                external::answer_handler<external::transaction_result> /*done*/)
+        override
+    {
+    }
+
+    void grant_lease(
+        external::lease_id /*id*/, std::chrono::seconds /*ttl*/,
+        external::answer_handler<external::lease_grant> /*done*/) override
+    {
+    }
+
+    void keep_alive(
+        external::lease_id /*id*/,
+        external::answer_handler<external::lease_grant> /*done*/) override
+    {
+    }
+
+    void revoke_lease(
+        external::lease_id /*id*/,
+        external::answer_handler<external::lease_grant> /*done*/) override
+    {
+    }
+
+    auto watch_range(external::call_purpose /*purpose*/,
+                     external::range_request const& /*request*/,
+                     external::store_revision /*from*/,
+                     external::watch_handlers handlers)
+        -> std::unique_ptr<external::watch> override
+    {
+        watches.push_back(std::move(handlers));
+        loop_.stop();
+        return std::make_unique<external::watch>();
+    }
+
+    std::vector<external::watch_handlers> watches;
+
+private:
+    net::event_loop& loop_;
+};
+
+auto event_at(std::int64_t revision) -> external::watch_event
+{
+    auto const at = external::store_revision{revision};
+    auto out = external::watch_event{"k", {}, at};
+    out.value = external::stored_value{"k", "v", at, at, external::lease_id{0}};
+    return out;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(a_paused_watcher)
+
+// The watch is destroyed from the event loop after the pause.
+BOOST_AUTO_TEST_CASE(takes_nothing_more_from_its_earlier_watch)
+{
+    auto loop = net::event_loop{};
+    auto store = empty_store{loop};
+    auto random = random_source{1};
+    auto taken = std::vector<external::store_revision>{};
+    auto losses = 0;
+    auto events = store_watcher_events{};
+    events.on_snapshot = [](std::vector<external::stored_value> const&) {
+    };
+    events.on_entry = [&](external::watch_event const& it)
+    {
+        taken.push_back(it.at);
+    };
+    events.on_lost = [&](std::string const&)
+    {
+        ++losses;
+    };
+    events.on_regained = [](time_point) {
+    };
+    auto it = store_watcher{loop, store, random, std::move(events)};
+    it.start();
+    loop.run();
+    BOOST_REQUIRE(store.watches.size() == 1U);
+    it.pause();
+    it.apply_event(event_at(2));
+    store.watches.front().on_event(event_at(1));
+    BOOST_TEST(taken.size() == 1U);
+    it.resume();
+    BOOST_REQUIRE(store.watches.size() == 2U);
+    store.watches.front().on_end({external::call_fault::lost, "late"});
+    BOOST_TEST(losses == 0);
+    store.watches.back().on_event(event_at(3));
+    BOOST_TEST(taken.size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace primrosedeal::gateway
