Test that delayed evidence does not replace other evidence in turn

Cause: the test exchanged evidence without delay and one host after the other, so it passed without the margin.

Change: both hosts send at once and each message delays the times.

Result: quarantine_test (39 cases) passes; the case fails without the margin.

--- a/src/quarantine/part_quarantine_test.cpp
+++ b/src/quarantine/part_quarantine_test.cpp
@@ -520,8 +520,16 @@
     }
     auto const exchange = [&](std::int64_t ms)
     {
-        tell(hosts[0], hosts[1], ms);
-        tell(hosts[1], hosts[0], ms);
+        auto sent = std::array{hosts[0].make_report(at(ms)),
+                               hosts[1].make_report(at(ms))};
+        for (auto i = std::size_t{0}; i < hosts.size(); ++i)
+        {
+            for (auto& each : sent.at(i).accusations)
+            {
+                each.at += 20ms;
+            }
+            hosts.at(1 - i).merge(sent.at(i), at(ms + 20));
+        }
     };
     exchange(2000);
     auto const changes =
