Begin the checks of an attempt after its constructor

Callers would see: a stream that begins just as its objective passes, or as its host has been paused, hangs until its deadline.

Cause: the constructor of an attempt checked its progress with a later time than its owner's and could report a failure before the owner held the attempt; the owner then stored the ended attempt over the next one, or into an empty optional.

The first check now comes from the loop.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -96,7 +96,8 @@
             std::move(handlers));
         if (plan.streaming)
         {
-            check_progress(net::event_loop::now());
+            // The check may end the attempt, which its owner does not hold yet.
+            schedule_check(0s);
         }
         else if (plan.response_timeout)
         {
--- a/src/gateway/attempt_test.cpp
+++ b/src/gateway/attempt_test.cpp
@@ -464,6 +464,38 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(that_begins_late)
+
+// The owner does not hold an attempt that ends inside its constructor.
+BOOST_FIXTURE_TEST_CASE(ends_only_after_its_constructor, attempts)
+{
+    auto target = raw_target{loop, [](std::string const&)
+                             {
+                                 return raw_answer{};
+                             }};
+    auto out = outcome{};
+    auto events = attempt_events{};
+    events.on_failure =
+        [&out](attempt_failure how, std::optional<target_response> const&)
+    {
+        out.failure = how;
+    };
+    auto const now = net::event_loop::now();
+    auto plan = attempt_plan{};
+    plan.target.address = {"127.0.0.1", target.port()};
+    plan.message = {"POST", "/a", {{"Host", "h"}}, "prompt", true};
+    plan.connect_timeout = patience;
+    plan.streaming = true;
+    plan.stream_timing.expected_first = patience;
+    plan.stream_timing.first_event_due = now - 1ms;
+    auto const it =
+        attempt{loop, wire, prober, std::move(plan), events, now - 2ms};
+    BOOST_TEST(!out.failure.has_value());
+    run_until([&] { return out.over(); });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace primrosedeal::gateway
