End a process that failed without the static destructors

Cause, suspected: the path of an exception returned from main, so log4cplus's static destructor waited for the threads of its pool, as it did at the end of the grace before end_process was made.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -75,6 +75,6 @@
     catch (std::exception const& e)
     {
         std::cerr << "primrosedeal: " << e.what() << "\n";
-        return static_cast<int>(cli::exit_code::usage);
+        end_process(static_cast<int>(cli::exit_code::usage));
     }
 }
