Read and log the request limits that targets state

A host forwarded Server-Limit like any other header, and no line showed whether it had seen one, so the logs could not tell a host that ignores a limit from one that keeps it for itself. platform/ decodes the header now (the lowest of several; a value that is no number of requests counts neither as a limit nor as its end), src/request_limit tracks it by target and process, and each change is logged (request_limit_changed) and counted. Placement does not use it yet.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -159,6 +159,11 @@
     {
         auto const held = shared_from_this();
         auto const metadata = wire.read_response(it, plan.id);
+        if (events.on_response_head && it.status != misdirected_request &&
+            !metadata.request_id_mismatch)
+        {
+            events.on_response_head(metadata);
+        }
         streams = plan.streaming && it.status < first_redirect &&
                   !classify_failure(it, metadata);
         head = std::move(it);
--- a/src/gateway/attempt.hpp
+++ b/src/gateway/attempt.hpp
@@ -30,6 +30,9 @@
 {
     /// The target accepted or refused the connection.
     std::function<void()> on_connection_answered;
+    /// Called for the head of each response that the target itself made to
+    /// this request.
+    std::function<void(response_metadata const&)> on_response_head;
     /// Called for each complete event of a streaming response.
     std::function<void(http1::response_head const&, http1::stream_event)>
         on_event;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -353,6 +353,7 @@
             if (it.to == directory::change_kind::gone)
             {
                 host_.detector.remove_target(it.id);
+                host_.limits.remove_target(it.id);
                 notify_relays(it.id);
             }
         }
@@ -516,6 +517,7 @@
                          std::to_string(host_.other_hosts.live_hosts())}});
         }
         host_.quarantine.expire(now);
+        host_.limits.expire(now);
         // The permission needs several seconds without a pause between calls.
         host_.may_admit_trials(now);
         host_.metrics.log_lines_dropped(log::dropped_lines());
--- a/src/gateway/host_state.hpp
+++ b/src/gateway/host_state.hpp
@@ -17,6 +17,7 @@
 #include "net/event_loop.hpp"
 #include "quarantine/part_quarantine.hpp"
 #include "quarantine/trial_permission.hpp"
+#include "request_limit/limit_table.hpp"
 #include "routes/route_table.hpp"
 
 #include <map>
@@ -83,6 +84,7 @@
     dispatch::failure_detector detector;
     dispatch::own_link own_link;
     dispatch::load_tracker loads;
+    request_limit::limit_table limits;
     quarantine::part_quarantine quarantine;
     quarantine::trial_permission trials;
     fleet::fleet_view other_hosts;
--- a/src/gateway/protocol.hpp
+++ b/src/gateway/protocol.hpp
@@ -5,6 +5,7 @@
 #include "directory/target_directory.hpp"
 #include "dispatch/load_tracker.hpp"
 #include "http1/message.hpp"
+#include "request_limit/limit_table.hpp"
 #include "routes/configuration.hpp"
 
 #include <cstdint>
@@ -79,6 +80,10 @@
     bool not_executed = false;
     /// The body has a content encoding: it was changed in transit.
     bool encoded = false;
+    /// Requests that the target takes from all hosts together.
+    std::optional<request_limit::request_rate> request_limit;
+    /// The response states a limit that is not a number of requests.
+    bool unreadable_request_limit = false;
 };
 
 /// The configuration read from the store, or the error in it.
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -4,6 +4,7 @@
 #include "core/part_of.hpp"
 #include "gateway/log_text.hpp"
 #include "gateway/own_link_events.hpp"
+#include "gateway/request_limit_events.hpp"
 #include "log/log.hpp"
 
 #include <algorithm>
@@ -360,6 +361,10 @@
     {
         on_connection_answered(host_, net::event_loop::now());
     };
+    events.on_response_head = [this](response_metadata const& it)
+    {
+        on_response_head(it, net::event_loop::now());
+    };
     events.on_event =
         [this](http1::response_head const& head, http1::stream_event it)
     {
@@ -383,6 +388,21 @@
                                   std::move(plan), std::move(events), now);
 }
 
+void relay::on_response_head(response_metadata const& it, time_point now)
+{
+    auto const& target = current_->target;
+    if (it.unreadable_request_limit)
+    {
+        return;
+    }
+    if (host_.limits.observe({target.id, target.process_start, it.request_limit,
+                              current_->sent_at},
+                             now))
+    {
+        on_limit_changed(host_, target.id, it.request_limit, "response");
+    }
+}
+
 void relay::on_event(http1::response_head const& head, http1::stream_event it,
                      time_point now)
 {
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -99,6 +99,7 @@
                                     time_point now) -> attempt_plan;
     [[nodiscard]] auto view() const -> dispatch::placement_view;
     [[nodiscard]] auto placement() const -> dispatch::placement_request;
+    void on_response_head(response_metadata const& it, time_point now);
     void on_event(http1::response_head const& head, http1::stream_event it,
                   time_point now);
     void log_continued(duration pause);
--- a/src/metrics/gateway_metrics.cpp
+++ b/src/metrics/gateway_metrics.cpp
@@ -53,6 +53,8 @@
                                  "target.")),
       target_changes_(counters(*registry_, "gateway_target_changes_total",
                                "Changes of belief about targets.")),
+      limit_changes_(counters(*registry_, "gateway_request_limit_changes_total",
+                              "Changes of the request limits of targets.")),
       peer_bytes_(counters(*registry_, "gateway_peer_bytes_total",
                            "Bytes exchanged with other hosts.")),
       first_event_(histograms(*registry_, "gateway_first_event_seconds",
@@ -130,6 +132,11 @@
     target_changes_.Add({{"to", std::string{to}}}).Increment();
 }
 
+void gateway_metrics::request_limit_changed(std::string_view source)
+{
+    limit_changes_.Add({{"source", std::string{source}}}).Increment();
+}
+
 void gateway_metrics::store_call_failed()
 {
     store_failures_.Increment();
--- a/src/metrics/gateway_metrics.hpp
+++ b/src/metrics/gateway_metrics.hpp
@@ -36,6 +36,8 @@
     void own_link_changed(std::string_view to);
     void first_event(duration since_arrival);
     void target_changed(std::string_view to);
+    /// The request limit of a target changed; `source` observed it.
+    void request_limit_changed(std::string_view source);
     void store_call_failed();
     void configuration_version(std::uint64_t it);
     void log_lines_dropped(std::uint64_t total);
@@ -58,6 +60,7 @@
     prometheus::Family<prometheus::Counter>& stream_waits_;
     prometheus::Family<prometheus::Counter>& own_link_changes_;
     prometheus::Family<prometheus::Counter>& target_changes_;
+    prometheus::Family<prometheus::Counter>& limit_changes_;
     prometheus::Family<prometheus::Counter>& peer_bytes_;
     prometheus::Histogram& first_event_;
     prometheus::Counter& store_failures_;
