Divide the request limits of targets between the hosts

Change: src/request_limit divides a limit without messages. As many hosts share it as it has requests a second, by their places in a ring of host hashes; each has a token bucket that starts empty. Every attempt asks it: first ones, retries, resumes at a copy. Copies are not placed at limited targets. Hosts report what they observed in digests, the newest observation wins, and a limit ends with a response that states none, or with the target's process. A request that only limits stand against is refused at once, with a Retry-After of one to two times the time until a share permits one.

--- a/src/configuration/follower.cpp
+++ b/src/configuration/follower.cpp
@@ -1,8 +1,9 @@
 #include "configuration/follower.hpp"
 
+#include "core/host_hash.hpp"
+
 #include <algorithm>
 #include <tuple>
-#include <xxhash.h>
 
 // Holders and others run the same code; the duty follows the membership view
 // from tick to tick. Two views that differ for a while only mean a watch more
@@ -10,24 +11,14 @@
 // on nothing but the revision's number.
 namespace primrosedeal::configuration
 {
-namespace
-{
-
-auto weight(host_id const& it) -> std::uint64_t
-{
-    return XXH64(it.value().data(), it.value().size(), 0);
-}
-
-} // namespace
-
 auto is_watch_holder(host_id const& self, std::vector<host_id> const& hosts,
                      unsigned count) -> bool
 {
-    auto const mine = std::tuple{weight(self), self};
+    auto const mine = std::tuple{hash_of(self), self};
     auto const ahead =
         std::ranges::count_if(hosts,
                               [&](host_id const& it) {
-                                  return std::tuple{weight(it), it} < mine;
+                                  return std::tuple{hash_of(it), it} < mine;
                               });
     return ahead < static_cast<std::ptrdiff_t>(count);
 }
--- a/src/dispatch/partition_replay_test.cpp
+++ b/src/dispatch/partition_replay_test.cpp
@@ -55,7 +55,8 @@
     }
     auto const others = fleet::fleet_view{};
     auto random = random_source{seed};
-    auto const view = placement_view{targets, detector, loads, others};
+    auto const view =
+        placement_view{targets, detector, loads, others, no_limits};
     auto out = outcome{};
     auto now = time_point{};
     constexpr auto per_second = 1.2;
--- a/src/dispatch/placement.hpp
+++ b/src/dispatch/placement.hpp
@@ -6,6 +6,7 @@
 #include "dispatch/failure_detector.hpp"
 #include "dispatch/load_tracker.hpp"
 #include "fleet/fleet_view.hpp"
+#include "request_limit/limiter.hpp"
 
 #include <optional>
 #include <span>
@@ -40,16 +41,19 @@
     load_tracker const& loads;
     /// Load that other hosts have outstanding.
     fleet::fleet_view const& others;
+    /// This host's shares of the targets' request limits.
+    request_limit::limiter const& limiter;
 };
 
 /// Target for a new attempt, or nothing if no target has capacity. Targets
-/// that were already tried or are excluded are used only as a last resort.
+/// that were already tried or are excluded are used only as a last resort, and
+/// limited ones only within this host's share.
 auto place(placement_view const& view, placement_request const& it,
            time_point now, random_source& random)
     -> std::optional<directory::listed_target>;
 
 /// Target for a copy of a request that runs at `primary`, preferably in
-/// another domain; nothing if no healthy target has capacity.
+/// another domain; nothing if no healthy target without a limit has capacity.
 auto place_copy(placement_view const& view, placement_request const& it,
                 directory::listed_target const& primary, time_point now,
                 random_source& random)
--- a/src/dispatch/replay_engines.hpp
+++ b/src/dispatch/replay_engines.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "directory/target_directory.hpp"
+#include "request_limit/limiter.hpp"
 
 #include <cstddef>
 #include <string>
@@ -13,6 +14,8 @@
 constexpr auto replay_domains = std::size_t{4};
 constexpr auto replay_targets = std::size_t{36};
 
+inline auto const no_limits = request_limit::limiter{};
+
 /// Identical engines `t0`, `t1`, ... assigned to the domains `d0` to `d3`
 /// round-robin.
 inline auto replay_engines() -> std::vector<directory::listed_target>
--- a/src/fleet/digest.cpp
+++ b/src/fleet/digest.cpp
@@ -5,6 +5,7 @@
 #include <msgpack.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <exception>
 #include <tuple>
 #include <utility>
@@ -30,14 +31,22 @@
 /// Whether the host reads datagrams with evidence, and the speed of its link in
 /// bytes a second.
 using sender_fields = std::tuple<bool, std::uint64_t>;
-using all_fields = decltype(std::tuple_cat(std::declval<fields>(),
-                                           std::declval<evidence_fields>(),
-                                           std::declval<sender_fields>()));
+/// Target, start of its process, requests a second or `no_limit`, and the age
+/// of the observation in microseconds.
+using limit_row = std::tuple<std::string, std::uint64_t, double, std::int64_t>;
+using limit_fields = std::tuple<std::vector<limit_row>>;
+using all_fields = decltype(std::tuple_cat(
+    std::declval<fields>(), std::declval<evidence_fields>(),
+    std::declval<sender_fields>(), std::declval<limit_fields>()));
 constexpr auto old_size = std::tuple_size_v<fields>;
 constexpr auto accusations_index = old_size;
 constexpr auto clearances_index = old_size + 1;
 constexpr auto reads_all_forms_index = old_size + 2;
 constexpr auto link_index = old_size + 3;
+constexpr auto limits_index = old_size + 4;
+
+/// Encodes the end of a limit.
+constexpr auto no_limit = -1.0;
 
 /// The first element of a partial digest; the fields of a digest follow.
 constexpr auto partial_form = std::uint8_t{2};
@@ -68,9 +77,10 @@
 /// Returns false if all lists are empty.
 auto shorten_longest_list(all_fields& it, double fraction) -> bool
 {
-    auto const lists = std::tie(
-        std::get<3>(it), std::get<5>(it), std::get<6>(it),
-        std::get<accusations_index>(it), std::get<clearances_index>(it));
+    auto const lists =
+        std::tie(std::get<3>(it), std::get<5>(it), std::get<6>(it),
+                 std::get<accusations_index>(it),
+                 std::get<clearances_index>(it), std::get<limits_index>(it));
     auto const longest = std::apply(
         [](auto const&... list) { return std::max({list.size()...}); }, lists);
     auto done = longest == 0;
@@ -100,6 +110,36 @@
                      { return weight(a) > weight(b); });
 }
 
+auto to_row(request_limit::reported_limit const& it, time_point now)
+    -> limit_row
+{
+    auto const& state = it.state;
+    return {it.target.value(), state.process_start.value(),
+            state.limit ? state.limit->value() : no_limit,
+            (now - state.observed_at).count()};
+}
+
+/// Nothing if the row is not valid.
+auto to_limit(limit_row const& it, time_point now)
+    -> std::optional<request_limit::reported_limit>
+{
+    auto const& [target, process_start, limit, age] = it;
+    auto const ended = limit == no_limit;
+    if (age < 0 || !(ended || (std::isfinite(limit) && limit >= 0)))
+    {
+        return std::nullopt;
+    }
+    auto out = request_limit::reported_limit{};
+    out.target = target_id{target};
+    out.state.process_start = incarnation{process_start};
+    if (!ended)
+    {
+        out.state.limit = request_limit::request_rate{limit};
+    }
+    out.state.observed_at = now - duration{age};
+    return out;
+}
+
 } // namespace
 
 auto encode(digest const& it, time_point now, std::size_t max_bytes)
@@ -138,6 +178,10 @@
     std::get<reads_all_forms_index>(out) = it.reads_all_forms;
     std::get<link_index>(out) =
         static_cast<std::uint64_t>(std::max(it.link_bytes_per_second, 0.0));
+    for (auto const& each : it.limits)
+    {
+        std::get<limits_index>(out).push_back(to_row(each, now));
+    }
     auto bytes = pack(out, it.partial);
     if (bytes.size() > max_bytes)
     {
@@ -211,6 +255,17 @@
                           all.ptr[link_index].as<std::uint64_t>())
                     : 0;
         }
+        if (auto const& all = whole.via.array; all.size > limits_index)
+        {
+            for (auto const& row :
+                 all.ptr[limits_index].as<std::vector<limit_row>>())
+            {
+                if (auto limit = to_limit(row, now))
+                {
+                    out.limits.push_back(std::move(*limit));
+                }
+            }
+        }
         return out;
     }
     catch (std::exception const&)
--- a/src/fleet/digest.hpp
+++ b/src/fleet/digest.hpp
@@ -4,6 +4,7 @@
 #include "core/units.hpp"
 #include "dispatch/load_tracker.hpp"
 #include "quarantine/part_quarantine.hpp"
+#include "request_limit/limit_table.hpp"
 
 #include <cstdint>
 #include <map>
@@ -60,13 +61,17 @@
     /// Speed of the host's link; zero if unknown, as of hosts of earlier
     /// versions.
     double link_bytes_per_second = 0;
+    /// Request limits of targets that the host observed itself; partial digests
+    /// have only those that it observed since a digest before. Absent in
+    /// digests of hosts of earlier versions.
+    std::vector<request_limit::reported_limit> limits;
 };
 
 /// Largest digest in bytes, sent as one datagram. Entries that do not fit are
 /// omitted, the smallest loads first.
 constexpr auto max_digest_bytes = std::size_t{8} << 10U;
 
-/// Evidence travels with its age at `now`.
+/// Evidence and limits travel with their ages at `now`.
 auto encode(digest const& it, time_point now,
             std::size_t max_bytes = max_digest_bytes) -> std::string;
 
--- a/src/fleet/fleet_view.cpp
+++ b/src/fleet/fleet_view.cpp
@@ -152,6 +152,17 @@
     return hosts_.empty() ? std::nullopt : std::optional{hosts_.begin()->first};
 }
 
+auto fleet_view::host_ids() const -> std::vector<host_id>
+{
+    auto out = std::vector<host_id>{};
+    out.reserve(hosts_.size());
+    for (auto const& [id, state] : hosts_)
+    {
+        out.push_back(id);
+    }
+    return out;
+}
+
 auto fleet_view::latest(host_id const& id) const -> digest const*
 {
     auto const it = hosts_.find(id);
--- a/src/fleet/fleet_view.hpp
+++ b/src/fleet/fleet_view.hpp
@@ -56,6 +56,9 @@
     /// The last digest of another host; null if it has none that is current.
     [[nodiscard]] auto latest(host_id const& id) const -> digest const*;
 
+    /// Other hosts whose digests are current.
+    [[nodiscard]] auto host_ids() const -> std::vector<host_id>;
+
     /// Number of other hosts whose digests are current.
     [[nodiscard]] auto live_hosts() const -> std::size_t
     {
--- a/src/fleet/paced_placement_test.cpp
+++ b/src/fleet/paced_placement_test.cpp
@@ -179,7 +179,8 @@
         request.size = it.size;
         request.target_memory = 55000;
         auto const chosen = dispatch::place(
-            {targets_, healthy_, at.loads, at.others}, request, now, at.random);
+            {targets_, healthy_, at.loads, at.others, dispatch::no_limits},
+            request, now, at.random);
         BOOST_REQUIRE(chosen);
         it.target = chosen->id;
         at.loads.sent(it.target, it.size);
--- a/src/fleet/state_sender.cpp
+++ b/src/fleet/state_sender.cpp
@@ -186,6 +186,8 @@
             out.loads[id] = it.load;
         }
     }
+    std::erase_if(out.limits,
+                  [&](auto const& it) { return it.recorded_at <= since; });
     return out;
 }
 
--- a/src/gateway/admit.cpp
+++ b/src/gateway/admit.cpp
@@ -33,6 +33,8 @@
         return "leaving";
     case refusal_reason::no_target:
         return "no_target";
+    case refusal_reason::target_limits:
+        return "target_limits";
     case refusal_reason::deadline:
         return "deadline";
     case refusal_reason::retry_budget:
--- a/src/gateway/admit.hpp
+++ b/src/gateway/admit.hpp
@@ -26,6 +26,8 @@
     unknown_key,
     leaving,
     no_target,
+    /// The targets with room take no more requests from this host now.
+    target_limits,
     deadline,
     retry_budget,
     attempts_used,
--- a/src/gateway/digest_task.cpp
+++ b/src/gateway/digest_task.cpp
@@ -1,6 +1,7 @@
 #include "gateway/digest_task.hpp"
 
 #include "gateway/relay.hpp"
+#include "gateway/request_limit_events.hpp"
 #include "log/log.hpp"
 
 #include <chrono>
@@ -59,6 +60,13 @@
              {"hosts_heard", std::to_string(host_.other_hosts.live_hosts())}});
     }
     host_.quarantine.merge(it.evidence, now);
+    for (auto const& limit : it.limits)
+    {
+        if (host_.limits.merge(limit, now))
+        {
+            on_limit_changed(host_, limit.target, limit.state.limit, "peer");
+        }
+    }
     for (auto const& id : it.replaced)
     {
         events_.on_replaced(id, now);
@@ -109,6 +117,7 @@
     out.loads = host_.loads.all();
     out.counts = host_.request_counts.totals();
     out.store_contact = events_.store_contact(now);
+    out.limits = host_.limits.report(now);
     return out;
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -354,6 +354,7 @@
             {
                 host_.detector.remove_target(it.id);
                 host_.limits.remove_target(it.id);
+                host_.limiter.remove_target(it.id);
                 notify_relays(it.id);
             }
         }
--- a/src/gateway/host_state.hpp
+++ b/src/gateway/host_state.hpp
@@ -18,6 +18,7 @@
 #include "quarantine/part_quarantine.hpp"
 #include "quarantine/trial_permission.hpp"
 #include "request_limit/limit_table.hpp"
+#include "request_limit/limiter.hpp"
 #include "routes/route_table.hpp"
 
 #include <map>
@@ -75,6 +76,22 @@
         return trials.granted(now);
     }
 
+    /// Brings this host's shares of the limits of a service's targets up to
+    /// date. Call before a target of `service` is chosen.
+    void update_limiter(service_id const& service, time_point now)
+    {
+        if (limits.empty())
+        {
+            limiter.clear();
+            return;
+        }
+        limiter.update(limits, targets.usable(service),
+                       request_limit::group_of(settings.host,
+                                               other_hosts.host_ids(),
+                                               known_host_count),
+                       now);
+    }
+
     net::event_loop& loop;
     protocol const& wire;
     host_settings settings;
@@ -85,6 +102,7 @@
     dispatch::own_link own_link;
     dispatch::load_tracker loads;
     request_limit::limit_table limits;
+    request_limit::limiter limiter;
     quarantine::part_quarantine quarantine;
     quarantine::trial_permission trials;
     fleet::fleet_view other_hosts;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -201,7 +201,7 @@
 auto relay::view() const -> dispatch::placement_view
 {
     return {host_.targets.usable(admitted_.service->id), host_.detector,
-            host_.loads, host_.other_hosts};
+            host_.loads, host_.other_hosts, host_.limiter};
 }
 
 auto relay::placement() const -> dispatch::placement_request
@@ -232,9 +232,11 @@
     {
         return;
     }
+    host_.update_limiter(admitted_.service->id, now);
     auto const point = std::exchange(resume_point_, std::nullopt);
     auto const usable =
         point && host_.targets.takes_new_work(point->target.id) &&
+        host_.limiter.permits(point->target.id, now) &&
         host_.detector.health_of(point->target.id, point->target.domain, now) !=
             dispatch::health::excluded;
     if (usable)
@@ -265,7 +267,16 @@
     {
         host_.request_counts.refund_attempt(admitted_.service->id, now);
     }
-    on_denial(refusal_reason::no_target, now);
+    on_denial(limit_retry_after(now) ? refusal_reason::target_limits
+                                     : refusal_reason::no_target,
+              now);
+}
+
+auto relay::limit_retry_after(time_point now) -> std::optional<duration>
+{
+    return request_limit::retry_after(
+        host_.limiter, host_.targets.usable(admitted_.service->id),
+        host_.random, now);
 }
 
 auto relay::plan_attempt(directory::listed_target const& target,
@@ -347,6 +358,7 @@
                 {"time_left_ms", milliseconds(admitted_.deadline_at - now)}});
     host_.loads.sent(target.id, metadata_.size);
     host_.detector.sent_to(target.domain, now);
+    host_.limiter.sent(target.id, now);
     if (warm)
     {
         current_->prefilled = true;
@@ -665,6 +677,8 @@
         status == not_run && reason != refusal_reason::hopeless;
     auto const delay = reason == refusal_reason::own_link_down
                            ? retry_after_elsewhere
+                       : reason == refusal_reason::target_limits
+                           ? limit_retry_after(now).value_or(retry_after_busy)
                            : retry_after_busy;
     auto const retry_after = retryable ? std::optional{delay} : std::nullopt;
     reply_error({status, reason, retry_after});
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -99,6 +99,10 @@
                                     time_point now) -> attempt_plan;
     [[nodiscard]] auto view() const -> dispatch::placement_view;
     [[nodiscard]] auto placement() const -> dispatch::placement_request;
+    /// When the request may come again if request limits of targets stand in
+    /// its way.
+    [[nodiscard]] auto limit_retry_after(time_point now)
+        -> std::optional<duration>;
     void on_response_head(response_metadata const& it, time_point now);
     void on_event(http1::response_head const& head, http1::stream_event it,
                   time_point now);
--- a/src/request_limit/limit_table.cpp
+++ b/src/request_limit/limit_table.cpp
@@ -27,7 +27,7 @@
     {
         if (it.limit)
         {
-            put(it.target, {state, true});
+            put(it.target, {state, now, true});
         }
         return it.limit.has_value();
     }
@@ -46,7 +46,7 @@
     {
         return false;
     }
-    put(it.target, {state, true});
+    put(it.target, {state, now, true});
     return before.limit != it.limit;
 }
 
@@ -59,7 +59,7 @@
     auto const found = limits_.find(it.target);
     if (found == limits_.end())
     {
-        put(it.target, {it.state, false});
+        put(it.target, {it.state, now, false});
         return it.state.limit.has_value();
     }
     auto const before = found->second.state;
@@ -72,7 +72,7 @@
     {
         return false;
     }
-    put(it.target, {it.state, false});
+    put(it.target, {it.state, now, false});
     return before.limit != it.state.limit;
 }
 
@@ -108,7 +108,7 @@
     {
         if (it.own && now - it.state.observed_at <= report_lifetime)
         {
-            out.push_back({id, it.state});
+            out.push_back({id, it.state, it.recorded_at});
         }
     }
     std::stable_sort(out.begin(), out.end(),
--- a/src/request_limit/limit_table.hpp
+++ b/src/request_limit/limit_table.hpp
@@ -52,6 +52,8 @@
 {
     target_id target;
     limit_state state;
+    /// When the reporting host observed it, by its own clock.
+    time_point recorded_at{};
 };
 
 /// Observations older than this are not reported to other hosts. The end of a
@@ -99,6 +101,7 @@
     struct entry
     {
         limit_state state;
+        time_point recorded_at{};
         /// Observed by this host rather than reported by another one.
         bool own = false;
     };
--- a/src/request_limit/limit_table_test.cpp
+++ b/src/request_limit/limit_table_test.cpp
@@ -33,7 +33,7 @@
 auto reported(std::optional<request_rate> limit, std::int64_t observed_ms)
     -> reported_limit
 {
-    return {target, {process, limit, at(observed_ms)}};
+    return {target, {process, limit, at(observed_ms)}, {}};
 }
 
 auto limit_in_force(limit_table const& it) -> double
