--- a/src/core/ids.hpp
+++ b/src/core/ids.hpp
@@ -31,6 +31,10 @@
 using model_version = strong<struct model_version_tag, std::string>;
 using adapter_id = strong<struct adapter_id_tag, std::string>;
 
+/// Version of a target's software. Versions have no order, and what two of them
+/// write does not fit together.
+using software_version = strong<struct software_version_tag, std::string>;
+
 /// A request of a caller, unique over all hosts.
 using request_id = strong<struct request_id_tag, std::string>;
 
--- a/src/directory/target_directory.hpp
+++ b/src/directory/target_directory.hpp
@@ -29,6 +29,7 @@
     service_id service;
     net::endpoint address;
     domain_id domain;
+    software_version version;
     /// Requests that the target runs concurrently.
     std::uint32_t slots = 1;
     /// The target drains and accepts no new requests.
--- a/src/gateway/protocol.hpp
+++ b/src/gateway/protocol.hpp
@@ -30,6 +30,9 @@
     std::optional<duration> client_timeout;
     /// Last event that the client received before it reconnected.
     std::optional<std::uint64_t> resume_after;
+    /// The request that brought the first event of the stream that this one
+    /// resumes.
+    std::optional<request_id> resumes;
     std::optional<std::string> key;
     /// Zero for plain calls.
     dispatch::work_size size;
