Keep a stream at the software version that began it

A continuation, a copy and a request that takes a stream up were placed by load and domain alone, and a host that did not relay the first event had no record of what began a stream.

A client's request is looked up by what it names in Resumes. A stream whose version has no target ends at once; one of unknown origin goes on only while a single version serves.

--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -117,13 +117,14 @@
            time_point now, random_source& random)
     -> std::optional<directory::listed_target>
 {
-    return choose_best(view, it, now, random,
-                       [&](directory::listed_target const& target)
-                       {
-                           return view.limiter.permits(target.id, now) &&
-                                  has_room(total_load(view, target.id), target,
-                                           it);
-                       });
+    return choose_best(
+        view, it, now, random,
+        [&](directory::listed_target const& target)
+        {
+            return (!it.version || target.version == *it.version) &&
+                   view.limiter.permits(target.id, now) &&
+                   has_room(total_load(view, target.id), target, it);
+        });
 }
 
 auto place_copy(placement_view const& view, placement_request const& it,
@@ -134,6 +135,7 @@
     auto const usable = [&](directory::listed_target const& target)
     {
         return target.id != primary.id && !tried(it, target.id) &&
+               target.version == primary.version &&
                !view.limiter.limited(target.id) &&
                view.detector.health_of(target.id, target.domain, now) ==
                    health::healthy &&
--- a/src/dispatch/placement.hpp
+++ b/src/dispatch/placement.hpp
@@ -29,6 +29,8 @@
     domain_id own_domain;
     /// Memory of one target in tokens; 0: not limited by memory.
     std::uint64_t target_memory = 0;
+    /// The only version at which the request may run; empty: any.
+    std::optional<software_version> version;
     /// Targets that were already tried for this request.
     std::span<target_id const> tried;
 };
@@ -52,8 +54,9 @@
            time_point now, random_source& random)
     -> std::optional<directory::listed_target>;
 
-/// Target for a copy of a request that runs at `primary`, preferably in
-/// another domain; nothing if no healthy target without a limit has capacity.
+/// Target for a copy of a request that runs at `primary`, of the same version
+/// and preferably in another domain; nothing if no healthy target without a
+/// limit has capacity.
 auto place_copy(placement_view const& view, placement_request const& it,
                 directory::listed_target const& primary, time_point now,
                 random_source& random)
--- a/src/fleet/digest.cpp
+++ b/src/fleet/digest.cpp
@@ -1,6 +1,7 @@
 #include "fleet/digest.hpp"
 
 #include "fleet/evidence_message.hpp"
+#include "fleet/origin_message.hpp"
 
 #include <msgpack.hpp>
 
@@ -37,13 +38,16 @@
 using limit_fields = std::tuple<std::vector<limit_row>>;
 using all_fields = decltype(std::tuple_cat(
     std::declval<fields>(), std::declval<evidence_fields>(),
-    std::declval<sender_fields>(), std::declval<limit_fields>()));
+    std::declval<sender_fields>(), std::declval<limit_fields>(),
+    std::declval<origin_fields>()));
 constexpr auto old_size = std::tuple_size_v<fields>;
 constexpr auto accusations_index = old_size;
 constexpr auto clearances_index = old_size + 1;
 constexpr auto reads_all_forms_index = old_size + 2;
 constexpr auto link_index = old_size + 3;
 constexpr auto limits_index = old_size + 4;
+constexpr auto versions_index = old_size + 5;
+constexpr auto origins_index = old_size + 6;
 
 /// Encodes the end of a limit.
 constexpr auto no_limit = -1.0;
@@ -77,10 +81,10 @@
 /// Returns false if all lists are empty.
 auto shorten_longest_list(all_fields& it, double fraction) -> bool
 {
-    auto const lists =
-        std::tie(std::get<3>(it), std::get<5>(it), std::get<6>(it),
-                 std::get<accusations_index>(it),
-                 std::get<clearances_index>(it), std::get<limits_index>(it));
+    auto const lists = std::tie(
+        std::get<3>(it), std::get<5>(it), std::get<6>(it),
+        std::get<accusations_index>(it), std::get<clearances_index>(it),
+        std::get<limits_index>(it), std::get<origins_index>(it));
     auto const longest = std::apply(
         [](auto const&... list) { return std::max({list.size()...}); }, lists);
     auto done = longest == 0;
@@ -182,6 +186,8 @@
     {
         std::get<limits_index>(out).push_back(to_row(each, now));
     }
+    std::tie(std::get<versions_index>(out), std::get<origins_index>(out)) =
+        to_fields(it.origins, now);
     auto bytes = pack(out, it.partial);
     if (bytes.size() > max_bytes)
     {
@@ -266,6 +272,13 @@
                 }
             }
         }
+        if (auto const& all = whole.via.array; all.size > origins_index)
+        {
+            out.origins = to_origins(
+                {all.ptr[versions_index].as<std::vector<std::string>>(),
+                 all.ptr[origins_index].as<std::vector<origin_row>>()},
+                now);
+        }
         return out;
     }
     catch (std::exception const&)
--- a/src/fleet/digest.hpp
+++ b/src/fleet/digest.hpp
@@ -5,6 +5,7 @@
 #include "dispatch/load_tracker.hpp"
 #include "quarantine/part_quarantine.hpp"
 #include "request_limit/limit_table.hpp"
+#include "stream_origin/origin_table.hpp"
 
 #include <cstdint>
 #include <map>
@@ -65,13 +66,16 @@
     /// have only those that it observed since a digest before. Absent in
     /// digests of hosts of earlier versions.
     std::vector<request_limit::reported_limit> limits;
+    /// Versions at which the host's own recent streams run; the same as above
+    /// applies.
+    std::vector<stream_origin::reported_origin> origins;
 };
 
 /// Largest digest in bytes, sent as one datagram. Entries that do not fit are
 /// omitted, the smallest loads first.
 constexpr auto max_digest_bytes = std::size_t{8} << 10U;
 
-/// Evidence and limits travel with their ages at `now`.
+/// Evidence, limits and origins travel with their ages at `now`.
 auto encode(digest const& it, time_point now,
             std::size_t max_bytes = max_digest_bytes) -> std::string;
 
--- a/src/fleet/state_sender.cpp
+++ b/src/fleet/state_sender.cpp
@@ -188,6 +188,8 @@
     }
     std::erase_if(out.limits,
                   [&](auto const& it) { return it.recorded_at <= since; });
+    std::erase_if(out.origins,
+                  [&](auto const& it) { return it.recorded_at <= since; });
     return out;
 }
 
--- a/src/gateway/admit.hpp
+++ b/src/gateway/admit.hpp
@@ -26,6 +26,10 @@
     unknown_key,
     leaving,
     no_target,
+    /// No target of the version that began the stream takes requests.
+    version_gone,
+    /// It is not known which of several versions began the stream.
+    version_unknown,
     /// The targets with room take no more requests from this host now.
     target_limits,
     deadline,
--- a/src/gateway/digest_task.cpp
+++ b/src/gateway/digest_task.cpp
@@ -67,6 +67,10 @@
             on_limit_changed(host_, limit.target, limit.state.limit, "peer");
         }
     }
+    for (auto const& each : it.origins)
+    {
+        host_.origins.merge(each, now);
+    }
     for (auto const& id : it.replaced)
     {
         events_.on_replaced(id, now);
@@ -118,6 +122,7 @@
     out.counts = host_.request_counts.totals();
     out.store_contact = events_.store_contact(now);
     out.limits = host_.limits.report(now);
+    out.origins = host_.origins.report(now);
     return out;
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.hpp"
 
 #include "core/overloaded.hpp"
+#include "fleet/origin_message.hpp"
 #include "gateway/digest_task.hpp"
 #include "gateway/entry_source.hpp"
 #include "gateway/host_state.hpp"
@@ -34,6 +35,10 @@
 /// targets.
 constexpr auto reserved_descriptors = std::size_t{600};
 
+/// Time after which no other host is expected to know the streams that began
+/// before this one started.
+constexpr auto origin_fetch_time = duration{5s};
+
 /// Time for this host's registration to appear in its copy of the store before
 /// it is written again.
 constexpr auto registration_retry_delay = duration{2s};
@@ -82,6 +87,13 @@
                   settings, make_source_events()),
           link_monitor_(settings.link_bytes_per_second)
     {
+        peers_.set_origin_source(
+            [this]
+            {
+                return fleet::encode(
+                    {host_.origins_complete, host_.origins.all()},
+                    net::event_loop::now());
+            });
         host_.prober.on_answered = [this]
         {
             on_connection_answered(host_, net::event_loop::now());
@@ -463,6 +475,63 @@
         peer_timer_ = loop_.after(peer_poll_period, [this] { poll_peers(); });
     }
 
+    /// Learns from another host at which versions streams run that began before
+    /// this one started.
+    void fetch_origins(time_point now)
+    {
+        if (host_.origins_complete || fetching_origins_)
+        {
+            return;
+        }
+        origins_wanted_at_ = origins_wanted_at_.value_or(now);
+        if (now - *origins_wanted_at_ > origin_fetch_time)
+        {
+            on_origins_complete("none");
+            return;
+        }
+        auto const peers = host_.other_hosts.host_ids();
+        if (peers.empty())
+        {
+            return;
+        }
+        fetching_origins_ = true;
+        auto const from = peers[host_.random.below(peers.size())];
+        peers_.fetch_origins(
+            from,
+            [this, from](std::optional<std::string> const& bytes)
+            {
+                fetching_origins_ = false;
+                on_origins(from, bytes, net::event_loop::now());
+            });
+    }
+
+    void on_origins(host_id const& from,
+                    std::optional<std::string> const& bytes, time_point now)
+    {
+        auto const known =
+            bytes ? fleet::decode_known_origins(*bytes, now) : std::nullopt;
+        if (!known)
+        {
+            return;
+        }
+        for (auto const& it : known->origins)
+        {
+            host_.origins.merge(it, now);
+        }
+        if (known->complete)
+        {
+            on_origins_complete(from.value());
+        }
+    }
+
+    void on_origins_complete(std::string const& from)
+    {
+        host_.origins_complete = true;
+        log::write(log::level::info, "stream_origins_known",
+                   {{"from", from},
+                    {"streams", std::to_string(host_.origins.size())}});
+    }
+
     /// Logs how much of the link and of the processor other hosts take.
     void observe_link(time_point now)
     {
@@ -519,9 +588,11 @@
         }
         host_.quarantine.expire(now);
         host_.limits.expire(now);
+        host_.origins.expire(now);
         // The permission needs several seconds without a pause between calls.
         host_.may_admit_trials(now);
         host_.metrics.log_lines_dropped(log::dropped_lines());
+        fetch_origins(now);
         source_.tick(now);
         register_host(now);
         if (host_.shutdown_started_at)
@@ -603,6 +674,8 @@
     entry_map entries_;
     net::timer tick_timer_;
     time_point tick_due_at_{};
+    std::optional<time_point> origins_wanted_at_;
+    bool fetching_origins_ = false;
     net::timer peer_timer_;
     time_point next_registration_at_{};
 };
--- a/src/gateway/host_state.hpp
+++ b/src/gateway/host_state.hpp
@@ -20,6 +20,7 @@
 #include "request_limit/limit_table.hpp"
 #include "request_limit/limiter.hpp"
 #include "routes/route_table.hpp"
+#include "stream_origin/origin_table.hpp"
 
 #include <map>
 #include <memory>
@@ -103,6 +104,10 @@
     dispatch::load_tracker loads;
     request_limit::limit_table limits;
     request_limit::limiter limiter;
+    stream_origin::origin_table origins;
+    /// The origins of streams that began before this host started have been
+    /// fetched, or no other host knows them.
+    bool origins_complete = false;
     quarantine::part_quarantine quarantine;
     quarantine::trial_permission trials;
     fleet::fleet_view other_hosts;
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -25,6 +25,7 @@
 namespace
 {
 
+constexpr auto origins_body = std::string_view{"origins"};
 /// Followed by the requester's revision.
 constexpr auto state_body_prefix = std::string_view{"state/"};
 constexpr auto listen_backlog = 64;
@@ -357,6 +358,10 @@
 auto peer_exchange::body_for(std::string_view name)
     -> std::optional<std::string>
 {
+    if (name == origins_body && origin_source_)
+    {
+        return origin_source_();
+    }
     auto const held =
         name.starts_with(state_body_prefix)
             ? parse_number<std::int64_t>(name.substr(state_body_prefix.size()))
@@ -404,6 +409,40 @@
         std::string{state_body_prefix} + std::to_string(held.value()));
 }
 
+void peer_exchange::set_origin_source(std::function<std::string()> source)
+{
+    origin_source_ = std::move(source);
+}
+
+void peer_exchange::fetch_origins(
+    host_id const& from,
+    std::function<void(std::optional<std::string>)> on_result)
+{
+    auto const peer = peers_.find(from);
+    if (peer == peers_.end())
+    {
+        on_result(std::nullopt);
+        return;
+    }
+    auto const id = next_session_++;
+    auto events = membership::session_events{};
+    auto const result = std::make_shared<std::optional<std::string>>();
+    events.on_body = [this, result](std::optional<std::string> body)
+    {
+        state_traffic_.received += body ? body->size() : 0;
+        *result = std::move(body);
+    };
+    events.on_closed = [this, id, result, on_result = std::move(on_result)]
+    {
+        // The session calls this, so it is destroyed later.
+        loop_.post([this, id] { sessions_.erase(id); });
+        on_result(std::move(*result));
+    };
+    sessions_[id] =
+        membership::session::dial(loop_, peer->second, identity_, link_limits(),
+                                  std::move(events), std::string{origins_body});
+}
+
 void peer_exchange::update_peer(host_id const& id,
                                 std::optional<net::endpoint> const& at)
 {
--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -95,6 +95,15 @@
         return peer_changes_;
     }
 
+    /// `source` makes the origins of streams that this host knows, encoded.
+    void set_origin_source(std::function<std::string()> source);
+
+    /// Fetches the origins that `from` knows. `on_result` is called once, with
+    /// nothing if the fetch failed, unless this object is destroyed before.
+    void
+    fetch_origins(host_id const& from,
+                  std::function<void(std::optional<std::string>)> on_result);
+
     /// `greeting` makes the first message of the link to each new follower.
     void set_greeting(std::function<std::string()> greeting);
 
@@ -153,6 +162,7 @@
     net::timer next_peer_timer_;
     std::map<std::uint64_t, std::shared_ptr<membership::session>> sessions_;
     std::function<std::string()> greeting_;
+    std::function<std::string()> origin_source_;
     /// Accepted sessions that are links to followers.
     std::set<std::uint64_t> followers_;
     traffic_bytes feed_traffic_;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -110,8 +110,10 @@
 relay::relay(host_state& host, http1::request message,
              std::shared_ptr<http1::exchange> client, time_point now)
     : host_(host), message_(std::move(message)), client_(std::move(client)),
-      metadata_(host.wire.read_request(message_)), table_(host.table),
-      arrived_at_(now)
+      metadata_(host.wire.read_request(message_)),
+      stream_(stream_origin::to_stream_id(
+          metadata_.resumes.value_or(metadata_.id))),
+      table_(host.table), arrived_at_(now)
 {
 }
 
@@ -148,6 +150,10 @@
     state_.resumable = route.resumable;
     state_.max_runs = route.max_attempts;
     last_event_ = metadata_.resume_after;
+    if (last_event_)
+    {
+        origin_ = host_.origins.find(stream_);
+    }
     identify_suspects();
     host_.request_counts.request(admitted_.service->id, now);
     client_->on_gone(
@@ -213,6 +219,7 @@
     {
         out.target_memory = admitted_.service->engine->memory.value();
     }
+    out.version = version_;
     out.tried = tried_targets_;
     return out;
 }
@@ -232,6 +239,10 @@
     {
         return;
     }
+    if (end_without_version(now))
+    {
+        return;
+    }
     host_.update_limiter(admitted_.service->id, now);
     auto const point = std::exchange(resume_point_, std::nullopt);
     auto const usable =
@@ -363,6 +374,7 @@
     host_.loads.sent(target.id, metadata_.size);
     host_.detector.sent_to(target.domain, now);
     host_.limiter.sent(target.id, now);
+    record_origin(now);
     if (warm)
     {
         current_->prefilled = true;
@@ -442,6 +454,7 @@
     if (!state_.answer_started)
     {
         state_.answer_started = true;
+        origin_ = current_->target.version;
         time_to_first_event_ = now - arrived_at_;
         host_.metrics.first_event(now - arrived_at_);
         client_->start(forwarded(head));
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -5,6 +5,7 @@
 #include "gateway/attempt.hpp"
 #include "gateway/host_state.hpp"
 #include "http1/server.hpp"
+#include "stream_origin/version_choice.hpp"
 
 #include <memory>
 #include <optional>
@@ -152,6 +153,13 @@
     /// Refuses the request, or does not retry it, for what it or a part of its
     /// prompt has crashed; returns whether it has ended.
     [[nodiscard]] auto refuse_if_quarantined(time_point now) -> bool;
+    /// Whether the client has events of the stream.
+    [[nodiscard]] auto begun() const -> bool;
+    /// Sets the version at which the next attempt may run. Ends the request if
+    /// there is none; returns whether it has ended.
+    [[nodiscard]] auto end_without_version(time_point now) -> bool;
+    /// The current attempt runs, or is about to run, at its target's version.
+    void record_origin(time_point now);
     [[nodiscard]] auto suspect_name(quarantine::suspect_id id) const
         -> std::string;
     void finish(std::string_view outcome, int status, time_point now);
@@ -169,6 +177,12 @@
     /// `metadata_.shared_parts`.
     quarantine::suspect_id identity_;
     std::vector<quarantine::suspect_id> suspects_;
+    /// The stream over all requests of its client.
+    stream_origin::stream_id stream_;
+    /// The version that began it, once that is known.
+    std::optional<software_version> origin_;
+    /// The only version at which the next attempt may run; empty: any.
+    std::optional<software_version> version_;
     /// Keeps the route alive while a newer configuration is in force.
     std::shared_ptr<routes::route_table const> table_;
     admitted admitted_;
--- /dev/null
+++ b/src/stream_origin/origin_table.cpp
@@ -0,0 +1,114 @@
+#include "stream_origin/origin_table.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <utility>
+
+namespace primrosedeal::stream_origin
+{
+
+auto to_stream_id(request_id const& it) -> stream_id
+{
+    return stream_id{XXH3_64bits(it.value().data(), it.value().size())};
+}
+
+void origin_table::record(stream_id id, software_version const& version,
+                          time_point now)
+{
+    put(id, {version, now, now});
+    own_.push_back(id);
+    if (own_.size() > max_reported_origins)
+    {
+        own_.pop_front();
+    }
+}
+
+void origin_table::merge(reported_origin const& it, time_point now)
+{
+    auto const known = origins_.find(it.stream);
+    auto const newer = known == origins_.end() || known->second.at < it.at;
+    if (newer && now - it.at <= origin_lifetime)
+    {
+        put(it.stream, {it.version, it.at, now});
+    }
+}
+
+void origin_table::put(stream_id id, origin it)
+{
+    order_.emplace_back(it.recorded_at, id);
+    origins_.insert_or_assign(id, std::move(it));
+    while (order_.size() > max_origins)
+    {
+        auto const [at, oldest] = order_.front();
+        order_.pop_front();
+        auto const found = origins_.find(oldest);
+        if (found != origins_.end() && found->second.recorded_at == at)
+        {
+            origins_.erase(found);
+        }
+    }
+}
+
+auto origin_table::find(stream_id id) const -> std::optional<software_version>
+{
+    auto const found = origins_.find(id);
+    return found == origins_.end() ? std::nullopt
+                                   : std::optional{found->second.version};
+}
+
+auto origin_table::report(time_point now) const -> std::vector<reported_origin>
+{
+    auto out = std::vector<reported_origin>{};
+    auto seen = std::set<stream_id>{};
+    for (auto id = own_.rbegin(); id != own_.rend(); ++id)
+    {
+        auto const found = origins_.find(*id);
+        if (found == origins_.end() || !seen.insert(*id).second)
+        {
+            continue;
+        }
+        auto const& it = found->second;
+        if (now - it.recorded_at > report_lifetime)
+        {
+            break;
+        }
+        out.push_back({*id, it.version, it.at, it.recorded_at});
+    }
+    return out;
+}
+
+auto origin_table::all() const -> std::vector<reported_origin>
+{
+    auto out = std::vector<reported_origin>{};
+    out.reserve(origins_.size());
+    std::transform(
+        origins_.begin(), origins_.end(), std::back_inserter(out),
+        [](auto const& each)
+        {
+            auto const& [id, it] = each;
+            return reported_origin{id, it.version, it.at, it.recorded_at};
+        });
+    std::sort(out.begin(), out.end(),
+              [](auto const& a, auto const& b) { return a.at > b.at; });
+    out.resize(std::min(out.size(), max_known_origins));
+    return out;
+}
+
+void origin_table::expire(time_point now)
+{
+    while (!order_.empty() && now - order_.front().first > origin_lifetime)
+    {
+        auto const [at, id] = order_.front();
+        order_.pop_front();
+        auto const found = origins_.find(id);
+        if (found != origins_.end() && found->second.recorded_at == at)
+        {
+            origins_.erase(found);
+        }
+    }
+}
+
+} // namespace primrosedeal::stream_origin
--- /dev/null
+++ b/src/stream_origin/origin_table.hpp
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "core/ids.hpp"
+#include "core/strong.hpp"
+#include "core/units.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+/// Tracks which software version each recent stream runs at, for clients that
+/// resume their stream at any host.
+///
+/// Load pattern: a failure domain is lost with hosts and targets, and the
+/// clients of its streams resume them at other hosts within seconds, while two
+/// versions serve side by side. The host that relayed a stream may be gone, so
+/// all hosts know the version: about as many records a second as streams begin,
+/// a dozen bytes each.
+///
+/// A stream is recorded when it is sent to a target, before its first event.
+/// Hosts report their own records in digests, and send all that they know to a
+/// host that has just started. The newest record of a stream is in force.
+namespace primrosedeal::stream_origin
+{
+
+/// Hash of the id of the request that brought the first event of a stream.
+using stream_id = strong<struct stream_id_tag, std::uint64_t>;
+
+auto to_stream_id(request_id const& it) -> stream_id;
+
+struct reported_origin
+{
+    stream_id stream;
+    software_version version;
+    /// When the stream was sent to a target of the version.
+    time_point at{};
+    /// When the reporting host recorded it, by its own clock.
+    time_point recorded_at{};
+};
+
+/// Clients have given up all streams that were sent to a target longer ago.
+constexpr auto origin_lifetime = duration{60s};
+
+/// Time for which own records are repeated in digests: several digests, since
+/// some are lost.
+constexpr auto report_lifetime = duration{6s};
+
+/// Bounds of a report in a digest, of one for a host that has just started, and
+/// of the table.
+constexpr auto max_reported_origins = std::size_t{64};
+constexpr auto max_known_origins = std::size_t{8192};
+constexpr auto max_origins = std::size_t{32768};
+
+class origin_table
+{
+public:
+    /// This host sends the stream to a target of `version`.
+    void record(stream_id id, software_version const& version, time_point now);
+
+    /// Applies another host's record.
+    void merge(reported_origin const& it, time_point now);
+
+    [[nodiscard]] auto find(stream_id id) const
+        -> std::optional<software_version>;
+
+    /// This host's own records for a digest, newest first.
+    [[nodiscard]] auto report(time_point now) const
+        -> std::vector<reported_origin>;
+
+    /// All records, newest first, for a host that has just started.
+    [[nodiscard]] auto all() const -> std::vector<reported_origin>;
+
+    /// Call about every second.
+    void expire(time_point now);
+
+    [[nodiscard]] auto size() const -> std::size_t
+    {
+        return origins_.size();
+    }
+
+private:
+    struct origin
+    {
+        software_version version;
+        time_point at{};
+        time_point recorded_at{};
+    };
+
+    void put(stream_id id, origin it);
+
+    std::unordered_map<stream_id, origin> origins_;
+    /// Streams in the order in which they were recorded, several times if that
+    /// happened again; the oldest are dropped first.
+    std::deque<std::pair<time_point, stream_id>> order_;
+    std::deque<stream_id> own_;
+};
+
+} // namespace primrosedeal::stream_origin
