--- a/src/fleet/digest.cpp
+++ b/src/fleet/digest.cpp
@@ -63,7 +63,8 @@
 constexpr auto max_text = std::size_t{1024};
 constexpr auto max_depth = std::size_t{4};
 
-auto pack(all_fields const& it, bool partial) -> std::string
+template <class Fields>
+auto pack(Fields const& it, bool partial) -> std::string
 {
     auto buf = msgpack::sbuffer{};
     if (partial)
@@ -77,6 +78,26 @@
     return {buf.data(), buf.size()};
 }
 
+template <std::size_t... Index>
+auto first_elements(all_fields const& it, std::index_sequence<Index...>)
+{
+    return std::tuple{std::get<Index>(it)...};
+}
+
+/// Leaves out the last elements if they are empty: idle hosts send many digests
+/// without news.
+auto pack_all(all_fields const& it, bool partial) -> std::string
+{
+    if (std::get<limits_index>(it).empty() &&
+        std::get<origins_index>(it).empty())
+    {
+        return pack(
+            first_elements(it, std::make_index_sequence<limits_index>{}),
+            partial);
+    }
+    return pack(it, partial);
+}
+
 /// Shortens the longest list to `fraction` of its size, by one entry at least.
 /// Returns false if all lists are empty.
 auto shorten_longest_list(all_fields& it, double fraction) -> bool
@@ -188,7 +209,7 @@
     }
     std::tie(std::get<versions_index>(out), std::get<origins_index>(out)) =
         to_fields(it.origins, now);
-    auto bytes = pack(out, it.partial);
+    auto bytes = pack_all(out, it.partial);
     if (bytes.size() > max_bytes)
     {
         sort_loads(std::get<3>(out));
@@ -197,7 +218,7 @@
            shorten_longest_list(out, static_cast<double>(max_bytes) /
                                          static_cast<double>(bytes.size())))
     {
-        bytes = pack(out, it.partial);
+        bytes = pack_all(out, it.partial);
     }
     return bytes;
 }
--- /dev/null
+++ b/src/stream_origin/stream_origin_test.cpp
@@ -0,0 +1,194 @@
+#include "stream_origin/origin_table.hpp"
+#include "stream_origin/version_choice.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace primrosedeal::stream_origin
+{
+
+namespace
+{
+
+auto const v1 = software_version{"v1"};
+auto const v2 = software_version{"v2"};
+
+auto at(std::int64_t ms) -> time_point
+{
+    return time_point{std::chrono::milliseconds{ms}};
+}
+
+auto id(std::uint64_t n) -> stream_id
+{
+    return stream_id{n};
+}
+
+auto targets_of(std::vector<software_version> const& versions)
+    -> std::vector<directory::listed_target>
+{
+    auto out = std::vector<directory::listed_target>{};
+    for (auto const& it : versions)
+    {
+        out.emplace_back();
+        out.back().version = it;
+    }
+    return out;
+}
+
+auto chosen(version_choice const& it) -> std::optional<software_version>
+{
+    auto const* const only = std::get_if<only_version>(&it);
+    return only == nullptr ? std::nullopt : std::optional{only->version};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(the_version_of_a_stream)
+
+BOOST_AUTO_TEST_SUITE(that_has_no_event)
+
+BOOST_AUTO_TEST_CASE(is_any)
+{
+    auto const it = choose_version(false, v1, targets_of({v1, v2}));
+    BOOST_TEST(std::holds_alternative<any_version>(it));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(that_has_begun)
+
+BOOST_AUTO_TEST_CASE(is_the_one_that_began_it)
+{
+    BOOST_TEST((chosen(choose_version(true, v2, targets_of({v1, v2}))) == v2));
+    BOOST_TEST((chosen(choose_version(true, v1, targets_of({v1}))) == v1));
+}
+
+BOOST_AUTO_TEST_CASE(has_gone_with_the_last_target_that_takes_requests)
+{
+    auto const it = choose_version(true, v1, targets_of({v2, v2}));
+    BOOST_TEST(std::holds_alternative<version_gone>(it));
+}
+
+BOOST_AUTO_TEST_CASE(is_open_while_no_target_is_known_at_all)
+{
+    BOOST_TEST(
+        std::holds_alternative<any_version>(choose_version(true, v1, {})));
+    BOOST_TEST(
+        std::holds_alternative<any_version>(choose_version(true, {}, {})));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(of_unknown_origin)
+
+BOOST_AUTO_TEST_CASE(is_that_of_all_targets_and_is_not_guessed_otherwise)
+{
+    BOOST_TEST((chosen(choose_version(true, {}, targets_of({v1, v1}))) == v1));
+    BOOST_TEST(std::holds_alternative<version_unknown>(
+        choose_version(true, {}, targets_of({v1, v1, v2}))));
+    BOOST_TEST(std::holds_alternative<version_unknown>(
+        choose_version(true, {}, targets_of({v2, v1, v1}))));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_record_of_a_stream)
+
+BOOST_AUTO_TEST_CASE(is_replaced_by_a_newer_one_of_any_host)
+{
+    auto it = origin_table{};
+    BOOST_TEST(!it.find(id(1)));
+    it.record(id(1), v1, at(100));
+    BOOST_TEST((it.find(id(1)) == v1));
+    // A second attempt, before the first event.
+    it.record(id(1), v2, at(200));
+    BOOST_TEST((it.find(id(1)) == v2));
+    it.merge({id(1), v1, at(150), {}}, at(300));
+    BOOST_TEST((it.find(id(1)) == v2));
+    it.merge({id(1), v1, at(250), {}}, at(300));
+    BOOST_TEST((it.find(id(1)) == v1));
+}
+
+BOOST_AUTO_TEST_CASE(is_reported_for_some_digests_by_the_host_that_made_it)
+{
+    auto it = origin_table{};
+    it.merge({id(1), v1, at(0), {}}, at(0));
+    it.record(id(2), v1, at(100));
+    it.record(id(3), v2, at(200));
+    auto const report = it.report(at(200));
+    BOOST_REQUIRE(report.size() == 2U);
+    BOOST_TEST((report[0].stream == id(3)));
+    BOOST_TEST((report[1].stream == id(2)));
+    BOOST_TEST(it.report(at(150) + report_lifetime).size() == 1U);
+    BOOST_TEST(it.report(at(201) + report_lifetime).empty());
+}
+
+BOOST_AUTO_TEST_CASE(is_reported_once_however_often_it_was_made)
+{
+    auto it = origin_table{};
+    for (auto ms = 0; ms < 10; ++ms)
+    {
+        it.record(id(1), v1, at(ms));
+    }
+    BOOST_TEST(it.report(at(10)).size() == 1U);
+    BOOST_TEST(it.all().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(of_others_is_passed_on_to_a_host_that_has_started)
+{
+    auto it = origin_table{};
+    it.merge({id(1), v1, at(0), {}}, at(50));
+    it.record(id(2), v2, at(100));
+    auto const all = it.all();
+    BOOST_REQUIRE(all.size() == 2U);
+    BOOST_TEST((all[0].stream == id(2)));
+    BOOST_TEST((all[1].version == v1));
+    BOOST_TEST((all[1].at == at(0)));
+}
+
+BOOST_AUTO_TEST_CASE(is_forgotten_once_no_client_wants_its_stream)
+{
+    auto it = origin_table{};
+    it.record(id(1), v1, at(0));
+    it.expire(at(0) + origin_lifetime);
+    BOOST_TEST(it.size() == 1U);
+    it.record(id(1), v1, at(100));
+    it.expire(at(1) + origin_lifetime);
+    BOOST_TEST(it.size() == 1U);
+    it.expire(at(101) + origin_lifetime);
+    BOOST_TEST(it.size() == 0U);
+    it.merge({id(2), v1, at(0), {}}, at(1) + origin_lifetime);
+    BOOST_TEST(it.size() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(takes_bounded_memory)
+{
+    auto it = origin_table{};
+    constexpr auto n = max_origins + 100;
+    for (auto i = std::size_t{0}; i < n; ++i)
+    {
+        it.record(id(i), v1, at(0));
+    }
+    BOOST_TEST(it.size() == max_origins);
+    BOOST_TEST(!it.find(id(0)));
+    BOOST_TEST(it.find(id(n - 1)).has_value());
+    BOOST_TEST(it.report(at(0)).size() == max_reported_origins);
+    BOOST_TEST(it.all().size() == max_known_origins);
+}
+
+BOOST_AUTO_TEST_CASE(is_named_by_the_request_that_began_its_stream)
+{
+    BOOST_TEST(
+        (to_stream_id(request_id{"a"}) == to_stream_id(request_id{"a"})));
+    BOOST_TEST(
+        (to_stream_id(request_id{"a"}) != to_stream_id(request_id{"b"})));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace primrosedeal::stream_origin
