Test each way by which a stream goes on beside several versions

One test for each: in the same answer, at another version only before the first event, taken up at a host that another one told of the version, gone, unknown, and at a host that still learns.

--- /dev/null
+++ b/src/gateway/relay_versions_test.cpp
@@ -0,0 +1,180 @@
+#include "gateway/relay_fixture.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+#include <string_view>
+
+// Streams at targets of two software versions.
+namespace primrosedeal::gateway
+{
+
+namespace
+{
+
+using standins::answer_end;
+using standins::raw_target;
+
+auto const v1 = software_version{"v1"};
+auto const v2 = software_version{"v2"};
+auto const began = request_id{"began"};
+constexpr auto unavailable = 503;
+
+/// Headers of a request that takes up the stream of `began`.
+auto taking_up(int last_event) -> http1::header_list
+{
+    return {{std::string{platform::names::resumes}, began.value()},
+            {std::string{platform::names::last_event_id},
+             std::to_string(last_event)}};
+}
+
+/// A target of each version; the one of `v1` breaks the streams that it begins.
+struct two_versions : one_host
+{
+    two_versions()
+    {
+        host.origins_complete = true;
+    }
+
+    void list_both()
+    {
+        list("old", "a", breaking.port(), v1);
+        list("new", "b", sound.port(), v2);
+    }
+
+    void record(software_version const& version)
+    {
+        host.origins.record(stream_origin::to_stream_id(began), version,
+                            net::event_loop::now());
+    }
+
+    /// Status of the answer; zero if it was streamed.
+    auto ask(http1::header_list const& headers) -> int
+    {
+        send("/stream/", client, headers);
+        run_until([&] { return client.over(); });
+        return client.reply ? client.reply->status : 0;
+    }
+
+    client_view client;
+    raw_target breaking{loop, [](std::string const&)
+                        {
+                            return answer_of(event(1), answer_end::reset);
+                        }};
+    raw_target sound{loop, [](std::string const&)
+                     {
+                         return answer_of(event(2) + event(3),
+                                          answer_end::closed);
+                     }};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(a_stream_that_breaks)
+
+BOOST_FIXTURE_TEST_CASE(goes_on_at_its_version_in_the_same_answer, two_versions)
+{
+    list("old", "a", breaking.port(), v1);
+    send("/stream/", client);
+    run_until([&] { return client.started; });
+    // It breaks at its target, which has answered its one request.
+    host.targets.handle(directory::entry_removed{target_id{"old"}},
+                        net::event_loop::now());
+    list("same", "b", sound.port(), v1);
+    run_until([&] { return client.over(); });
+    BOOST_TEST(client.finished);
+    BOOST_TEST(client.body == event(1) + event(2) + event(3));
+}
+
+BOOST_FIXTURE_TEST_CASE(ends_at_once_if_only_another_version_is_left,
+                        two_versions)
+{
+    list("old", "a", breaking.port(), v1);
+    send("/stream/", client);
+    run_until([&] { return client.started; });
+    list("new", "b", sound.port(), v2);
+    host.targets.handle(directory::entry_removed{target_id{"old"}},
+                        net::event_loop::now());
+    run_until([&] { return client.over(); });
+    BOOST_TEST(client.aborted);
+    BOOST_TEST(client.body == event(1));
+    BOOST_TEST(sound.runs() == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(may_begin_at_another_version_before_its_first_event,
+                        two_versions)
+{
+    auto silent = raw_target{loop, [](std::string const&)
+                             {
+                                 return answer_of("", answer_end::reset);
+                             }};
+    list("old", "a", silent.port(), v1);
+    send("/stream/", client);
+    run_until([&] { return silent.runs() > 0; });
+    list("new", "b", sound.port(), v2);
+    host.targets.handle(directory::entry_removed{target_id{"old"}},
+                        net::event_loop::now());
+    run_until([&] { return client.over(); });
+    BOOST_TEST(host.origins.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_stream_that_its_client_takes_up)
+
+BOOST_FIXTURE_TEST_CASE(goes_on_at_the_version_that_another_host_reported,
+                        two_versions)
+{
+    list_both();
+    host.origins.merge(
+        {stream_origin::to_stream_id(began), v2, net::event_loop::now(), {}},
+        net::event_loop::now());
+    BOOST_TEST(ask(taking_up(1)) == 0);
+    BOOST_TEST(client.finished);
+    BOOST_TEST(client.body == event(2) + event(3));
+    BOOST_TEST(breaking.runs() == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(is_refused_at_once_if_its_version_has_gone,
+                        two_versions)
+{
+    list_both();
+    record(software_version{"v0"});
+    BOOST_TEST(ask(taking_up(1)) == unavailable);
+    // It is to begin anew, not to come again.
+    BOOST_TEST(!net::find_header(client.reply->headers, "Retry-After"));
+    BOOST_TEST(client.body == R"({"error":"version_gone"})");
+    BOOST_TEST(breaking.runs() + sound.runs() == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(of_unknown_origin_goes_on_only_beside_one_version,
+                        two_versions)
+{
+    list("new", "b", sound.port(), v2);
+    BOOST_TEST(ask(taking_up(1)) == 0);
+    BOOST_TEST(client.body == event(2) + event(3));
+}
+
+BOOST_FIXTURE_TEST_CASE(of_unknown_origin_is_refused_beside_several_versions,
+                        two_versions)
+{
+    list_both();
+    BOOST_TEST(ask(taking_up(1)) == unavailable);
+    BOOST_TEST(client.body == R"({"error":"version_unknown"})");
+    BOOST_TEST(!net::find_header(client.reply->headers, "Retry-After"));
+    BOOST_TEST(breaking.runs() + sound.runs() == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(may_come_again_while_its_host_learns_of_streams,
+                        two_versions)
+{
+    list_both();
+    host.origins_complete = false;
+    BOOST_TEST(ask(taking_up(1)) == unavailable);
+    BOOST_TEST(
+        net::find_header(client.reply->headers, "Retry-After").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace primrosedeal::gateway
