Keep the versions of streams in the store while versions are mixed

Cause: the origin of a stream was known to hosts only, so it was lost with them.

Change: while some service has targets of several versions, each host writes the origins of its streams of the last 30 s under a key of its own, twice a second at 8 hosts, at most 20 writes a second over all hosts. Hosts read them with the rest of the store, so one that starts knows them without asking.

--- a/src/directory/target_directory.hpp
+++ b/src/directory/target_directory.hpp
@@ -128,6 +128,10 @@
     /// Failure domains with targets that accept new requests.
     [[nodiscard]] auto usable_domains() const -> std::set<domain_id>;
 
+    /// Whether some service has targets of several software versions that
+    /// accept new requests.
+    [[nodiscard]] auto mixes_versions() const -> bool;
+
     [[nodiscard]] auto takes_new_work(target_id const& id) const -> bool;
 
     /// Whether a missing entry may belong to a live target, since the store is
--- a/src/directory/target_directory_test.cpp
+++ b/src/directory/target_directory_test.cpp
@@ -50,6 +50,29 @@
 
 BOOST_AUTO_TEST_SUITE(a_target)
 
+BOOST_FIXTURE_TEST_CASE(of_another_version_than_its_service_is_noticed,
+                        known_targets)
+{
+    auto const at_version = [](std::string id, std::string version)
+    {
+        auto out = target(std::move(id));
+        out.version = software_version{std::move(version)};
+        return out;
+    };
+    write(at_version("a", "v1"));
+    auto other_service = at_version("b", "v2");
+    other_service.service = service_id{"other"};
+    write(other_service);
+    BOOST_TEST(!directory.mixes_versions());
+    write(at_version("c", "v2"));
+    BOOST_TEST(directory.mixes_versions());
+    // The same id may start again with another version.
+    auto again = at_version("a", "v2");
+    again.process_start = incarnation{2};
+    write(again);
+    BOOST_TEST(!directory.mixes_versions());
+}
+
 BOOST_FIXTURE_TEST_CASE(accepts_requests_once_its_entry_is_written,
                         known_targets)
 {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -13,6 +13,7 @@
 #include "http1/server.hpp"
 #include "log/log.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <exception>
 #include <random>
@@ -39,6 +40,11 @@
 /// before this one started.
 constexpr auto origin_fetch_time = duration{5s};
 
+/// Time between two writes of the origins of streams: many hosts share the
+/// store's rate of writes.
+constexpr auto min_origin_write_period = duration{500ms};
+constexpr auto origin_write_slot = duration{50ms};
+
 /// Time for this host's registration to appear in its copy of the store before
 /// it is written again.
 constexpr auto registration_retry_delay = duration{2s};
@@ -292,6 +298,8 @@
                               [&](directory::entry_written const& e)
                               { apply_target_event(e, now); },
                               [&](host_entry const& e) { update_host(e); },
+                              [&](origins_entry const& e)
+                              { merge_origins(e.bytes, now); },
                               [](other_entry const&) {
                               }},
                    it);
@@ -508,20 +516,63 @@
     void on_origins(host_id const& from,
                     std::optional<std::string> const& bytes, time_point now)
     {
-        auto const known =
-            bytes ? fleet::decode_known_origins(*bytes, now) : std::nullopt;
+        if (bytes && merge_origins(*bytes, now))
+        {
+            on_origins_complete(from.value());
+        }
+    }
+
+    /// Returns whether they are all that a host may know.
+    auto merge_origins(std::string const& bytes, time_point now) -> bool
+    {
+        auto const known = fleet::decode_known_origins(bytes, now);
         if (!known)
         {
-            return;
+            return false;
         }
         for (auto const& it : known->origins)
         {
             host_.origins.merge(it, now);
         }
-        if (known->complete)
+        return known->complete;
+    }
+
+    /// While several versions serve, keeps the origins of this host's streams
+    /// in the store, for the case that all hosts are lost.
+    void store_origins(time_point now)
+    {
+        if (now < next_origin_write_at_ || entries_.empty() ||
+            !host_.targets.mixes_versions())
         {
-            on_origins_complete(from.value());
+            return;
         }
+        auto const own =
+            host_.origins.report(now, stream_origin::stored_lifetime);
+        if (own.empty() || own.front().recorded_at <= origins_stored_at_)
+        {
+            return;
+        }
+        next_origin_write_at_ =
+            now + std::max(min_origin_write_period,
+                           static_cast<duration::rep>(host_.known_host_count) *
+                               origin_write_slot);
+        origins_stored_at_ = now;
+        auto write = external::transaction{};
+        write.then.emplace_back(external::put{
+            host_.wire.origins_key(host_.settings.host),
+            fleet::encode({true, own}, now), external::lease_id{0}});
+        store_.commit(
+            external::call_purpose::configuration_write, write,
+            [](external::answer<external::transaction_result> const& it)
+            {
+                // The next write repeats these records.
+                if (auto const* const why =
+                        std::get_if<external::call_failure>(&it))
+                {
+                    log::write(log::level::warning, "origins_not_stored",
+                               {{"why", why->text}});
+                }
+            });
     }
 
     void on_origins_complete(std::string const& from)
@@ -593,6 +644,7 @@
         host_.may_admit_trials(now);
         host_.metrics.log_lines_dropped(log::dropped_lines());
         fetch_origins(now);
+        store_origins(now);
         source_.tick(now);
         register_host(now);
         if (host_.shutdown_started_at)
@@ -674,6 +726,8 @@
     entry_map entries_;
     net::timer tick_timer_;
     time_point tick_due_at_{};
+    time_point next_origin_write_at_{};
+    time_point origins_stored_at_{};
     std::optional<time_point> origins_wanted_at_;
     bool fetching_origins_ = false;
     net::timer peer_timer_;
--- a/src/gateway/protocol.hpp
+++ b/src/gateway/protocol.hpp
@@ -103,6 +103,12 @@
     std::optional<net::endpoint> peer_address;
 };
 
+/// Versions of the recent streams of a host, as that host has written them.
+struct origins_entry
+{
+    std::string bytes;
+};
+
 /// An item that the gateway does not use.
 struct other_entry
 {
@@ -110,7 +116,7 @@
 
 /// A decoded item of the store.
 using store_entry = std::variant<configuration_entry, directory::entry_written,
-                                 host_entry, other_entry>;
+                                 host_entry, origins_entry, other_entry>;
 
 class protocol
 {
@@ -149,6 +155,8 @@
     /// Whether `key` is the key of a target's entry.
     [[nodiscard]] virtual auto is_target_key(std::string_view key) const
         -> bool = 0;
+    [[nodiscard]] virtual auto origins_key(host_id const& id) const
+        -> std::string = 0;
     [[nodiscard]] virtual auto host_key(host_id const& id) const
         -> std::string = 0;
 };
--- a/src/stream_origin/origin_table.cpp
+++ b/src/stream_origin/origin_table.cpp
@@ -59,7 +59,8 @@
                                    : std::optional{found->second.version};
 }
 
-auto origin_table::report(time_point now) const -> std::vector<reported_origin>
+auto origin_table::report(time_point now, duration lifetime) const
+    -> std::vector<reported_origin>
 {
     auto out = std::vector<reported_origin>{};
     auto seen = std::set<stream_id>{};
@@ -71,7 +72,7 @@
             continue;
         }
         auto const& it = found->second;
-        if (now - it.recorded_at > report_lifetime)
+        if (now - it.recorded_at > lifetime)
         {
             break;
         }
--- a/src/stream_origin/origin_table.hpp
+++ b/src/stream_origin/origin_table.hpp
@@ -48,6 +48,9 @@
 /// some are lost.
 constexpr auto report_lifetime = duration{6s};
 
+/// Time for which own records are kept in the store.
+constexpr auto stored_lifetime = duration{30s};
+
 /// Bounds of a report in a digest, of one for a host that has just started, and
 /// of the table.
 constexpr auto max_reported_origins = std::size_t{64};
@@ -66,8 +69,9 @@
     [[nodiscard]] auto find(stream_id id) const
         -> std::optional<software_version>;
 
-    /// This host's own records for a digest, newest first.
-    [[nodiscard]] auto report(time_point now) const
+    /// This host's own records of the last `lifetime`, newest first.
+    [[nodiscard]] auto report(time_point now,
+                              duration lifetime = report_lifetime) const
         -> std::vector<reported_origin>;
 
     /// All records, newest first, for a host that has just started.
