Refuse a stream of unknown origin after another version has left

A stream whose origin no host knows went on at the only version whose targets take requests, although targets of another one were leaving or had left a moment ago and may have begun it. The directory remembers when the last target of a version was listed; such a stream goes on only if the service has had one version for as long as clients resume (origin_lifetime).

Test of_unknown_origin_is_refused_after_another_version_left: red before (the stream went on), green after; directory, stream_origin, gateway: no errors.

--- a/src/directory/target_directory.cpp
+++ b/src/directory/target_directory.cpp
@@ -37,7 +37,7 @@
     std::visit([&](auto const& e) { on(e, now, out); }, it);
     if (!out.empty())
     {
-        rebuild();
+        rebuild(now);
     }
     return out;
 }
@@ -54,7 +54,7 @@
     regained_at_.reset();
     if (!out.empty())
     {
-        rebuild();
+        rebuild(now);
     }
     return out;
 }
@@ -100,6 +100,25 @@
     return out;
 }
 
+auto target_directory::has_one_version(service_id const& service,
+                                       time_point since) const -> bool
+{
+    auto const listed = versions_.find(service);
+    auto const gone = gone_versions_.find(service);
+    auto const left_since =
+        gone != gone_versions_.end() &&
+        std::any_of(gone->second.begin(), gone->second.end(),
+                    [&](auto const& it)
+                    {
+                        auto const& [version, at] = it;
+                        return at >= since &&
+                               (listed == versions_.end() ||
+                                !listed->second.contains(version));
+                    });
+    return listed != versions_.end() && listed->second.size() == 1 &&
+           !left_since;
+}
+
 auto target_directory::mixes_versions() const -> bool
 {
     return std::any_of(
@@ -291,8 +310,24 @@
     }
 }
 
-void target_directory::rebuild()
+void target_directory::rebuild(time_point now)
 {
+    auto const before = std::exchange(versions_, {});
+    for (auto const& [id, it] : entries_)
+    {
+        versions_[it.it.service].insert(it.it.version);
+    }
+    for (auto const& [service, versions] : before)
+    {
+        for (auto const& version : versions)
+        {
+            if (!versions_[service].contains(version))
+            {
+                gone_versions_[service][version] = now;
+            }
+        }
+    }
+
     usable_.clear();
     for (auto const& [id, known] : entries_)
     {
--- a/src/directory/target_directory.hpp
+++ b/src/directory/target_directory.hpp
@@ -128,6 +128,11 @@
     /// Failure domains with targets that accept new requests.
     [[nodiscard]] auto usable_domains() const -> std::set<domain_id>;
 
+    /// Whether all targets of the service that are listed, or have been since
+    /// `since`, have one software version.
+    [[nodiscard]] auto has_one_version(service_id const& service,
+                                       time_point since) const -> bool;
+
     /// Whether some service has targets of several software versions that
     /// accept new requests.
     [[nodiscard]] auto mixes_versions() const -> bool;
@@ -168,12 +173,15 @@
     void erase_lapsed(changes& out);
     /// Removes targets of earlier processes at the address of `it`.
     void drop_predecessors(listed_target const& it, changes& out);
-    void rebuild();
+    void rebuild(time_point now);
 
     std::map<target_id, entry> entries_;
     /// Latest incarnation of each target that is known to be leaving.
     std::map<target_id, incarnation> latest_leaving_;
     std::map<service_id, std::vector<listed_target>> usable_;
+    /// Software versions of all entries, and when other ones were last listed.
+    std::map<service_id, std::set<software_version>> versions_;
+    std::map<service_id, std::map<software_version, time_point>> gone_versions_;
     bool store_unavailable_ = false;
     std::optional<time_point> regained_at_;
 };
--- a/src/gateway/relay_versions.cpp
+++ b/src/gateway/relay_versions.cpp
@@ -25,8 +25,11 @@
 
 auto relay::end_without_version(time_point now) -> bool
 {
+    auto const& service = admitted_.service->id;
     auto const choice = stream_origin::choose_version(
-        begun(), origin_, host_.targets.usable(admitted_.service->id));
+        begun(), origin_, host_.targets.usable(service),
+        host_.targets.has_one_version(service,
+                                      now - stream_origin::origin_lifetime));
     auto const end =
         [&](refusal_reason reason, std::optional<duration> retry_after)
     {
--- a/src/gateway/relay_versions_test.cpp
+++ b/src/gateway/relay_versions_test.cpp
@@ -165,6 +165,17 @@
     BOOST_TEST(breaking.runs() + sound.runs() == 0);
 }
 
+BOOST_FIXTURE_TEST_CASE(of_unknown_origin_is_refused_after_another_version_left,
+                        two_versions)
+{
+    list_both();
+    host.targets.handle(directory::entry_removed{target_id{"old"}},
+                        net::event_loop::now());
+    BOOST_TEST(ask(taking_up(1)) == unavailable);
+    BOOST_TEST(client.body == R"({"error":"version_unknown"})");
+    BOOST_TEST(sound.runs() == 0);
+}
+
 BOOST_FIXTURE_TEST_CASE(may_come_again_while_its_host_learns_of_streams,
                         two_versions)
 {
--- a/src/stream_origin/stream_origin_test.cpp
+++ b/src/stream_origin/stream_origin_test.cpp
@@ -52,7 +52,7 @@
 
 BOOST_AUTO_TEST_CASE(is_any)
 {
-    auto const it = choose_version(false, v1, targets_of({v1, v2}));
+    auto const it = choose_version(false, v1, targets_of({v1, v2}), false);
     BOOST_TEST(std::holds_alternative<any_version>(it));
 }
 
@@ -62,35 +62,36 @@
 
 BOOST_AUTO_TEST_CASE(is_the_one_that_began_it)
 {
-    BOOST_TEST((chosen(choose_version(true, v2, targets_of({v1, v2}))) == v2));
-    BOOST_TEST((chosen(choose_version(true, v1, targets_of({v1}))) == v1));
+    BOOST_TEST(
+        (chosen(choose_version(true, v2, targets_of({v1, v2}), false)) == v2));
+    BOOST_TEST(
+        (chosen(choose_version(true, v1, targets_of({v1}), true)) == v1));
 }
 
 BOOST_AUTO_TEST_CASE(has_gone_with_the_last_target_that_takes_requests)
 {
-    auto const it = choose_version(true, v1, targets_of({v2, v2}));
+    auto const it = choose_version(true, v1, targets_of({v2, v2}), true);
     BOOST_TEST(std::holds_alternative<version_gone>(it));
 }
 
 BOOST_AUTO_TEST_CASE(is_open_while_no_target_is_known_at_all)
 {
-    BOOST_TEST(
-        std::holds_alternative<any_version>(choose_version(true, v1, {})));
-    BOOST_TEST(
-        std::holds_alternative<any_version>(choose_version(true, {}, {})));
+    BOOST_TEST(std::holds_alternative<any_version>(
+        choose_version(true, v1, {}, true)));
+    BOOST_TEST(std::holds_alternative<any_version>(
+        choose_version(true, {}, {}, true)));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(of_unknown_origin)
 
-BOOST_AUTO_TEST_CASE(is_that_of_all_targets_and_is_not_guessed_otherwise)
+BOOST_AUTO_TEST_CASE(is_the_only_one_and_is_not_guessed_otherwise)
 {
-    BOOST_TEST((chosen(choose_version(true, {}, targets_of({v1, v1}))) == v1));
-    BOOST_TEST(std::holds_alternative<version_unknown>(
-        choose_version(true, {}, targets_of({v1, v1, v2}))));
+    auto const usable = targets_of({v1, v1});
+    BOOST_TEST((chosen(choose_version(true, {}, usable, true)) == v1));
     BOOST_TEST(std::holds_alternative<version_unknown>(
-        choose_version(true, {}, targets_of({v2, v1, v1}))));
+        choose_version(true, {}, usable, false)));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/stream_origin/version_choice.hpp
+++ b/src/stream_origin/version_choice.hpp
@@ -27,8 +27,8 @@
     software_version version;
 };
 
-/// The stream has events, several versions serve, and no record says which of
-/// them began it. Going on at one of them could mix two versions.
+/// The stream has events, several versions serve or have served in its time,
+/// and no record says which of them began it. Going on could mix two versions.
 struct version_unknown
 {
 };
@@ -38,8 +38,9 @@
 
 /// `begun`: the client has events of the stream. `origin`: the version that
 /// began it, if known. `usable`: the targets of the service that take requests.
+/// `one_version`: the service has had no other version for `origin_lifetime`.
 auto choose_version(bool begun, std::optional<software_version> const& origin,
-                    std::vector<directory::listed_target> const& usable)
-    -> version_choice;
+                    std::vector<directory::listed_target> const& usable,
+                    bool one_version) -> version_choice;
 
 } // namespace primrosedeal::stream_origin
