Move the exchange of streams' origins into a task of its own

The fetch at the start, the writes to the store and their reading were in gateway.cpp (747 lines, 626 now). No behaviour changes; platform, gateway, mixed_versions, forgotten_versions, limited_target and soak: passed.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,19 +1,18 @@
 #include "gateway/gateway.hpp"
 
 #include "core/overloaded.hpp"
-#include "fleet/origin_message.hpp"
 #include "gateway/digest_task.hpp"
 #include "gateway/entry_source.hpp"
 #include "gateway/host_state.hpp"
 #include "gateway/link_monitor.hpp"
 #include "gateway/log_text.hpp"
+#include "gateway/origin_task.hpp"
 #include "gateway/own_link_events.hpp"
 #include "gateway/peer_exchange.hpp"
 #include "gateway/relay.hpp"
 #include "http1/server.hpp"
 #include "log/log.hpp"
 
-#include <algorithm>
 #include <csignal>
 #include <exception>
 #include <random>
@@ -36,15 +35,6 @@
 /// targets.
 constexpr auto reserved_descriptors = std::size_t{600};
 
-/// Time after which no other host is expected to know the streams that began
-/// before this one started.
-constexpr auto origin_fetch_time = duration{5s};
-
-/// Time between two writes of the origins of streams: many hosts share the
-/// store's rate of writes.
-constexpr auto min_origin_write_period = duration{500ms};
-constexpr auto origin_write_slot = duration{50ms};
-
 /// Time for this host's registration to appear in its copy of the store before
 /// it is written again.
 constexpr auto registration_retry_delay = duration{2s};
@@ -89,17 +79,11 @@
               { return make_state_for_peer(held); },
               [this](peer_state const& it) { on_peer_state(it); }),
           digests_(host_, peers_, make_digest_events()),
+          origins_(host_, peers_, store),
           source_(loop, store, host_.random, peers_, host_.other_hosts,
                   settings, make_source_events()),
           link_monitor_(settings.link_bytes_per_second)
     {
-        peers_.set_origin_source(
-            [this]
-            {
-                return fleet::encode(
-                    {host_.origins_complete, host_.origins.all()},
-                    net::event_loop::now());
-            });
         host_.prober.on_answered = [this]
         {
             on_connection_answered(host_, net::event_loop::now());
@@ -299,7 +283,7 @@
                               { apply_target_event(e, now); },
                               [&](host_entry const& e) { update_host(e); },
                               [&](origins_entry const& e)
-                              { merge_origins(e.bytes, now); },
+                              { origins_.merge(e.bytes, now); },
                               [](other_entry const&) {
                               }},
                    it);
@@ -483,106 +467,6 @@
         peer_timer_ = loop_.after(peer_poll_period, [this] { poll_peers(); });
     }
 
-    /// Learns from another host at which versions streams run that began before
-    /// this one started.
-    void fetch_origins(time_point now)
-    {
-        if (host_.origins_complete || fetching_origins_)
-        {
-            return;
-        }
-        origins_wanted_at_ = origins_wanted_at_.value_or(now);
-        if (now - *origins_wanted_at_ > origin_fetch_time)
-        {
-            on_origins_complete("none");
-            return;
-        }
-        auto const peers = host_.other_hosts.host_ids();
-        if (peers.empty())
-        {
-            return;
-        }
-        fetching_origins_ = true;
-        auto const from = peers[host_.random.below(peers.size())];
-        peers_.fetch_origins(
-            from,
-            [this, from](std::optional<std::string> const& bytes)
-            {
-                fetching_origins_ = false;
-                on_origins(from, bytes, net::event_loop::now());
-            });
-    }
-
-    void on_origins(host_id const& from,
-                    std::optional<std::string> const& bytes, time_point now)
-    {
-        if (bytes && merge_origins(*bytes, now))
-        {
-            on_origins_complete(from.value());
-        }
-    }
-
-    /// Returns whether they are all that a host may know.
-    auto merge_origins(std::string const& bytes, time_point now) -> bool
-    {
-        auto const known = fleet::decode_known_origins(bytes, now);
-        if (!known)
-        {
-            return false;
-        }
-        for (auto const& it : known->origins)
-        {
-            host_.origins.merge(it, now);
-        }
-        return known->complete;
-    }
-
-    /// While several versions serve, keeps the origins of this host's streams
-    /// in the store, for the case that all hosts are lost.
-    void store_origins(time_point now)
-    {
-        if (now < next_origin_write_at_ || entries_.empty() ||
-            !host_.targets.mixes_versions())
-        {
-            return;
-        }
-        auto const own =
-            host_.origins.report(now, stream_origin::stored_lifetime);
-        if (own.empty() || own.front().recorded_at <= origins_stored_at_)
-        {
-            return;
-        }
-        next_origin_write_at_ =
-            now + std::max(min_origin_write_period,
-                           static_cast<duration::rep>(host_.known_host_count) *
-                               origin_write_slot);
-        origins_stored_at_ = now;
-        auto write = external::transaction{};
-        write.then.emplace_back(external::put{
-            host_.wire.origins_key(host_.settings.host),
-            fleet::encode({true, own}, now), external::lease_id{0}});
-        store_.commit(
-            external::call_purpose::configuration_write, write,
-            [](external::answer<external::transaction_result> const& it)
-            {
-                // The next write repeats these records.
-                if (auto const* const why =
-                        std::get_if<external::call_failure>(&it))
-                {
-                    log::write(log::level::warning, "origins_not_stored",
-                               {{"why", why->text}});
-                }
-            });
-    }
-
-    void on_origins_complete(std::string const& from)
-    {
-        host_.origins_complete = true;
-        log::write(log::level::info, "stream_origins_known",
-                   {{"from", from},
-                    {"streams", std::to_string(host_.origins.size())}});
-    }
-
     /// Logs how much of the link and of the processor other hosts take.
     void observe_link(time_point now)
     {
@@ -639,12 +523,10 @@
         }
         host_.quarantine.expire(now);
         host_.limits.expire(now);
-        host_.origins.expire(now);
         // The permission needs several seconds without a pause between calls.
         host_.may_admit_trials(now);
         host_.metrics.log_lines_dropped(log::dropped_lines());
-        fetch_origins(now);
-        store_origins(now);
+        origins_.tick(!entries_.empty(), now);
         source_.tick(now);
         register_host(now);
         if (host_.shutdown_started_at)
@@ -721,15 +603,12 @@
     http1::server metrics_server_;
     peer_exchange peers_;
     digest_task digests_;
+    origin_task origins_;
     entry_source source_;
     link_monitor link_monitor_;
     entry_map entries_;
     net::timer tick_timer_;
     time_point tick_due_at_{};
-    time_point next_origin_write_at_{};
-    time_point origins_stored_at_{};
-    std::optional<time_point> origins_wanted_at_;
-    bool fetching_origins_ = false;
     net::timer peer_timer_;
     time_point next_registration_at_{};
 };
--- /dev/null
+++ b/src/gateway/origin_task.cpp
@@ -0,0 +1,132 @@
+#include "gateway/origin_task.hpp"
+
+#include "fleet/origin_message.hpp"
+#include "log/log.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace primrosedeal::gateway
+{
+
+namespace
+{
+
+/// Time after which no other host is expected to know the streams that began
+/// before this one started.
+constexpr auto fetch_time = duration{5s};
+
+/// Time between two writes to the store, whose rate of writes many hosts share.
+constexpr auto min_write_period = duration{500ms};
+constexpr auto write_slot = duration{50ms};
+
+} // namespace
+
+origin_task::origin_task(host_state& host, peer_exchange& peers,
+                         external::key_value_service& store)
+    : host_(host), peers_(peers), store_(store)
+{
+    peers_.set_origin_source(
+        [this]
+        {
+            return fleet::encode({host_.origins_complete, host_.origins.all()},
+                                 net::event_loop::now());
+        });
+}
+
+void origin_task::tick(bool store_read, time_point now)
+{
+    host_.origins.expire(now);
+    if (!host_.origins_complete && !fetching_)
+    {
+        fetch(now);
+    }
+    if (store_read && now >= next_write_at_ && host_.targets.mixes_versions())
+    {
+        write(now);
+    }
+}
+
+auto origin_task::merge(std::string const& bytes, time_point now) -> bool
+{
+    auto const known = fleet::decode_known_origins(bytes, now);
+    if (!known)
+    {
+        return false;
+    }
+    for (auto const& it : known->origins)
+    {
+        host_.origins.merge(it, now);
+    }
+    return known->complete;
+}
+
+void origin_task::fetch(time_point now)
+{
+    wanted_since_ = wanted_since_.value_or(now);
+    if (now - *wanted_since_ > fetch_time)
+    {
+        on_complete("none");
+        return;
+    }
+    auto const peers = host_.other_hosts.host_ids();
+    if (peers.empty())
+    {
+        return;
+    }
+    fetching_ = true;
+    auto const from = peers[host_.random.below(peers.size())];
+    peers_.fetch_origins(from,
+                         [this, from](std::optional<std::string> const& bytes)
+                         { on_fetched(from, bytes, net::event_loop::now()); });
+}
+
+void origin_task::on_fetched(host_id const& from,
+                             std::optional<std::string> const& bytes,
+                             time_point now)
+{
+    fetching_ = false;
+    if (bytes && merge(*bytes, now))
+    {
+        on_complete(from.value());
+    }
+}
+
+void origin_task::on_complete(std::string const& from)
+{
+    host_.origins_complete = true;
+    log::write(
+        log::level::info, "stream_origins_known",
+        {{"from", from}, {"streams", std::to_string(host_.origins.size())}});
+}
+
+void origin_task::write(time_point now)
+{
+    auto const own = host_.origins.report(now, stream_origin::stored_lifetime);
+    if (own.empty() || own.front().recorded_at <= written_at_)
+    {
+        return;
+    }
+    auto const hosts = static_cast<duration::rep>(host_.known_host_count);
+    next_write_at_ = now + std::max(min_write_period, hosts * write_slot);
+    written_at_ = now;
+    auto it = external::transaction{};
+    it.then.emplace_back(
+        external::put{host_.wire.origins_key(host_.settings.host),
+                      fleet::encode({true, own}, now), external::lease_id{0}});
+    store_.commit(
+        external::call_purpose::configuration_write, it,
+        [](external::answer<external::transaction_result> const& result)
+        {
+            // The next write repeats these records.
+            if (auto const* const why =
+                    std::get_if<external::call_failure>(&result))
+            {
+                log::write(log::level::warning, "origins_not_stored",
+                           {{"why", why->text}});
+            }
+        });
+}
+
+} // namespace primrosedeal::gateway
--- /dev/null
+++ b/src/gateway/origin_task.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "external/key_value.hpp"
+#include "gateway/host_state.hpp"
+#include "gateway/peer_exchange.hpp"
+
+#include <optional>
+#include <string>
+
+/// Obtains and preserves the origins of streams (`stream_origin`) beyond what
+/// digests carry: a host that has started fetches those that another one knows,
+/// and while versions are mixed each host writes its own into the store, for
+/// the case that all hosts are lost.
+namespace primrosedeal::gateway
+{
+
+class origin_task
+{
+public:
+    origin_task(host_state& host, peer_exchange& peers,
+                external::key_value_service& store);
+    origin_task(origin_task const&) = delete;
+    auto operator=(origin_task const&) -> origin_task& = delete;
+
+    /// Call several times a second. `store_read`: the store's entries have been
+    /// read.
+    void tick(bool store_read, time_point now);
+
+    /// Applies encoded origins of another host or of an earlier process of this
+    /// one. Returns whether they are all that a host may know.
+    auto merge(std::string const& bytes, time_point now) -> bool;
+
+private:
+    void fetch(time_point now);
+    void on_fetched(host_id const& from,
+                    std::optional<std::string> const& bytes, time_point now);
+    void on_complete(std::string const& from);
+    void write(time_point now);
+
+    host_state& host_;
+    peer_exchange& peers_;
+    external::key_value_service& store_;
+    std::optional<time_point> wanted_since_;
+    bool fetching_ = false;
+    time_point next_write_at_{};
+    time_point written_at_{};
+};
+
+} // namespace primrosedeal::gateway
