Bind only streams that may be resumed to a version

A request on a route that may not be resumed is not continued anywhere, so its Last-Event-Id is the client's own matter.

--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -153,7 +153,7 @@
     /// Refuses the request, or does not retry it, for what it or a part of its
     /// prompt has crashed; returns whether it has ended.
     [[nodiscard]] auto refuse_if_quarantined(time_point now) -> bool;
-    /// Whether the client has events of the stream.
+    /// Whether the client has events of the stream, which may be resumed.
     [[nodiscard]] auto begun() const -> bool;
     /// Sets the version at which the next attempt may run. Ends the request if
     /// there is none; returns whether it has ended.
--- a/src/gateway/relay_versions.cpp
+++ b/src/gateway/relay_versions.cpp
@@ -20,7 +20,8 @@
 
 auto relay::begun() const -> bool
 {
-    return streaming() && (state_.answer_started || last_event_.has_value());
+    return streaming() && state_.resumable &&
+           (state_.answer_started || last_event_.has_value());
 }
 
 auto relay::end_without_version(time_point now) -> bool
