--- a/src/request_limit/limiter_test.cpp
+++ b/src/request_limit/limiter_test.cpp
@@ -195,7 +195,7 @@
 {
     constexpr auto hosts = std::size_t{8};
     auto covered = std::vector<double>(hosts);
-    for (auto s = 0; s < 60; s += 5)
+    for (auto s = std::int64_t{0}; s < 60; s += 5)
     {
         auto const each = shares(2, hosts, hosts, {0, 4}, at(s * 1000));
         BOOST_TEST(std::abs(sum(each) - 2) < tolerance);
