--- a/src/dispatch/limited_placement_test.cpp
+++ b/src/dispatch/limited_placement_test.cpp
@@ -37,7 +37,7 @@
 
     auto choose(time_point at) -> std::optional<directory::listed_target>
     {
-        auto const chosen = place(view(), request, at, random);
+        auto chosen = place(view(), request, at, random);
         if (chosen)
         {
             limiter.sent(chosen->id, at);
--- a/src/gateway/relay_test.cpp
+++ b/src/gateway/relay_test.cpp
@@ -26,7 +26,6 @@
 {
 
 using standins::answer_end;
-using standins::raw_answer;
 using standins::raw_target;
 
 /// A port that is bound and does not listen, so that connections are refused.
