--- a/src/gateway/origin_task.cpp
+++ b/src/gateway/origin_task.cpp
@@ -76,7 +76,7 @@
         return;
     }
     fetching_ = true;
-    auto const from = peers[host_.random.below(peers.size())];
+    auto const& from = peers[host_.random.below(peers.size())];
     peers_.fetch_origins(from,
                          [this, from](std::optional<std::string> const& bytes)
                          { on_fetched(from, bytes, net::event_loop::now()); });
