Refuse to resume a stream beside a version that no host has seen

Cause: a host that starts knew only the versions that its list of targets had since then. After the loss of all hosts, or of one host, it took the version that it found for the only one and went on with streams that a version had begun which was replaced meanwhile. Ruled out: records lost in the store; none were written, since versions were never listed side by side. By reading, two more ways: a host cut off from the store concludes from an old list that there is one version; a stream moves to another version before its first event, and its host is lost before the others hear of it.

A stream of unknown origin goes on only if the record, the list and the host's own memory have one version, and the list is current. Before its first event a stream stays at the version of its last attempt if an untried target has it. Origins are written to the store while the record has several versions, no longer only while both take requests.

--- a/src/directory/target_directory.cpp
+++ b/src/directory/target_directory.cpp
@@ -119,20 +119,6 @@
            !left_since;
 }
 
-auto target_directory::mixes_versions() const -> bool
-{
-    return std::any_of(
-        usable_.begin(), usable_.end(),
-        [](auto const& it)
-        {
-            auto const& targets = it.second;
-            return std::any_of(
-                targets.begin(), targets.end(),
-                [&](auto const& target)
-                { return target.version != targets.front().version; });
-        });
-}
-
 auto target_directory::takes_new_work(target_id const& id) const -> bool
 {
     auto const it = entries_.find(id);
--- a/src/directory/target_directory.hpp
+++ b/src/directory/target_directory.hpp
@@ -133,9 +133,12 @@
     [[nodiscard]] auto has_one_version(service_id const& service,
                                        time_point since) const -> bool;
 
-    /// Whether some service has targets of several software versions that
-    /// accept new requests.
-    [[nodiscard]] auto mixes_versions() const -> bool;
+    /// Software versions of all targets listed, leaving ones too.
+    [[nodiscard]] auto versions() const
+        -> std::map<service_id, std::set<software_version>> const&
+    {
+        return versions_;
+    }
 
     [[nodiscard]] auto takes_new_work(target_id const& id) const -> bool;
 
--- a/src/directory/target_directory_test.cpp
+++ b/src/directory/target_directory_test.cpp
@@ -63,16 +63,20 @@
     auto other_service = at_version("b", "v2");
     other_service.service = service_id{"other"};
     write(other_service);
-    BOOST_TEST(!directory.mixes_versions());
+    auto const versions = [&]
+    {
+        return directory.versions().at(service_id{"s"}).size();
+    };
+    BOOST_TEST(versions() == 1U);
     BOOST_TEST(directory.has_one_version(service_id{"s"}, at(0)));
     write(at_version("c", "v2"));
-    BOOST_TEST(directory.mixes_versions());
+    BOOST_TEST(versions() == 2U);
     BOOST_TEST(!directory.has_one_version(service_id{"s"}, at(0)));
     // The same id may start again with another version.
     auto again = at_version("a", "v2");
     again.process_start = incarnation{2};
     write(again, 500);
-    BOOST_TEST(!directory.mixes_versions());
+    BOOST_TEST(versions() == 1U);
     // Streams that the other version began may still be resumed.
     BOOST_TEST(!directory.has_one_version(service_id{"s"}, at(500)));
     BOOST_TEST(directory.has_one_version(service_id{"s"}, at(501)));
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -117,14 +117,15 @@
            time_point now, random_source& random)
     -> std::optional<directory::listed_target>
 {
-    return choose_best(
-        view, it, now, random,
-        [&](directory::listed_target const& target)
-        {
-            return (!it.version || target.version == *it.version) &&
-                   view.limiter.permits(target.id, now) &&
-                   has_room(total_load(view, target.id), target, it);
-        });
+    return choose_best(view, it, now, random,
+                       [&](directory::listed_target const& target)
+                       {
+                           return (it.versions.empty() ||
+                                   it.versions.contains(target.version)) &&
+                                  view.limiter.permits(target.id, now) &&
+                                  has_room(total_load(view, target.id), target,
+                                           it);
+                       });
 }
 
 auto place_copy(placement_view const& view, placement_request const& it,
--- a/src/dispatch/placement.hpp
+++ b/src/dispatch/placement.hpp
@@ -9,6 +9,7 @@
 #include "request_limit/limiter.hpp"
 
 #include <optional>
+#include <set>
 #include <span>
 #include <vector>
 
@@ -29,8 +30,8 @@
     domain_id own_domain;
     /// Memory of one target in tokens; 0: not limited by memory.
     std::uint64_t target_memory = 0;
-    /// The only version at which the request may run; empty: any.
-    std::optional<software_version> version;
+    /// The versions at which the request may run; empty: any.
+    std::set<software_version> versions;
     /// Targets that were already tried for this request.
     std::span<target_id const> tried;
 };
--- a/src/dispatch/versioned_placement_test.cpp
+++ b/src/dispatch/versioned_placement_test.cpp
@@ -52,14 +52,14 @@
 BOOST_AUTO_TEST_CASE(that_has_begun_goes_on_at_its_version)
 {
     auto it = placement_at_versions{1};
-    it.request.version = v1;
+    it.request.versions = {v1};
     for (auto i = 0; i < 100; ++i)
     {
         auto const chosen = it.choose();
         BOOST_REQUIRE(chosen);
         BOOST_TEST(chosen->version == v1);
     }
-    it.request.version = software_version{"v3"};
+    it.request.versions = {software_version{"v3"}};
     BOOST_TEST(!it.choose().has_value());
 }
 
--- a/src/fleet/fleet_view.cpp
+++ b/src/fleet/fleet_view.cpp
@@ -189,6 +189,22 @@
     return out;
 }
 
+auto fleet_view::hosts_in_contact() const -> std::size_t
+{
+    return static_cast<std::size_t>(
+        std::count_if(hosts_.begin(), hosts_.end(),
+                      [](auto const& it)
+                      { return it.second.last.store_contact.has_value(); }));
+}
+
+auto fleet_view::hosts_in_contact_before(host_id const& id) const -> std::size_t
+{
+    return static_cast<std::size_t>(
+        std::count_if(hosts_.begin(), hosts_.lower_bound(id),
+                      [](auto const& it)
+                      { return it.second.last.store_contact.has_value(); }));
+}
+
 auto fleet_view::store_served_since(time_point since) const -> bool
 {
     return std::any_of(hosts_.begin(), hosts_.end(),
--- a/src/fleet/fleet_view.hpp
+++ b/src/fleet/fleet_view.hpp
@@ -49,6 +49,12 @@
     /// Whether the store has answered another host continuously since `since`.
     [[nodiscard]] auto store_served_since(time_point since) const -> bool;
 
+    /// Other hosts that the store answers, and those of them with an id below
+    /// `id`.
+    [[nodiscard]] auto hosts_in_contact() const -> std::size_t;
+    [[nodiscard]] auto hosts_in_contact_before(host_id const& id) const
+        -> std::size_t;
+
     /// Other hosts of `domain` whose digests are current.
     [[nodiscard]] auto peers_in(domain_id const& domain) const
         -> std::vector<domain_peer>;
--- a/src/fleet/store_source.cpp
+++ b/src/fleet/store_source.cpp
@@ -26,4 +26,13 @@
     return out;
 }
 
+auto list_is_current(copy_view const& view) -> bool
+{
+    auto const has_peer_copy =
+        view.peer_copy_age && *view.peer_copy_age <= peer_copy_lifetime;
+    auto const hears_most = 2 * (view.hosts_heard + 1) > view.hosts_known;
+    return view.in_contact || has_peer_copy ||
+           (hears_most && !view.answers_others);
+}
+
 } // namespace primrosedeal::fleet
--- a/src/fleet/store_source.hpp
+++ b/src/fleet/store_source.hpp
@@ -56,6 +56,28 @@
 /// often.
 auto choose_source(source_view const& view) -> store_source;
 
+/// What a host knows of how current its copy of the store is.
+struct copy_view
+{
+    /// Changes arrive, by its own watch or a feed.
+    bool in_contact = false;
+    /// Age of the last copy of a peer that was in contact.
+    std::optional<duration> peer_copy_age;
+    /// The store answers some other host.
+    bool answers_others = false;
+    std::size_t hosts_heard = 0;
+    /// Hosts of the fleet, including this one.
+    std::size_t hosts_known = 1;
+};
+
+/// A peer's copy counts as current for this time: a few polls.
+constexpr auto peer_copy_lifetime = duration{1500ms};
+
+/// Whether the store can have no entry that the host does not know. While the
+/// store answers nobody it takes no entries either; a host knows this only if
+/// it hears most others.
+auto list_is_current(copy_view const& view) -> bool;
+
 /// A feed times out after this time without a message. It spans several message
 /// periods and is short compared with the seconds within which a change has to
 /// take effect.
--- a/src/fleet/store_source_test.cpp
+++ b/src/fleet/store_source_test.cpp
@@ -151,4 +151,34 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(the_list_of_targets)
+
+BOOST_AUTO_TEST_CASE(is_current_in_contact_and_by_a_recent_copy_of_a_peer)
+{
+    auto it = copy_view{};
+    it.answers_others = true;
+    it.hosts_heard = 7;
+    it.hosts_known = 8;
+    BOOST_TEST(!list_is_current(it));
+    it.peer_copy_age = peer_copy_lifetime;
+    BOOST_TEST(list_is_current(it));
+    it.peer_copy_age = peer_copy_lifetime + 1us;
+    BOOST_TEST(!list_is_current(it));
+    it.in_contact = true;
+    BOOST_TEST(list_is_current(it));
+}
+
+BOOST_AUTO_TEST_CASE(is_current_while_the_store_answers_nobody)
+{
+    auto it = copy_view{};
+    it.hosts_heard = 4;
+    it.hosts_known = 8;
+    BOOST_TEST(list_is_current(it));
+    // Those that are not heard may have been answered.
+    it.hosts_heard = 3;
+    BOOST_TEST(!list_is_current(it));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace primrosedeal::fleet
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -277,16 +277,17 @@
 
     void apply(store_entry const& it, time_point now)
     {
-        std::visit(overloaded{[&](configuration_entry const& e)
-                              { adopt_configuration(e); },
-                              [&](directory::entry_written const& e)
-                              { apply_target_event(e, now); },
-                              [&](host_entry const& e) { update_host(e); },
-                              [&](origins_entry const& e)
-                              { origins_.merge(e.bytes, now); },
-                              [](other_entry const&) {
-                              }},
-                   it);
+        std::visit(
+            overloaded{
+                [&](configuration_entry const& e) { adopt_configuration(e); },
+                [&](directory::entry_written const& e)
+                { apply_target_event(e, now); },
+                [&](host_entry const& e) { update_host(e); },
+                [&](origins_entry const& e) { origins_.merge(e.bytes, now); },
+                [&](versions_entry const& e) { adopt_versions(e); },
+                [](other_entry const&) {
+                }},
+            it);
     }
 
     void update_host(host_entry const& it)
@@ -296,6 +297,18 @@
             std::max<std::size_t>(peers_.known_peers().size(), 1);
     }
 
+    void adopt_versions(versions_entry const& it)
+    {
+        auto const versions =
+            it.bytes ? stream_origin::decode_versions(*it.bytes) : std::nullopt;
+        if (it.bytes && !versions)
+        {
+            log::write(log::level::warning, "versions_unreadable",
+                       {{"service", it.service.value()}});
+        }
+        host_.served_versions.apply(it.service, versions);
+    }
+
     void adopt_configuration(configuration_entry const& it)
     {
         if (!it.parsed)
@@ -404,6 +417,10 @@
                    {{"revision", std::to_string(it.as_of.value())},
                     {"fresh", it.fresh ? "true" : "false"},
                     {"targets", std::to_string(targets.size())}});
+        if (it.fresh)
+        {
+            peer_copy_taken_at_ = now;
+        }
         apply_target_event(directory::peer_entries{std::move(targets)}, now);
         source_.replaced_by_peer(it.as_of, now);
     }
@@ -509,6 +526,34 @@
              {"hosts_heard", std::to_string(host_.other_hosts.live_hosts())}});
     }
 
+    auto make_copy_view(time_point now) const -> fleet::copy_view
+    {
+        auto out = fleet::copy_view{};
+        out.in_contact = source_.in_contact();
+        if (peer_copy_taken_at_)
+        {
+            out.peer_copy_age = now - *peer_copy_taken_at_;
+        }
+        out.answers_others = host_.other_hosts.hosts_in_contact() > 0;
+        out.hosts_heard = host_.other_hosts.live_hosts();
+        out.hosts_known = host_.known_host_count;
+        return out;
+    }
+
+    auto make_store_position(time_point now) const -> store_position
+    {
+        auto out = store_position{};
+        out.read = !entries_.empty();
+        out.watches = source_.store_contact(now).has_value();
+        out.written_at = [this](std::string const& key)
+        {
+            auto const held = entries_.find(key);
+            return held == entries_.end() ? external::store_revision{0}
+                                          : held->second.mod_revision;
+        };
+        return out;
+    }
+
     void tick()
     {
         auto const now = net::event_loop::now();
@@ -526,7 +571,8 @@
         // The permission needs several seconds without a pause between calls.
         host_.may_admit_trials(now);
         host_.metrics.log_lines_dropped(log::dropped_lines());
-        origins_.tick(!entries_.empty(), now);
+        host_.list_is_current = fleet::list_is_current(make_copy_view(now));
+        origins_.tick(make_store_position(now), now);
         source_.tick(now);
         register_host(now);
         if (host_.shutdown_started_at)
@@ -611,6 +657,8 @@
     time_point tick_due_at_{};
     net::timer peer_timer_;
     time_point next_registration_at_{};
+    /// When the entries of a peer that was in contact were last taken.
+    std::optional<time_point> peer_copy_taken_at_;
 };
 
 } // namespace
--- a/src/gateway/host_state.hpp
+++ b/src/gateway/host_state.hpp
@@ -21,6 +21,7 @@
 #include "request_limit/limiter.hpp"
 #include "routes/route_table.hpp"
 #include "stream_origin/origin_table.hpp"
+#include "stream_origin/served_versions.hpp"
 
 #include <map>
 #include <memory>
@@ -108,6 +109,9 @@
     /// The origins of streams that began before this host started have been
     /// fetched, or no other host knows them.
     bool origins_complete = false;
+    stream_origin::served_versions served_versions;
+    /// `targets` is what the store lists now (`fleet::list_is_current`).
+    bool list_is_current = false;
     quarantine::part_quarantine quarantine;
     quarantine::trial_permission trials;
     fleet::fleet_view other_hosts;
--- a/src/gateway/origin_task.cpp
+++ b/src/gateway/origin_task.cpp
@@ -21,6 +21,10 @@
 constexpr auto min_write_period = duration{500ms};
 constexpr auto write_slot = duration{50ms};
 
+/// Time in which hosts that start together have heard each other, so that one
+/// of them writes.
+constexpr auto time_to_hear_others = duration{1500ms};
+
 } // namespace
 
 origin_task::origin_task(host_state& host, peer_exchange& peers,
@@ -35,17 +39,27 @@
         });
 }
 
-void origin_task::tick(bool store_read, time_point now)
+void origin_task::tick(store_position const& store, time_point now)
 {
+    started_at_ = started_at_.value_or(now);
     host_.origins.expire(now);
     if (!host_.origins_complete && !fetching_)
     {
         fetch(now);
     }
-    if (store_read && now >= next_write_at_ && host_.targets.mixes_versions())
+    if (store.read && now >= next_write_at_ &&
+        host_.served_versions.several_recorded())
     {
         write(now);
     }
+    if (!store.watches)
+    {
+        host_.served_versions.contact_lost();
+    }
+    else if (now - *started_at_ >= time_to_hear_others)
+    {
+        write_versions(store, now);
+    }
 }
 
 auto origin_task::merge(std::string const& bytes, time_point now) -> bool
@@ -115,16 +129,44 @@
     it.then.emplace_back(
         external::put{host_.wire.origins_key(host_.settings.host),
                       fleet::encode({true, own}, now), external::lease_id{0}});
+    commit(it, "origins");
+}
+
+void origin_task::write_versions(store_position const& store, time_point now)
+{
+    auto const next = host_.served_versions.next_write(
+        host_.targets.versions(),
+        host_.other_hosts.hosts_in_contact_before(host_.settings.host), now);
+    if (!next)
+    {
+        return;
+    }
+    auto const key = host_.wire.versions_key(next->service);
+    auto it = external::transaction{};
+    it.conditions.emplace_back(
+        external::unchanged_since{key, store.written_at(key)});
+    it.then.emplace_back(external::put{
+        key, stream_origin::encode(next->versions), external::lease_id{0}});
+    log::write(log::level::info, "versions_recorded",
+               {{"service", next->service.value()},
+                {"versions", std::to_string(next->versions.size())}});
+    commit(it, "versions");
+}
+
+void origin_task::commit(external::transaction const& it,
+                         std::string const& what)
+{
     store_.commit(
         external::call_purpose::configuration_write, it,
-        [](external::answer<external::transaction_result> const& result)
+        [what](external::answer<external::transaction_result> const& result)
         {
-            // The next write repeats these records.
+            // Later writes repeat what this one had. If the condition failed,
+            // another host was first, and its entry arrives.
             if (auto const* const why =
                     std::get_if<external::call_failure>(&result))
             {
-                log::write(log::level::warning, "origins_not_stored",
-                           {{"why", why->text}});
+                log::write(log::level::warning, "record_not_stored",
+                           {{"what", what}, {"why", why->text}});
             }
         });
 }
--- a/src/gateway/origin_task.hpp
+++ b/src/gateway/origin_task.hpp
@@ -4,16 +4,29 @@
 #include "gateway/host_state.hpp"
 #include "gateway/peer_exchange.hpp"
 
+#include <functional>
 #include <optional>
 #include <string>
 
 /// Obtains and preserves the origins of streams (`stream_origin`) beyond what
-/// digests carry: a host that has started fetches those that another one knows,
-/// and while versions are mixed each host writes its own into the store, for
-/// the case that all hosts are lost.
+/// digests carry: a host that has started fetches those that another one knows.
+/// For the case that all hosts are lost, one host records the versions of each
+/// service in the store, and while several are recorded each host writes its
+/// own origins there.
 namespace primrosedeal::gateway
 {
 
+/// What the host knows of the store.
+struct store_position
+{
+    /// The store's entries have been read.
+    bool read = false;
+    /// This host watches the store, and the store answers it.
+    bool watches = false;
+    /// When an entry was last written; zero if there is none.
+    std::function<external::store_revision(std::string const& key)> written_at;
+};
+
 class origin_task
 {
 public:
@@ -22,9 +35,8 @@
     origin_task(origin_task const&) = delete;
     auto operator=(origin_task const&) -> origin_task& = delete;
 
-    /// Call several times a second. `store_read`: the store's entries have been
-    /// read.
-    void tick(bool store_read, time_point now);
+    /// Call several times a second.
+    void tick(store_position const& store, time_point now);
 
     /// Applies encoded origins of another host or of an earlier process of this
     /// one. Returns whether they are all that a host may know.
@@ -36,10 +48,14 @@
                     std::optional<std::string> const& bytes, time_point now);
     void on_complete(std::string const& from);
     void write(time_point now);
+    void write_versions(store_position const& store, time_point now);
+    void commit(external::transaction const& it, std::string const& what);
 
     host_state& host_;
     peer_exchange& peers_;
     external::key_value_service& store_;
+    /// First call of `tick`.
+    std::optional<time_point> started_at_;
     std::optional<time_point> wanted_since_;
     bool fetching_ = false;
     time_point next_write_at_{};
--- a/src/gateway/protocol.hpp
+++ b/src/gateway/protocol.hpp
@@ -109,14 +109,23 @@
     std::string bytes;
 };
 
+/// Versions that the streams of a service may have begun at, as a host has
+/// written them; empty if the entry was removed.
+struct versions_entry
+{
+    service_id service;
+    std::optional<std::string> bytes;
+};
+
 /// An item that the gateway does not use.
 struct other_entry
 {
 };
 
 /// A decoded item of the store.
-using store_entry = std::variant<configuration_entry, directory::entry_written,
-                                 host_entry, origins_entry, other_entry>;
+using store_entry =
+    std::variant<configuration_entry, directory::entry_written, host_entry,
+                 origins_entry, versions_entry, other_entry>;
 
 class protocol
 {
@@ -157,6 +166,8 @@
         -> bool = 0;
     [[nodiscard]] virtual auto origins_key(host_id const& id) const
         -> std::string = 0;
+    [[nodiscard]] virtual auto versions_key(service_id const& id) const
+        -> std::string = 0;
     [[nodiscard]] virtual auto host_key(host_id const& id) const
         -> std::string = 0;
 };
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -219,7 +219,7 @@
     {
         out.target_memory = admitted_.service->engine->memory.value();
     }
-    out.version = version_;
+    out.versions = versions_;
     out.tried = tried_targets_;
     return out;
 }
@@ -268,7 +268,7 @@
                          dispatch::final_status(state_, now), now);
         return;
     }
-    auto const target = dispatch::place(view(), placement(), now, host_.random);
+    auto const target = place_attempt(now);
     if (target)
     {
         send(*target, {}, now);
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -155,9 +155,14 @@
     [[nodiscard]] auto refuse_if_quarantined(time_point now) -> bool;
     /// Whether the client has events of the stream, which may be resumed.
     [[nodiscard]] auto begun() const -> bool;
-    /// Sets the version at which the next attempt may run. Ends the request if
+    /// Sets the versions at which the next attempt may run. Ends the request if
     /// there is none; returns whether it has ended.
     [[nodiscard]] auto end_without_version(time_point now) -> bool;
+    /// The target of the next attempt. Before its first event a stream stays at
+    /// the version of its last attempt if an untried target has it.
+    [[nodiscard]] auto place_attempt(time_point now)
+        -> std::optional<directory::listed_target>;
+    [[nodiscard]] auto was_tried(target_id const& id) const -> bool;
     /// The current attempt runs, or is about to run, at its target's version.
     void record_origin(time_point now);
     [[nodiscard]] auto suspect_name(quarantine::suspect_id id) const
@@ -181,8 +186,10 @@
     stream_origin::stream_id stream_;
     /// The version that began it, once that is known.
     std::optional<software_version> origin_;
-    /// The only version at which the next attempt may run; empty: any.
-    std::optional<software_version> version_;
+    /// The versions at which the next attempt may run; empty: any.
+    stream_origin::version_set versions_;
+    /// The version of the last attempt.
+    std::optional<software_version> sent_version_;
     /// Keeps the route alive while a newer configuration is in force.
     std::shared_ptr<routes::route_table const> table_;
     admitted admitted_;
--- a/src/gateway/relay_fixture.hpp
+++ b/src/gateway/relay_fixture.hpp
@@ -112,6 +112,7 @@
         it.routes = {streams, calls};
         it.services = {{service, "/health/", 100, {}}};
         host.table = std::make_shared<routes::route_table>(std::move(it));
+        host.list_is_current = true;
     }
 
     void list(std::string const& id, std::string const& domain,
@@ -126,6 +127,9 @@
         it.slots = 64;
         host.targets.handle(directory::entry_written{it.id, it},
                             net::event_loop::now());
+        auto recorded = host.served_versions.recorded(service);
+        recorded.insert(version);
+        host.served_versions.apply(service, recorded);
     }
 
     void send(std::string const& path, client_view& client,
--- a/src/gateway/relay_versions.cpp
+++ b/src/gateway/relay_versions.cpp
@@ -2,6 +2,7 @@
 #include "gateway/relay.hpp"
 #include "log/log.hpp"
 
+#include <algorithm>
 #include <utility>
 
 // Keeps a stream at the software version that began it, over the attempts of
@@ -13,7 +14,8 @@
 {
 
 constexpr auto unavailable = 503;
-/// Time in which a host that has started learns of the streams of others.
+/// Time in which a host learns what others know, or the client reaches another
+/// host.
 constexpr auto retry_after_start = duration{500ms};
 
 } // namespace
@@ -27,10 +29,16 @@
 auto relay::end_without_version(time_point now) -> bool
 {
     auto const& service = admitted_.service->id;
+    if (!streaming() || !state_.resumable)
+    {
+        return false;
+    }
+    auto const& recorded = host_.served_versions.recorded(service);
     auto const choice = stream_origin::choose_version(
-        begun(), origin_, host_.targets.usable(service),
-        host_.targets.has_one_version(service,
-                                      now - stream_origin::origin_lifetime));
+        {begun(), origin_}, {host_.targets.usable(service), recorded,
+                             host_.targets.has_one_version(
+                                 service, now - stream_origin::origin_lifetime),
+                             host_.list_is_current});
     auto const end =
         [&](refusal_reason reason, std::optional<duration> retry_after)
     {
@@ -41,7 +49,9 @@
              {"reason", std::string{to_string(reason)}},
              {"version", origin_.value_or(software_version{}).value()},
              {"origins_known", std::to_string(host_.origins.size())},
-             {"origins_complete", host_.origins_complete ? "true" : "false"}});
+             {"origins_complete", host_.origins_complete ? "true" : "false"},
+             {"versions_recorded", std::to_string(recorded.size())},
+             {"list_is_current", host_.list_is_current ? "true" : "false"}});
         if (std::exchange(attempt_counted_, false))
         {
             host_.request_counts.refund_attempt(admitted_.service->id, now);
@@ -59,31 +69,64 @@
     return std::visit(
         overloaded{[&](stream_origin::any_version)
                    {
-                       version_.reset();
+                       versions_.clear();
+                       return false;
+                   },
+                   [&](stream_origin::recorded_versions const& it)
+                   {
+                       versions_ = it.versions;
                        return false;
                    },
                    [&](stream_origin::only_version const& it)
                    {
-                       version_ = it.version;
+                       versions_ = {it.version};
                        return false;
                    },
                    [&](stream_origin::version_gone const&)
                    { return end(refusal_reason::version_gone, {}); },
                    [&](stream_origin::version_unknown)
                    {
+                       auto const may_learn = !host_.origins_complete ||
+                                              !host_.list_is_current ||
+                                              recorded.empty();
                        return end(refusal_reason::version_unknown,
-                                  host_.origins_complete
-                                      ? std::nullopt
-                                      : std::optional{retry_after_start});
+                                  may_learn ? std::optional{retry_after_start}
+                                            : std::nullopt);
                    }},
         choice);
 }
 
+auto relay::place_attempt(time_point now)
+    -> std::optional<directory::listed_target>
+{
+    auto it = placement();
+    // Other hosts may still hold the record of the earlier attempt when this
+    // one is lost.
+    if (!begun() && sent_version_ && versions_.size() != 1)
+    {
+        auto same = it;
+        same.versions = {*sent_version_};
+        auto const target = dispatch::place(view(), same, now, host_.random);
+        if (target && !was_tried(target->id))
+        {
+            return target;
+        }
+    }
+    return dispatch::place(view(), it, now, host_.random);
+}
+
+auto relay::was_tried(target_id const& id) const -> bool
+{
+    return std::find(tried_targets_.begin(), tried_targets_.end(), id) !=
+           tried_targets_.end();
+}
+
 void relay::record_origin(time_point now)
 {
     if (streaming() && state_.resumable)
     {
-        host_.origins.record(stream_, current_->target.version, now);
+        sent_version_ = current_->target.version;
+        host_.origins.record(stream_, *sent_version_, now);
     }
 }
 
--- a/src/gateway/relay_versions_test.cpp
+++ b/src/gateway/relay_versions_test.cpp
@@ -118,6 +118,36 @@
     BOOST_TEST(host.origins.size() == 1U);
 }
 
+BOOST_FIXTURE_TEST_CASE(stays_at_its_version_before_its_first_event,
+                        two_versions)
+{
+    auto silent = raw_target{loop, [](std::string const&)
+                             {
+                                 return answer_of("", answer_end::reset);
+                             }};
+    list("old", "a", silent.port(), v1);
+    send("/stream/", client);
+    run_until([&] { return silent.runs() > 0; });
+    for (auto const* const id : {"n1", "n2", "n3", "n4", "n5", "n6"})
+    {
+        list(id, "b", breaking.port(), v2);
+    }
+    list("same", "b", sound.port(), v1);
+    run_until([&] { return client.over(); });
+    BOOST_TEST(client.body == event(2) + event(3));
+    BOOST_TEST(breaking.runs() == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(does_not_begin_at_a_version_without_a_record,
+                        two_versions)
+{
+    list_both();
+    host.served_versions.apply(service, stream_origin::version_set{v2});
+    BOOST_TEST(ask({}) == 0);
+    BOOST_TEST(client.body == event(2) + event(3));
+    BOOST_TEST(breaking.runs() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(a_stream_that_its_client_takes_up)
@@ -176,6 +206,28 @@
     BOOST_TEST(sound.runs() == 0);
 }
 
+BOOST_FIXTURE_TEST_CASE(
+    of_unknown_origin_is_refused_where_the_other_version_was_never_seen,
+    two_versions)
+{
+    list("new", "b", sound.port(), v2);
+    host.served_versions.apply(service, stream_origin::version_set{v1, v2});
+    BOOST_TEST(ask(taking_up(1)) == unavailable);
+    BOOST_TEST(client.body == R"({"error":"version_unknown"})");
+    BOOST_TEST(sound.runs() == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    of_unknown_origin_may_come_again_where_targets_may_be_unknown, two_versions)
+{
+    list("new", "b", sound.port(), v2);
+    host.list_is_current = false;
+    BOOST_TEST(ask(taking_up(1)) == unavailable);
+    BOOST_TEST(
+        net::find_header(client.reply->headers, "Retry-After").has_value());
+    BOOST_TEST(sound.runs() == 0);
+}
+
 BOOST_FIXTURE_TEST_CASE(may_come_again_while_its_host_learns_of_streams,
                         two_versions)
 {
--- /dev/null
+++ b/src/stream_origin/served_versions.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "core/ids.hpp"
+#include "core/units.hpp"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+/// Decides at which software versions streams may begin, and which ones a
+/// stream of unknown origin may have begun at, by a record in the store for
+/// each service.
+///
+/// Load pattern: all hosts are lost while a rollout replaces the targets of a
+/// service. The hosts that start find targets of the new version only, and
+/// clients resume streams that the old one began. What a host has seen itself
+/// does not tell it that there was another version.
+///
+/// A version is added to the record before the first stream begins at it, and
+/// removed `origin_lifetime` after its last target is listed. One host writes;
+/// the next one takes over if the record stays incomplete. Two writers at once
+/// cost calls, nothing else: each write names the revision that it replaces.
+namespace primrosedeal::stream_origin
+{
+
+using version_set = std::set<software_version>;
+using versions_by_service = std::map<service_id, version_set>;
+
+auto encode(version_set const& it) -> std::string;
+/// Returns nothing if `bytes` are not encoded versions.
+auto decode_versions(std::string const& bytes) -> std::optional<version_set>;
+
+/// Time that a host waits for each one ahead of it to write the record.
+constexpr auto record_write_slot = duration{200ms};
+constexpr auto max_record_write_delay = duration{2s};
+
+/// Time after which a write that has not come back as an entry is repeated.
+constexpr auto record_write_retry = duration{1s};
+
+struct record_write
+{
+    service_id service;
+    version_set versions;
+};
+
+class served_versions
+{
+public:
+    /// The record of `service` was written; no value: it was removed or is
+    /// unreadable.
+    void apply(service_id const& service,
+               std::optional<version_set> const& versions);
+
+    /// Recorded versions; empty if there is no record.
+    [[nodiscard]] auto recorded(service_id const& service) const
+        -> version_set const&;
+
+    /// Whether some service has several recorded versions.
+    [[nodiscard]] auto several_recorded() const -> bool;
+
+    /// The record that this host is to write, if any. `listed`: versions of all
+    /// targets in the store. `hosts_ahead`: hosts that would write before this
+    /// one. Call several times a second while the store answers this host.
+    auto next_write(versions_by_service const& listed, std::size_t hosts_ahead,
+                    time_point now) -> std::optional<record_write>;
+
+    /// Changes may have been missed, so versions that are not listed may have
+    /// been.
+    void contact_lost();
+
+private:
+    struct record
+    {
+        std::optional<version_set> versions;
+        /// Recorded versions without a listed target, and since when.
+        std::map<software_version, time_point> unlisted_since;
+        /// When the record was first found incomplete.
+        std::optional<time_point> incomplete_since;
+        time_point next_write_at{};
+    };
+
+    /// The versions that the record should have.
+    static auto wanted(record& it, version_set const& listed, time_point now)
+        -> version_set;
+
+    std::map<service_id, record> records_;
+};
+
+} // namespace primrosedeal::stream_origin
--- a/src/stream_origin/stream_origin_test.cpp
+++ b/src/stream_origin/stream_origin_test.cpp
@@ -3,7 +3,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -38,6 +40,29 @@
     return out;
 }
 
+/// All that a host in contact knows, with a record of these versions.
+struct known_service
+{
+    known_service(std::vector<software_version> const& listed,
+                  version_set served)
+        : usable(targets_of(listed)), recorded(std::move(served))
+    {
+    }
+
+    [[nodiscard]] auto
+    choose(bool begun, std::optional<software_version> const& origin) const
+        -> version_choice
+    {
+        return choose_version({begun, origin},
+                              {usable, recorded, one_listed, list_is_current});
+    }
+
+    std::vector<directory::listed_target> usable;
+    version_set recorded;
+    bool one_listed = true;
+    bool list_is_current = true;
+};
+
 auto chosen(version_choice const& it) -> std::optional<software_version>
 {
     auto const* const only = std::get_if<only_version>(&it);
@@ -50,10 +75,20 @@
 
 BOOST_AUTO_TEST_SUITE(that_has_no_event)
 
-BOOST_AUTO_TEST_CASE(is_any)
+BOOST_AUTO_TEST_CASE(is_any_that_is_recorded)
 {
-    auto const it = choose_version(false, v1, targets_of({v1, v2}), false);
-    BOOST_TEST(std::holds_alternative<any_version>(it));
+    auto const it = known_service{{v1, v2}, {v1}}.choose(false, v1);
+    auto const* const first = std::get_if<recorded_versions>(&it);
+    BOOST_REQUIRE(first != nullptr);
+    BOOST_TEST((first->versions == version_set{v1}));
+}
+
+BOOST_AUTO_TEST_CASE(is_any_if_no_recorded_one_serves)
+{
+    BOOST_TEST(std::holds_alternative<any_version>(
+        known_service({v2}, {v1}).choose(false, {})));
+    BOOST_TEST(std::holds_alternative<any_version>(
+        known_service({v2}, {}).choose(false, {})));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -63,23 +98,22 @@
 BOOST_AUTO_TEST_CASE(is_the_one_that_began_it)
 {
     BOOST_TEST(
-        (chosen(choose_version(true, v2, targets_of({v1, v2}), false)) == v2));
-    BOOST_TEST(
-        (chosen(choose_version(true, v1, targets_of({v1}), true)) == v1));
+        (chosen(known_service({v1, v2}, {v1, v2}).choose(true, v2)) == v2));
+    BOOST_TEST((chosen(known_service({v1}, {v1}).choose(true, v1)) == v1));
 }
 
 BOOST_AUTO_TEST_CASE(has_gone_with_the_last_target_that_takes_requests)
 {
-    auto const it = choose_version(true, v1, targets_of({v2, v2}), true);
+    auto const it = known_service{{v2, v2}, {v2}}.choose(true, v1);
     BOOST_TEST(std::holds_alternative<version_gone>(it));
 }
 
 BOOST_AUTO_TEST_CASE(is_open_while_no_target_is_known_at_all)
 {
     BOOST_TEST(std::holds_alternative<any_version>(
-        choose_version(true, v1, {}, true)));
+        known_service({}, {v1}).choose(true, v1)));
     BOOST_TEST(std::holds_alternative<any_version>(
-        choose_version(true, {}, {}, true)));
+        known_service({}, {v1}).choose(true, {})));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -88,10 +122,29 @@
 
 BOOST_AUTO_TEST_CASE(is_the_only_one_and_is_not_guessed_otherwise)
 {
-    auto const usable = targets_of({v1, v1});
-    BOOST_TEST((chosen(choose_version(true, {}, usable, true)) == v1));
-    BOOST_TEST(std::holds_alternative<version_unknown>(
-        choose_version(true, {}, usable, false)));
+    auto it = known_service{{v1, v1}, {v1}};
+    BOOST_TEST((chosen(it.choose(true, {})) == v1));
+    it.one_listed = false;
+    BOOST_TEST(std::holds_alternative<version_unknown>(it.choose(true, {})));
+}
+
+BOOST_AUTO_TEST_CASE(is_not_the_only_one_that_a_new_host_finds)
+{
+    auto const unknown = [](known_service const& it)
+    {
+        return std::holds_alternative<version_unknown>(it.choose(true, {}));
+    };
+    BOOST_TEST(unknown({{v2}, {v1, v2}}));
+    // All targets were replaced while no host ran.
+    BOOST_TEST(unknown({{v2}, {v1}}));
+    BOOST_TEST(unknown({{v2}, {}}));
+}
+
+BOOST_AUTO_TEST_CASE(is_not_the_only_one_of_a_list_that_may_be_old)
+{
+    auto it = known_service{{v1}, {v1}};
+    it.list_is_current = false;
+    BOOST_TEST(std::holds_alternative<version_unknown>(it.choose(true, {})));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/stream_origin/version_choice.cpp
+++ b/src/stream_origin/version_choice.cpp
@@ -1,30 +1,65 @@
 #include "stream_origin/version_choice.hpp"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace primrosedeal::stream_origin
 {
 
-auto choose_version(bool begun, std::optional<software_version> const& origin,
-                    std::vector<directory::listed_target> const& usable,
-                    bool one_version) -> version_choice
+namespace
+{
+
+auto serves(std::vector<directory::listed_target> const& usable,
+            software_version const& version) -> bool
+{
+    return std::any_of(usable.begin(), usable.end(),
+                       [&](auto const& it) { return it.version == version; });
+}
+
+/// The version of every stream of the service, if there is but one.
+auto single_version(service_versions const& it)
+    -> std::optional<software_version>
+{
+    auto const certain = it.one_listed && it.list_is_current &&
+                         it.recorded.size() == 1 &&
+                         it.usable.front().version == *it.recorded.begin();
+    return certain ? std::optional{*it.recorded.begin()} : std::nullopt;
+}
+
+auto choose_first_version(service_versions const& it) -> version_choice
+{
+    auto out = recorded_versions{};
+    std::copy_if(it.recorded.begin(), it.recorded.end(),
+                 std::inserter(out.versions, out.versions.end()),
+                 [&](auto const& version)
+                 { return serves(it.usable, version); });
+    return out.versions.empty() ? version_choice{any_version{}}
+                                : version_choice{std::move(out)};
+}
+
+} // namespace
+
+auto choose_version(stream_view const& stream, service_versions const& service)
+    -> version_choice
 {
     // Without targets there is nothing to mix; placement reports their lack.
-    if (!begun || usable.empty())
+    if (service.usable.empty())
     {
         return any_version{};
     }
+    if (!stream.begun)
+    {
+        return choose_first_version(service);
+    }
+    auto const origin = stream.origin ? stream.origin : single_version(service);
     if (!origin)
     {
-        return one_version
-                   ? version_choice{only_version{usable.front().version}}
-                   : version_choice{version_unknown{}};
+        return version_unknown{};
     }
-    auto const serves =
-        std::any_of(usable.begin(), usable.end(),
-                    [&](auto const& it) { return it.version == *origin; });
-    return serves ? version_choice{only_version{*origin}}
-                  : version_choice{version_gone{*origin}};
+    return serves(service.usable, *origin)
+               ? version_choice{only_version{*origin}}
+               : version_choice{version_gone{*origin}};
 }
 
 } // namespace primrosedeal::stream_origin
--- a/src/stream_origin/version_choice.hpp
+++ b/src/stream_origin/version_choice.hpp
@@ -2,6 +2,7 @@
 
 #include "core/ids.hpp"
 #include "directory/target_directory.hpp"
+#include "stream_origin/served_versions.hpp"
 
 #include <optional>
 #include <variant>
@@ -11,11 +12,17 @@
 namespace primrosedeal::stream_origin
 {
 
-/// The stream has no event yet.
+/// The stream may run at every target.
 struct any_version
 {
 };
 
+/// The stream has no event yet, and only these versions are recorded as served.
+struct recorded_versions
+{
+    version_set versions;
+};
+
 struct only_version
 {
     software_version version;
@@ -34,13 +41,31 @@
 };
 
 using version_choice =
-    std::variant<any_version, only_version, version_gone, version_unknown>;
-
-/// `begun`: the client has events of the stream. `origin`: the version that
-/// began it, if known. `usable`: the targets of the service that take requests.
-/// `one_version`: the service has had no other version for `origin_lifetime`.
-auto choose_version(bool begun, std::optional<software_version> const& origin,
-                    std::vector<directory::listed_target> const& usable,
-                    bool one_version) -> version_choice;
+    std::variant<any_version, recorded_versions, only_version, version_gone,
+                 version_unknown>;
+
+struct stream_view
+{
+    /// The client has events of the stream.
+    bool begun = false;
+    /// The version that began it, if known.
+    std::optional<software_version> origin;
+};
+
+/// What a host knows of the versions of a service.
+struct service_versions
+{
+    /// Targets that take requests.
+    std::vector<directory::listed_target> const& usable;
+    /// Versions that streams may have begun at; empty if there is no record.
+    version_set const& recorded;
+    /// No other version was listed here for `origin_lifetime`.
+    bool one_listed = false;
+    /// The list of targets is current.
+    bool list_is_current = false;
+};
+
+auto choose_version(stream_view const& stream, service_versions const& service)
+    -> version_choice;
 
 } // namespace primrosedeal::stream_origin
