--- a/src/cli/gateway_command.cpp
+++ b/src/cli/gateway_command.cpp
@@ -32,7 +32,7 @@
         auto loop = net::event_loop{};
         auto const wire = platform::wire_protocol{};
         auto store = platform::store_client{
-            loop, platform::store_client_settings{settings.store}};
+            loop, platform::make_store_settings(settings)};
         auto const drained = gateway::run_gateway(
             loop, settings, [file] { return platform::load_settings(file); },
             wire, store);
--- a/src/external/call_budget.cpp
+++ b/src/external/call_budget.cpp
@@ -22,6 +22,14 @@
         return "lease";
     case call_purpose::claim:
         return "claim";
+    case call_purpose::history_read:
+        return "history_read";
+    case call_purpose::large_value_read:
+        return "large_value_read";
+    case call_purpose::registration:
+        return "registration";
+    case call_purpose::version_write:
+        return "version_write";
     }
     return "unknown";
 }
--- a/src/external/call_budget.hpp
+++ b/src/external/call_budget.hpp
@@ -20,9 +20,19 @@
     configuration_write,
     lease,
     claim,
+    /// A read of all keys after the history that a watch needs was dropped.
+    history_read,
+    /// A read of one value that is too large for a feed.
+    large_value_read,
+    /// A host makes its address known to the others.
+    registration,
+    /// Versions of streams and services (`stream_origin`).
+    version_write,
 };
 
-constexpr auto call_purpose_count = std::size_t{5};
+constexpr auto call_purpose_count = std::size_t{9};
+
+using calls_by_purpose = std::array<std::uint64_t, call_purpose_count>;
 
 auto to_string(call_purpose it) -> std::string_view;
 
--- a/src/external/key_value.hpp
+++ b/src/external/key_value.hpp
@@ -66,6 +66,9 @@
     /// Empty: only `key`. Otherwise all keys from `key` up to but without it.
     std::string range_end;
     bool keys_only = false;
+    /// The values may be seconds old, at a fraction of the price. A watch from
+    /// `range_result::at` delivers what is missing.
+    bool may_be_old = false;
 };
 
 /// The `range_end` that gives all keys beginning with `prefix`.
@@ -189,6 +192,13 @@
     virtual auto watch_range(call_purpose purpose, range_request const& request,
                              store_revision from, watch_handlers handlers)
         -> std::unique_ptr<watch> = 0;
+
+    /// Calls made since the start, refused ones too; zeros if they are not
+    /// counted.
+    [[nodiscard]] virtual auto calls_made() const -> calls_by_purpose
+    {
+        return {};
+    }
 };
 
 } // namespace primrosedeal::external
--- a/src/fleet/fleet_test.cpp
+++ b/src/fleet/fleet_test.cpp
@@ -341,8 +341,8 @@
     auto const peers = it.peers_in(domain_id{"d"});
     BOOST_REQUIRE(peers.size() == 2U);
     BOOST_TEST(peers[0].id.value() == "h1");
-    BOOST_TEST(peers[0].watches_store);
-    BOOST_TEST(!peers[1].watches_store);
+    BOOST_TEST(peers[0].store_contact.has_value());
+    BOOST_TEST(!peers[1].store_contact);
 }
 
 BOOST_AUTO_TEST_CASE(knows_whether_the_store_answered_others_since)
--- a/src/fleet/fleet_view.cpp
+++ b/src/fleet/fleet_view.cpp
@@ -183,7 +183,7 @@
     {
         if (state.last.domain == domain)
         {
-            out.push_back({id, state.last.store_contact.has_value(), false});
+            out.push_back({id, state.last.store_contact, false});
         }
     }
     return out;
--- a/src/fleet/store_source.cpp
+++ b/src/fleet/store_source.cpp
@@ -1,11 +1,34 @@
 #include "fleet/store_source.hpp"
 
+#include <algorithm>
+#include <utility>
+
 namespace primrosedeal::fleet
 {
 
+namespace
+{
+
+/// Hosts are preferred as the source in this order. A host that follows
+/// another one is behind it in this order by both hosts' views, since reported
+/// contact is never longer than the actual one; so two hosts do not follow each
+/// other.
+using preference = std::pair<bool, host_id>;
+
+auto settled(std::optional<duration> const& contact) -> bool
+{
+    return contact && *contact >= settled_contact;
+}
+
+} // namespace
+
 auto choose_source(source_view const& view) -> store_source
 {
-    auto first = view.watches_store ? std::optional{view.self} : std::nullopt;
+    auto first = std::optional<preference>{};
+    if (view.store_contact)
+    {
+        first = preference{!settled(view.store_contact), view.self};
+    }
     auto out = watch_store{};
     for (auto const& it : view.peers)
     {
@@ -13,19 +36,34 @@
         {
             continue;
         }
-        if (it.watches_store && (!first || it.id < *first))
+        auto const rank = preference{!settled(it.store_contact), it.id};
+        auto const waits =
+            view.age < discovery_time && !settled(it.store_contact);
+        if (it.store_contact && !waits && (!first || rank < *first))
         {
-            first = it.id;
+            first = rank;
         }
         out.hosts_ahead += it.id < view.self ? 1 : 0;
     }
-    if (first && *first != view.self)
+    if (first && first->second != view.self)
+    {
+        return follow_peer{first->second};
+    }
+    if (view.others_registered && view.age < discovery_time)
     {
-        return follow_peer{*first};
+        out.pause = start_pause;
     }
     return out;
 }
 
+auto feed_loss_delay(source_view const& view) -> duration
+{
+    auto const ahead = std::count_if(
+        view.peers.begin(), view.peers.end(),
+        [&](auto const& it) { return !it.feed_failed && it.id < view.self; });
+    return std::min(feed_loss_slot * ahead, max_feed_loss_delay);
+}
+
 auto list_is_current(copy_view const& view) -> bool
 {
     auto const has_peer_copy =
--- a/src/fleet/store_source.hpp
+++ b/src/fleet/store_source.hpp
@@ -16,6 +16,12 @@
 /// host of a domain watches the store and forwards the changes to the others
 /// over links inside the domain. Hosts derive this role from each other's
 /// digests; if two hosts of a domain both watch, the only cost is extra calls.
+///
+/// When hundreds of hosts start together, each one reads the store and makes
+/// itself known there, and each of these writes ends every watch. Until they
+/// have heard each other they pause between watches. A host that has watched
+/// for long stays the source when one with a lower id starts again, so that its
+/// followers do not all go back to the store.
 namespace primrosedeal::fleet
 {
 
@@ -23,8 +29,9 @@
 struct domain_peer
 {
     host_id id;
-    /// It watches the store, and the store answers it.
-    bool watches_store = false;
+    /// How long the store has answered it; empty if it does not watch the store
+    /// or gets no answer.
+    std::optional<duration> store_contact;
     /// Its feed to this host failed within `feed_failure_backoff`.
     bool feed_failed = false;
 };
@@ -32,8 +39,12 @@
 struct source_view
 {
     host_id self;
-    /// This host watches the store, and the store answers it.
-    bool watches_store = false;
+    /// As of a peer.
+    std::optional<duration> store_contact;
+    /// How long this host has run.
+    duration age{};
+    /// The store lists other hosts.
+    bool others_registered = false;
     std::span<domain_peer const> peers;
 };
 
@@ -42,6 +53,8 @@
     /// Hosts of the domain that retry the store before this one while it
     /// answers none of them.
     std::size_t hosts_ahead = 0;
+    /// Pause between two watches.
+    duration pause{};
 };
 
 struct follow_peer
@@ -51,11 +64,31 @@
 
 using store_source = std::variant<watch_store, follow_peer>;
 
-/// The host with the lowest id that the store answers feeds the others. Without
-/// such a host every host tries to watch the store, those with higher ids less
-/// often.
+/// Contact after which a host is preferred as the source over those that have
+/// had less.
+constexpr auto settled_contact = duration{10s};
+
+/// Time in which hosts that start together hear each other. Until then a host
+/// follows only a settled one, and pauses between watches unless it is alone.
+constexpr auto discovery_time = duration{1s};
+constexpr auto start_pause = duration{700ms};
+
+/// The host with the lowest id of those that the store answers, or of the
+/// settled ones if there are any, feeds the others. Without such a host every
+/// host tries to watch the store, those with higher ids less often.
 auto choose_source(source_view const& view) -> store_source;
 
+/// Delay for each host of the domain that asks the store before this one after
+/// their feed was lost, and the longest. It leaves the first one time to say
+/// that it has contact, and with `feed_timeout` is short beside the time in
+/// which a change has to take effect.
+constexpr auto feed_loss_slot = duration{50ms};
+constexpr auto max_feed_loss_delay = duration{400ms};
+
+/// Time after the loss of its feed in which this host looks for another one
+/// before it asks the store.
+auto feed_loss_delay(source_view const& view) -> duration;
+
 /// What a host knows of how current its copy of the store is.
 struct copy_view
 {
--- a/src/fleet/store_source_test.cpp
+++ b/src/fleet/store_source_test.cpp
@@ -14,13 +14,16 @@
 
 auto peer(std::string id, bool watches, bool failed = false) -> domain_peer
 {
-    return {host_id{std::move(id)}, watches, failed};
+    return {host_id{std::move(id)},
+            watches ? std::optional{duration{1s}} : std::nullopt, failed};
 }
 
 auto choose(std::string const& self, bool watches,
             std::vector<domain_peer> const& peers) -> store_source
 {
-    return choose_source({host_id{self}, watches, peers});
+    return choose_source({host_id{self},
+                          watches ? std::optional{duration{1s}} : std::nullopt,
+                          discovery_time, true, peers});
 }
 
 auto followed(store_source const& it) -> std::string
@@ -80,6 +83,47 @@
     BOOST_TEST(followed(choose("a", true, {peer("c", true)})).empty());
 }
 
+BOOST_AUTO_TEST_CASE(follows_one_that_has_watched_for_long_at_any_id)
+{
+    auto const settled_peer =
+        domain_peer{host_id{"d"}, std::optional{settled_contact}, false};
+    BOOST_TEST(followed(choose("c", true, {peer("a", true), settled_peer})) ==
+               "d");
+    // It has just started, and so has the other one.
+    auto const peers = std::vector<domain_peer>{peer("a", true)};
+    auto it = source_view{host_id{"c"}, duration{500ms}, duration{500ms}, true,
+                          peers};
+    BOOST_TEST(followed(choose_source(it)).empty());
+    BOOST_TEST((std::get<watch_store>(choose_source(it)).pause == start_pause));
+    it.others_registered = false;
+    BOOST_TEST((std::get<watch_store>(choose_source(it)).pause == 0s));
+    it.age = discovery_time;
+    BOOST_TEST(followed(choose_source(it)) == "a");
+}
+
+BOOST_AUTO_TEST_CASE(and_its_source_do_not_follow_each_other)
+{
+    auto const holds = rc::check(
+        [](bool first_settled, bool second_settled, bool seen_late)
+        {
+            auto const young = std::optional{duration{1s}};
+            auto const old = std::optional{settled_contact};
+            auto const actual = std::vector{first_settled ? old : young,
+                                            second_settled ? old : young};
+            // Reports lag behind.
+            auto const a =
+                domain_peer{host_id{"a"}, seen_late ? young : actual[0], false};
+            auto const b =
+                domain_peer{host_id{"b"}, seen_late ? young : actual[1], false};
+            auto const by_a = choose_source(
+                {a.id, actual[0], discovery_time, true, std::vector{b}});
+            auto const by_b = choose_source(
+                {b.id, actual[1], discovery_time, true, std::vector{a}});
+            RC_ASSERT(followed(by_a).empty() || followed(by_b).empty());
+        });
+    BOOST_TEST(holds);
+}
+
 BOOST_AUTO_TEST_CASE(does_not_follow_a_host_whose_feed_failed)
 {
     BOOST_TEST(followed(choose("c", false,
--- a/src/gateway/digest_task.cpp
+++ b/src/gateway/digest_task.cpp
@@ -94,7 +94,12 @@
     {
         return make_digest(now);
     };
-    own.changes = host_.loads.change_count();
+    auto const in_contact = events_.store_contact(now).has_value();
+    if (std::exchange(reported_contact_, in_contact) != in_contact)
+    {
+        ++contact_changes_;
+    }
+    own.changes = host_.loads.change_count() + contact_changes_;
     own.lost = std::exchange(host_.newly_lost, {});
     own.replaced = std::exchange(host_.newly_replaced, {});
     own.receivers = receivers_;
--- a/src/gateway/digest_task.hpp
+++ b/src/gateway/digest_task.hpp
@@ -54,6 +54,10 @@
     /// Derived from `peers_` as of `receivers_as_of_`.
     std::vector<host_id> receivers_;
     std::optional<std::uint64_t> receivers_as_of_;
+    /// Whether the store answered at the last call of `send`, and how often
+    /// that has changed.
+    bool reported_contact_ = false;
+    std::uint64_t contact_changes_ = 0;
     net::timer timer_;
 };
 
--- a/src/gateway/entry_source.cpp
+++ b/src/gateway/entry_source.cpp
@@ -41,8 +41,9 @@
 
 entry_source::~entry_source() = default;
 
-void entry_source::start()
+void entry_source::start(time_point now)
 {
+    started_at_ = now;
     watcher_.start();
 }
 
@@ -55,6 +56,7 @@
         // A snapshot has no history, so followers would miss changes.
         peers_.drop_followers();
         schedule_feed_switch();
+        set_pace(net::event_loop::now());
     };
     out.on_entry = [this](external::watch_event const& it)
     {
@@ -81,13 +83,8 @@
     }
     std::erase_if(excluded_hosts_,
                   [&](auto const& it) { return it.second <= now; });
-    auto peers = other_hosts_.peers_in(domain_);
-    for (auto& it : peers)
-    {
-        it.feed_failed = excluded_hosts_.contains(it.id);
-    }
-    auto const choice = fleet::choose_source(
-        {self_, watcher_.in_contact(), {peers.data(), peers.size()}});
+    auto const peers = domain_peers();
+    auto const choice = fleet::choose_source(view_of(peers, now));
     if (auto const* const to = std::get_if<fleet::follow_peer>(&choice))
     {
         if (!feed_ || feed_->id != to->id)
@@ -95,18 +92,47 @@
             follow(to->id, now);
         }
     }
-    else
-    {
-        // The messages of a feed in use report when its host loses the store.
-        watcher_.set_retry_rank(
-            std::get<fleet::watch_store>(choice).hosts_ahead);
-    }
+    // The messages of a feed in use report when its host loses the store.
+    set_pace(now);
     if (peers_.followers() > 0)
     {
         peers_.publish(make_message());
     }
 }
 
+auto entry_source::domain_peers() const -> std::vector<fleet::domain_peer>
+{
+    auto out = other_hosts_.peers_in(domain_);
+    for (auto& it : out)
+    {
+        it.feed_failed = excluded_hosts_.contains(it.id);
+    }
+    return out;
+}
+
+auto entry_source::view_of(std::vector<fleet::domain_peer> const& peers,
+                           time_point now) const -> fleet::source_view
+{
+    auto const& known = peers_.known_peers();
+    auto const others = known.size() > (known.contains(self_) ? 1U : 0U);
+    return {self_,
+            watcher_.contact_duration(now),
+            now - started_at_,
+            others,
+            {peers.data(), peers.size()}};
+}
+
+void entry_source::set_pace(time_point now)
+{
+    auto const peers = domain_peers();
+    auto const choice = fleet::choose_source(view_of(peers, now));
+    if (auto const* const it = std::get_if<fleet::watch_store>(&choice))
+    {
+        watcher_.set_retry_rank(it->hosts_ahead);
+        watcher_.set_pause(it->pause);
+    }
+}
+
 void entry_source::follow(host_id const& id, time_point now)
 {
     auto const at = peers_.known_peers().find(id);
@@ -249,7 +275,7 @@
 {
     auto request = external::range_request{};
     request.key = key;
-    store_.range(external::call_purpose::configuration_read, request,
+    store_.range(external::call_purpose::large_value_read, request,
                  [this, held = std::weak_ptr{alive_},
                   key](external::answer<external::range_result> const& it)
                  {
@@ -336,7 +362,9 @@
     large_reads_.clear();
     if (left.in_use)
     {
-        watcher_.resume();
+        auto const peers = domain_peers();
+        watcher_.resume(failed ? fleet::feed_loss_delay(view_of(peers, now))
+                               : duration{});
     }
 }
 
--- a/src/gateway/entry_source.hpp
+++ b/src/gateway/entry_source.hpp
@@ -67,7 +67,7 @@
     auto operator=(entry_source const&) -> entry_source& = delete;
     ~entry_source();
 
-    void start();
+    void start(time_point now);
 
     /// Re-evaluates the source and sends a heartbeat to followers. Must be
     /// called several times per `fleet::feed_timeout`.
@@ -94,6 +94,11 @@
 
 private:
     auto make_watcher_events() -> store_watcher_events;
+    [[nodiscard]] auto domain_peers() const -> std::vector<fleet::domain_peer>;
+    [[nodiscard]] auto view_of(std::vector<fleet::domain_peer> const& peers,
+                               time_point now) const -> fleet::source_view;
+    /// How often the store is asked while this host watches it.
+    void set_pace(time_point now);
     void follow(host_id const& id, time_point now);
     void on_message(std::string_view bytes, time_point now);
     void switch_to_feed_if_caught_up(time_point now);
@@ -126,6 +131,7 @@
     domain_id domain_;
     store_watcher_events events_;
     store_watcher watcher_;
+    time_point started_at_{};
     std::optional<followed_feed> feed_;
     /// Hosts whose feed failed, and the time until which they are excluded.
     std::map<host_id, time_point> excluded_hosts_;
--- a/src/gateway/entry_source_test.cpp
+++ b/src/gateway/entry_source_test.cpp
@@ -309,8 +309,10 @@
 public:
     two_hosts()
     {
-        first.source.start();
-        second.source.start();
+        // They have heard each other before.
+        auto const started_at = net::event_loop::now() - fleet::discovery_time;
+        first.source.start(started_at);
+        second.source.start(started_at);
     }
 
     void when(std::function<bool()> condition, std::function<void()> work)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -39,6 +39,9 @@
 /// it is written again.
 constexpr auto registration_retry_delay = duration{2s};
 
+/// Period of the counts of calls to the store.
+constexpr auto store_calls_period = duration{5s};
+
 constexpr auto ok = 200;
 constexpr auto unavailable = 503;
 constexpr auto not_found = 404;
@@ -114,7 +117,7 @@
                                               {
                                                   reload_settings();
                                               }};
-        source_.start();
+        source_.start(net::event_loop::now());
         tick();
         poll_peers();
         digests_.start();
@@ -442,7 +445,7 @@
         auto write = external::transaction{};
         write.then.emplace_back(external::put{key, at, external::lease_id{0}});
         store_.commit(
-            external::call_purpose::configuration_write, write,
+            external::call_purpose::registration, write,
             [](external::answer<external::transaction_result> const& it)
             {
                 if (auto const* const why =
@@ -465,7 +468,7 @@
         auto out = std::vector<host_id>{};
         for (auto const& it : host_.other_hosts.peers_in(host_.settings.domain))
         {
-            if (it.watches_store)
+            if (it.store_contact)
             {
                 out.push_back(it.id);
             }
@@ -484,6 +487,35 @@
         peer_timer_ = loop_.after(peer_poll_period, [this] { poll_peers(); });
     }
 
+    /// Counts the calls to the store, and logs them while there are new ones.
+    void observe_store_calls(time_point now)
+    {
+        if (now < store_calls_due_at_)
+        {
+            return;
+        }
+        store_calls_due_at_ = now + store_calls_period;
+        auto const made = store_.calls_made();
+        if (made == std::exchange(store_calls_, made))
+        {
+            return;
+        }
+        using external::call_purpose;
+        auto const count = [&](call_purpose purpose)
+        {
+            auto const n = made[static_cast<std::size_t>(purpose)];
+            host_.metrics.store_calls(to_string(purpose), n);
+            return std::to_string(n);
+        };
+        log::write(log::level::info, "store_calls",
+                   {{"reads", count(call_purpose::configuration_read)},
+                    {"history_reads", count(call_purpose::history_read)},
+                    {"large_reads", count(call_purpose::large_value_read)},
+                    {"watches", count(call_purpose::configuration_watch)},
+                    {"registrations", count(call_purpose::registration)},
+                    {"version_writes", count(call_purpose::version_write)}});
+    }
+
     /// Logs how much of the link and of the processor other hosts take.
     void observe_link(time_point now)
     {
@@ -558,6 +590,7 @@
     {
         auto const now = net::event_loop::now();
         observe_link(now);
+        observe_store_calls(now);
         log_changes(host_.targets.expire(now));
         for (auto const& id : host_.other_hosts.expire(now))
         {
@@ -657,6 +690,8 @@
     time_point tick_due_at_{};
     net::timer peer_timer_;
     time_point next_registration_at_{};
+    external::calls_by_purpose store_calls_{};
+    time_point store_calls_due_at_{};
     /// When the entries of a peer that was in contact were last taken.
     std::optional<time_point> peer_copy_taken_at_;
 };
--- a/src/gateway/origin_task.cpp
+++ b/src/gateway/origin_task.cpp
@@ -157,7 +157,7 @@
                          std::string const& what)
 {
     store_.commit(
-        external::call_purpose::configuration_write, it,
+        external::call_purpose::version_write, it,
         [what](external::answer<external::transaction_result> const& result)
         {
             // Later writes repeat what this one had. If the condition failed,
--- a/src/gateway/settings.hpp
+++ b/src/gateway/settings.hpp
@@ -32,6 +32,8 @@
     std::vector<net::endpoint> seeds;
     /// Time from SIGTERM until the process is killed.
     duration shutdown_grace = 8s;
+    /// Time in which a change in the store has to be in force on each host.
+    duration change_bound = 2s;
     /// Retry budget of all hosts together, per `fleet::attempt_window`: further
     /// attempts as a fraction of the requests, plus a constant number.
     double retry_ratio = 0.8;
--- a/src/gateway/store_watcher.cpp
+++ b/src/gateway/store_watcher.cpp
@@ -42,7 +42,7 @@
 
 void store_watcher::start()
 {
-    read_all();
+    read_all(external::call_purpose::configuration_read);
 }
 
 void store_watcher::pause()
@@ -50,18 +50,28 @@
     paused_ = true;
     in_contact_ = false;
     retry_.cancel();
+    end_watch();
+}
+
+void store_watcher::end_watch()
+{
     ++generation_;
     // This may run inside a callback of the watch, so destroy it later.
     loop_.post([held = std::shared_ptr<external::watch>{std::move(watch_)}] {});
 }
 
-void store_watcher::resume()
+void store_watcher::resume(duration delay)
 {
     paused_ = false;
     if (!watch_ && !in_contact_)
     {
         ++generation_;
         retry_.cancel();
+        if (delay > 0s)
+        {
+            retry_ = loop_.after(delay, [this] { reconnect(); });
+            return;
+        }
         reconnect();
     }
 }
@@ -87,7 +97,7 @@
 {
     if (read_needed_)
     {
-        read_all();
+        read_all(external::call_purpose::configuration_read);
     }
     else
     {
@@ -95,10 +105,12 @@
     }
 }
 
-void store_watcher::read_all()
+void store_watcher::read_all(external::call_purpose purpose)
 {
     read_needed_ = true;
-    store_.range(external::call_purpose::configuration_read, all_keys(),
+    auto request = all_keys();
+    request.may_be_old = purpose == external::call_purpose::configuration_read;
+    store_.range(purpose, request,
                  [this, generation = ++generation_](
                      external::answer<external::range_result> const& it)
                  {
@@ -144,9 +156,15 @@
     };
     handlers.on_open = [this, generation]
     {
-        if (generation == generation_)
+        if (generation != generation_)
         {
-            on_call_answered(net::event_loop::now());
+            return;
+        }
+        on_call_answered(net::event_loop::now());
+        if (pause_between_ > 0s && generation == generation_)
+        {
+            end_watch();
+            retry_ = loop_.after(pause_between_, [this] { reconnect(); });
         }
     };
     handlers.on_end = [this, generation](external::call_failure const& why)
@@ -167,7 +185,7 @@
     if (why.fault == external::call_fault::refused)
     {
         // The store has compacted the history since the last event.
-        read_all();
+        read_all(external::call_purpose::history_read);
         return;
     }
     on_call_failed(why.text);
--- a/src/gateway/store_watcher.hpp
+++ b/src/gateway/store_watcher.hpp
@@ -39,8 +39,8 @@
 
     /// Ends the watch and stops all calls to the store until `resume`.
     void pause();
-    /// Reconnects at once, from the last revision delivered.
-    void resume();
+    /// Reconnects after `delay`, from the last revision delivered.
+    void resume(duration delay = {});
     /// Applies an event that another host received from the store.
     void apply_event(external::watch_event const& it);
     /// Must be called when the entries have been replaced by those as of `at`.
@@ -54,6 +54,12 @@
         hosts_ahead_ = hosts_ahead;
     }
 
+    /// Time from an answer of the store to the next watch; zero: none.
+    void set_pause(duration it)
+    {
+        pause_between_ = it;
+    }
+
     /// Whether the store answered the last call.
     [[nodiscard]] auto in_contact() const -> bool
     {
@@ -72,10 +78,11 @@
     }
 
 private:
-    void read_all();
+    void read_all(external::call_purpose purpose);
     void on_read(external::answer<external::range_result> const& it);
     void reconnect();
     void open_watch();
+    void end_watch();
     void on_watch_end(external::call_failure const& why);
     void on_call_failed(std::string const& why);
     void on_call_answered(time_point now);
@@ -93,6 +100,7 @@
     net::timer retry_;
     unsigned failures_ = 0;
     std::size_t hosts_ahead_ = 0;
+    duration pause_between_{};
     bool paused_ = false;
     /// A read of all keys is needed before the watch.
     bool read_needed_ = true;
--- a/src/metrics/gateway_metrics.cpp
+++ b/src/metrics/gateway_metrics.cpp
@@ -57,6 +57,8 @@
                               "Changes of the request limits of targets.")),
       peer_bytes_(counters(*registry_, "gateway_peer_bytes_total",
                            "Bytes exchanged with other hosts.")),
+      store_calls_(counters(*registry_, "gateway_store_calls_total",
+                            "Calls to the store, refused ones too.")),
       first_event_(histograms(*registry_, "gateway_first_event_seconds",
                               "Time from arrival to the first event.")
                        .Add({}, request_buckets())),
@@ -152,6 +154,12 @@
     dropped_lines_.Set(static_cast<double>(total));
 }
 
+void gateway_metrics::store_calls(std::string_view purpose, std::uint64_t made)
+{
+    auto& it = store_calls_.Add({{"purpose", std::string{purpose}}});
+    it.Increment(static_cast<double>(made) - it.Value());
+}
+
 void gateway_metrics::peer_bytes(std::string_view traffic,
                                  std::string_view direction,
                                  std::uint64_t total)
--- a/src/metrics/gateway_metrics.hpp
+++ b/src/metrics/gateway_metrics.hpp
@@ -42,6 +42,8 @@
     void configuration_version(std::uint64_t it);
     void log_lines_dropped(std::uint64_t total);
     /// Bytes exchanged with other hosts since the start.
+    /// Calls to the store since the start.
+    void store_calls(std::string_view purpose, std::uint64_t made);
     void peer_bytes(std::string_view traffic, std::string_view direction,
                     std::uint64_t total);
 
@@ -62,6 +64,7 @@
     prometheus::Family<prometheus::Counter>& target_changes_;
     prometheus::Family<prometheus::Counter>& limit_changes_;
     prometheus::Family<prometheus::Counter>& peer_bytes_;
+    prometheus::Family<prometheus::Counter>& store_calls_;
     prometheus::Histogram& first_event_;
     prometheus::Counter& store_failures_;
     prometheus::Gauge& version_;
