--- a/src/fleet/store_herd_replay_test.cpp
+++ b/src/fleet/store_herd_replay_test.cpp
@@ -166,9 +166,8 @@
 
     void start(simulated_host& it)
     {
-        calls_ +=
-            rules_.page_price *
-            static_cast<double>(1 + (registrations_ + target_entries) / page);
+        auto const pages = 1 + (registrations_ + target_entries) / page;
+        calls_ += rules_.page_price * static_cast<double>(pages);
         it.delivered = registrations_;
         if (it.registered_as == 0)
         {
--- a/src/gateway/relay_versions.cpp
+++ b/src/gateway/relay_versions.cpp
@@ -106,7 +106,7 @@
     {
         auto same = it;
         same.versions = {*sent_version_};
-        auto const target = dispatch::place(view(), same, now, host_.random);
+        auto target = dispatch::place(view(), same, now, host_.random);
         if (target && !was_tried(target->id))
         {
             return target;
