--- a/src/gateway/relay_versions_test.cpp
+++ b/src/gateway/relay_versions_test.cpp
@@ -61,6 +61,11 @@
                         {
                             return answer_of(event(1), answer_end::reset);
                         }};
+    /// Ends each stream before its first event.
+    raw_target silent{loop, [](std::string const&)
+                      {
+                          return answer_of("", answer_end::reset);
+                      }};
     raw_target sound{loop, [](std::string const&)
                      {
                          return answer_of(event(2) + event(3),
@@ -104,10 +109,6 @@
 BOOST_FIXTURE_TEST_CASE(may_begin_at_another_version_before_its_first_event,
                         two_versions)
 {
-    auto silent = raw_target{loop, [](std::string const&)
-                             {
-                                 return answer_of("", answer_end::reset);
-                             }};
     list("old", "a", silent.port(), v1);
     send("/stream/", client);
     run_until([&] { return silent.runs() > 0; });
@@ -121,10 +122,6 @@
 BOOST_FIXTURE_TEST_CASE(stays_at_its_version_before_its_first_event,
                         two_versions)
 {
-    auto silent = raw_target{loop, [](std::string const&)
-                             {
-                                 return answer_of("", answer_end::reset);
-                             }};
     list("old", "a", silent.port(), v1);
     send("/stream/", client);
     run_until([&] { return silent.runs() > 0; });
