--- a/src/stream_origin/served_versions.hpp
+++ b/src/stream_origin/served_versions.hpp
@@ -18,10 +18,10 @@
 /// clients resume streams that the old one began. What a host has seen itself
 /// does not tell it that there was another version.
 ///
-/// A version is added to the record before the first stream begins at it, and
-/// removed `origin_lifetime` after its last target is listed. One host writes;
-/// the next one takes over if the record stays incomplete. Two writers at once
-/// cost calls, nothing else: each write names the revision that it replaces.
+/// A version is recorded before streams begin at it, unless no recorded one has
+/// targets; it is removed `origin_lifetime` after its last target is listed. If
+/// the first host does not write, the next one does. Two writers at once cost
+/// calls, nothing else: each write names the revision that it replaces.
 namespace primrosedeal::stream_origin
 {
 
