Log what a failed attempt waited for and how many runs it leaves

A line attempt_failed with how silent did not tell a silence between events from one before the first event or at a copy, nor whether the route's runs were used up. It has phase, silent_ms, runs and max_runs now.

--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -83,6 +83,14 @@
                                                : refusal_reason::attempts_used;
 }
 
+/// What the attempt waits for.
+auto phase_of(running_attempt const& it) -> std::string_view
+{
+    return it.has_event ? "events"
+           : it.warm    ? "resume_from_copy"
+                        : "first_event";
+}
+
 auto make_error_head(int status, std::optional<duration> retry_after)
     -> http1::response_head
 {
@@ -532,6 +540,9 @@
         !own_link && host_.detector.report(target.id, target.domain,
                                            observation_of(how), now);
     host_.metrics.attempt_failed(to_string(how));
+    auto const last_sign = current_->has_event
+                               ? last_event_at_.value_or(current_->sent_at)
+                               : current_->sent_at;
     log::write(
         log::level::info, "attempt_failed",
         {{"request", metadata_.id.value()},
@@ -544,6 +555,10 @@
           admitted_.organisation ? admitted_.organisation->value() : "none"},
          {"set_aside", newly_excluded ? "true" : "false"},
          {"own_link", own_link ? "true" : "false"},
+         {"phase", std::string{phase_of(*current_)}},
+         {"silent_ms", milliseconds(now - last_sign)},
+         {"runs", std::to_string(state_.runs)},
+         {"max_runs", std::to_string(state_.max_runs)},
          {"domain_in_doubt", host_.detector.domain_suspected(target.domain, now)
                                  ? "true"
                                  : "false"},
