--- a/src/gateway/relay_test.cpp
+++ b/src/gateway/relay_test.cpp
@@ -11,9 +11,11 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <list>
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -65,6 +67,15 @@
     int fd_;
 };
 
+/// The last event that the client has, from the head of a request; 0: none.
+auto last_event_of(std::string const& head) -> int
+{
+    auto const name = std::string{platform::names::last_event_id} + ": ";
+    auto const at = head.find(name);
+    return at == std::string::npos ? 0
+                                   : std::stoi(head.substr(at + name.size()));
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(a_begun_stream)
@@ -215,6 +226,85 @@
     BOOST_TEST(!taken.empty());
 }
 
+BOOST_FIXTURE_TEST_CASE(was_cut_after_sound_targets_fell_silent_in_turn,
+                        one_host)
+{
+    auto const last_event = 8;
+    auto const script = [&](std::string const& head)
+    {
+        auto const next = last_event_of(head) + 1;
+        auto rest = std::string{};
+        for (auto i = next + 1; i <= last_event; ++i)
+        {
+            rest += event(i);
+        }
+        auto it = answer_of(event(next), answer_end::closed);
+        it.rest = rest;
+        it.pause = 1s;
+        return it;
+    };
+    auto targets = std::list<raw_target>{};
+    // More targets than the route permits runs.
+    for (auto const* const id : {"t0", "t1", "t2", "t3", "t4"})
+    {
+        list(id, "a", targets.emplace_back(loop, script).port());
+    }
+    auto client = client_view{};
+    send("/stream/", client);
+    run_until([&] { return client.over(); });
+    BOOST_TEST(!client.aborted);
+    BOOST_TEST(client.finished);
+    auto whole = std::string{};
+    for (auto i = 1; i <= last_event; ++i)
+    {
+        whole += event(i);
+    }
+    BOOST_TEST(client.body == whole);
+}
+
+BOOST_FIXTURE_TEST_CASE(left_its_target_for_a_pause_of_its_own_host, one_host)
+{
+    auto answer = answer_of(event(1), answer_end::closed);
+    answer.rest = event(2);
+    answer.pause = 100ms;
+    auto const whole = answer.first.size() + answer.rest.size();
+    auto target = raw_target{loop, [&](std::string const&)
+                             {
+                                 return answer;
+                             }};
+    target.on_sent = [&]
+    {
+        // The second event is on its way when the host pauses.
+        if (target.sent() == whole)
+        {
+            std::this_thread::sleep_for(600ms);
+        }
+    };
+    auto client = client_view{};
+    list("t0", "a", target.port());
+    send("/stream/", client);
+    run_until([&] { return client.over(); });
+    BOOST_TEST(client.finished);
+    BOOST_TEST(target.runs() == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(left_its_target_for_an_event_overdue_as_it_connected,
+                        one_host)
+{
+    auto target = raw_target{loop, [&](std::string const&)
+                             {
+                                 return answer_of(event(1), answer_end::closed);
+                             }};
+    auto client = client_view{};
+    list("t0", "a", target.port());
+    send("/stream/", client);
+    // Longer than the objective.
+    std::this_thread::sleep_for(300ms);
+    run_until([&] { return client.over(); });
+    BOOST_TEST(client.finished);
+    BOOST_TEST(target.runs() == 1);
+}
+
 BOOST_FIXTURE_TEST_CASE(ends_at_its_deadline_while_it_waits, one_host)
 {
     auto first = raw_target{loop, [](std::string const&)
--- a/src/standins/raw_target.cpp
+++ b/src/standins/raw_target.cpp
@@ -46,6 +46,7 @@
     std::size_t queued = 0;
     std::size_t left = 0;
     bool answering = false;
+    net::timer pause;
 
     connection(state& target, evutil_socket_t fd)
         : owner(target), bev(bufferevent_socket_new(target.loop.base(), fd,
@@ -117,6 +118,13 @@
             queue(bytes);
             return;
         }
+        if (!answer.rest.empty())
+        {
+            pause =
+                owner.loop.after(answer.pause, [this]
+                                 { queue(std::exchange(answer.rest, {})); });
+            return;
+        }
         if (answer.end == answer_end::stays_open)
         {
             return;
--- a/src/standins/raw_target.hpp
+++ b/src/standins/raw_target.hpp
@@ -27,6 +27,9 @@
     std::string repeated;
     std::size_t max_bytes = 0;
     answer_end end = answer_end::stays_open;
+    /// Sent after `first` and a pause.
+    std::string rest = {};
+    duration pause = {};
 };
 
 class raw_target
