Handle input that has arrived before a timeout that waits for it

After a pause of the process (a fraction of a core, a large configuration) both a target's events and the timeout for its silence are due; libevent runs the timer before the deferred callbacks of connections, so the host took its own pause for the target's. The same for connect timeouts, probes and fetches. Timeouts of peers now run two passes of the loop after they are due.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -107,8 +107,9 @@
             std::move(handlers));
         if (!plan.streaming && plan.response_timeout)
         {
-            timeout_timer = loop.after(*plan.response_timeout, [this]
-                                       { fail(attempt_failure::silent); });
+            timeout_timer =
+                loop.after_input(*plan.response_timeout,
+                                 [this] { fail(attempt_failure::silent); });
         }
     }
 
@@ -270,8 +271,8 @@
 
     void schedule_check(duration after)
     {
-        timeout_timer = loop.after(after, [this]
-                                   { check_progress(net::event_loop::now()); });
+        timeout_timer = loop.after_input(
+            after, [this] { check_progress(net::event_loop::now()); });
     }
 
     void probe(time_point now)
--- a/src/gateway/connect_prober.cpp
+++ b/src/gateway/connect_prober.cpp
@@ -45,8 +45,8 @@
              bufferevent_socket_connect(
                  bev, reinterpret_cast<sockaddr const*>(&address),
                  sizeof address) != 0);
-        deadline = owner.loop_.after(failed ? duration{0} : probe_timeout,
-                                     [this] { owner.finish(at, false); });
+        deadline = owner.loop_.after_input(failed ? duration{0} : probe_timeout,
+                                           [this] { owner.finish(at, false); });
     }
 
     static void on_event(bufferevent* /*bev*/, short what, void* arg)
--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -92,8 +92,8 @@
                 loop.after(0s, [this] { fail(call_error::not_connected); });
             return;
         }
-        deadline = loop.after(connect_timeout,
-                              [this] { fail(call_error::not_connected); });
+        deadline = loop.after_input(connect_timeout, [this]
+                                    { fail(call_error::not_connected); });
     }
 
     static void on_read(bufferevent* bev, void* arg)
@@ -257,7 +257,7 @@
     /// A large answer on a slow link takes long, but it keeps coming.
     void expect_progress()
     {
-        deadline = loop->after(patience, [this] { finish(false); });
+        deadline = loop->after_input(patience, [this] { finish(false); });
     }
 
     void finish(bool answered)
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -32,6 +32,8 @@
     event* ev = nullptr;
     timer* owner = nullptr;
     std::function<void()> work;
+    /// Passes of the loop to wait for once the timer is due.
+    int passes_left = 0;
 
     ~state()
     {
@@ -130,15 +132,38 @@
 }
 
 auto event_loop::after(duration delay, std::function<void()> work) -> timer
+{
+    return after_passes(delay, 0, std::move(work));
+}
+
+auto event_loop::after_input(duration delay, std::function<void()> work)
+    -> timer
+{
+    // Input is read in the next pass, and its deferred callbacks may run after
+    // the timers of that pass.
+    constexpr auto passes = 2;
+    return after_passes(delay, passes, std::move(work));
+}
+
+auto event_loop::after_passes(duration delay, int passes,
+                              std::function<void()> work) -> timer
 {
     auto it = timer{};
     it.state_ = std::make_unique<timer::state>();
     it.state_->work = std::move(work);
     it.state_->owner = &it;
+    it.state_->passes_left = passes;
     auto const fire = [](evutil_socket_t, short, void* arg)
     {
-        // The timer is over before its work runs, so the work may re-arm it.
         auto* const self = static_cast<timer::state*>(arg);
+        if (self->passes_left > 0)
+        {
+            --self->passes_left;
+            auto const at_once = timeval{};
+            event_add(self->ev, &at_once);
+            return;
+        }
+        // The timer is over before its work runs, so the work may re-arm it.
         auto const held = std::exchange(self->owner->state_, nullptr);
         held->work();
     };
--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -58,6 +58,11 @@
     /// Runs `work` once after `delay`. Only on the loop's thread.
     auto after(duration delay, std::function<void()> work) -> timer;
 
+    /// The same, but input that has arrived by the time the call is due is
+    /// handled first. For timeouts of peers: after a pause of this process both
+    /// the timeout and the input that it waits for are due.
+    auto after_input(duration delay, std::function<void()> work) -> timer;
+
     /// Monotonic time now.
     static auto now() -> time_point;
 
@@ -70,6 +75,9 @@
     }
 
 private:
+    auto after_passes(duration delay, int passes, std::function<void()> work)
+        -> timer;
+
     struct queue;
     event_base* base_;
     std::unique_ptr<queue> queue_;
