--- a/src/dispatch/dispatch_test.cpp
+++ b/src/dispatch/dispatch_test.cpp
@@ -249,6 +249,17 @@
 // Guards against a timeout during prefill that comes too late for another
 // target to meet the objective: the prompt was prefilled twice and its first
 // event was late anyway.
+BOOST_AUTO_TEST_CASE(is_kept_if_its_first_event_was_due_before_it_connected)
+{
+    auto it = stream_facts{};
+    it.sent_at = at(0);
+    it.connected_at = at(600);
+    it.first_event_due = at(500);
+    it.expected_first = 400ms;
+    BOOST_TEST(!std::holds_alternative<end_attempt>(
+        check_stream(watch_limits{}, it, at(700))));
+}
+
 BOOST_AUTO_TEST_CASE(is_kept_if_a_prefill_elsewhere_would_be_late)
 {
     auto it = stream_facts{};
--- a/src/dispatch/stream_watch.cpp
+++ b/src/dispatch/stream_watch.cpp
@@ -47,7 +47,7 @@
     auto const timeout_at =
         can_prefill_elsewhere ? early_timeout : it.first_event_due;
     auto const may_time_out =
-        !it.timed_out_in_prefill && timeout_at > it.sent_at;
+        !it.timed_out_in_prefill && timeout_at > connected_at;
     if (may_time_out && now >= timeout_at)
     {
         return end_attempt{};
--- a/src/gateway/attempt_test.cpp
+++ b/src/gateway/attempt_test.cpp
@@ -519,10 +519,7 @@
 // The owner does not hold an attempt that ends inside its constructor.
 BOOST_FIXTURE_TEST_CASE(ends_only_after_its_constructor, attempts)
 {
-    auto target = raw_target{loop, [](std::string const&)
-                             {
-                                 return raw_answer{};
-                             }};
+    auto const target = standins::full_listener{};
     auto out = outcome{};
     auto events = attempt_events{};
     events.on_failure =
@@ -534,7 +531,7 @@
     auto plan = attempt_plan{};
     plan.target.address = {"127.0.0.1", target.port()};
     plan.message = {"POST", "/a", {{"Host", "h"}}, "prompt", true};
-    plan.connect_timeout = patience;
+    plan.connect_timeout = 0ms;
     plan.streaming = true;
     plan.stream_timing.expected_first = patience;
     plan.stream_timing.first_event_due = now - 1ms;
