Leave the last run of a stream only after a silence of three seconds

Callers saw begun answers closed in the middle although no target had failed: a sound target may fall silent for a second, its host left it after 0.4 s, and the next one after 0.45 s, until the runs that the route permits were used up (attempts_used). Runs can't be given back, so each further silence has to last twice as long, and the last run is kept for three seconds of silence, or of probes that fail. A target that is lost resets its connection or shows in probes of earlier runs, so nothing waits longer before the last run.

--- a/src/dispatch/dispatch_test.cpp
+++ b/src/dispatch/dispatch_test.cpp
@@ -260,6 +260,65 @@
         check_stream(watch_limits{}, it, at(700))));
 }
 
+BOOST_AUTO_TEST_SUITE(after_a_silence_of_an_earlier_target)
+
+BOOST_AUTO_TEST_CASE(may_be_silent_twice_as_long_each_time)
+{
+    auto const ends = [](std::uint32_t silent_attempts, int ms)
+    {
+        auto it = stream_facts{};
+        it.gap_objective = 1000ms;
+        it.last_event = at(0);
+        it.probed_at = at(300);
+        it.silent_attempts = silent_attempts;
+        return std::holds_alternative<end_attempt>(
+            check_stream(watch_limits{}, it, at(ms)));
+    };
+    BOOST_TEST(!ends(0, 579));
+    BOOST_TEST(ends(0, 581));
+    BOOST_TEST(!ends(1, 1159));
+    BOOST_TEST(ends(1, 1161));
+    BOOST_TEST(!ends(2, 2319));
+    BOOST_TEST(ends(2, 2321));
+}
+
+BOOST_AUTO_TEST_CASE(keeps_the_last_run_through_a_pause_of_a_sound_target)
+{
+    auto it = stream_facts{};
+    it.gap_objective = 500ms;
+    it.last_event = at(0);
+    it.last_run = true;
+    auto const ends = [&](int ms)
+    {
+        return std::holds_alternative<end_attempt>(
+            check_stream(watch_limits{}, it, at(ms)));
+    };
+    BOOST_TEST(!ends(2999));
+    BOOST_TEST(ends(3001));
+    // Not even probes that fail meanwhile end it.
+    it.probed_at = at(200);
+    it.unreachable_since = at(330);
+    BOOST_TEST(!ends(2999));
+    it.last_run = false;
+    BOOST_TEST(ends(331));
+}
+
+BOOST_AUTO_TEST_CASE(keeps_the_last_run_while_its_first_event_is_late)
+{
+    auto it = stream_facts{};
+    it.sent_at = at(0);
+    it.connected_at = at(10);
+    it.first_event_due = at(500);
+    it.expected_first = 400ms;
+    BOOST_TEST(std::holds_alternative<end_attempt>(
+        check_stream(watch_limits{}, it, at(2000))));
+    it.last_run = true;
+    BOOST_TEST(!std::holds_alternative<end_attempt>(
+        check_stream(watch_limits{}, it, at(2000))));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_CASE(is_kept_if_a_prefill_elsewhere_would_be_late)
 {
     auto it = stream_facts{};
--- a/src/dispatch/stream_watch.cpp
+++ b/src/dispatch/stream_watch.cpp
@@ -10,6 +10,23 @@
 namespace
 {
 
+/// Silence that ends the attempt; `first` ends the first one of a request.
+auto silence_limit(watch_limits const& limits, stream_facts const& it,
+                   duration first) -> duration
+{
+    constexpr auto max_doublings = 3U;
+    auto const grown =
+        first * (1 << std::min(it.silent_attempts, max_doublings));
+    return it.last_run ? std::max(grown, limits.last_run_silence) : grown;
+}
+
+auto unreachable(watch_limits const& limits, stream_facts const& it,
+                 time_point now) -> bool
+{
+    auto const tolerated = it.last_run ? limits.last_run_silence : duration{0};
+    return it.unreachable_since && now >= *it.unreachable_since + tolerated;
+}
+
 /// Probes the target once after `probe_after` of silence since `from`, and ends
 /// the attempt after `end_after`.
 auto between_events(stream_facts const& it, time_point from,
@@ -47,7 +64,7 @@
     auto const timeout_at =
         can_prefill_elsewhere ? early_timeout : it.first_event_due;
     auto const may_time_out =
-        !it.timed_out_in_prefill && timeout_at > connected_at;
+        !it.timed_out_in_prefill && !it.last_run && timeout_at > connected_at;
     if (may_time_out && now >= timeout_at)
     {
         return end_attempt{};
@@ -68,19 +85,24 @@
 auto check_stream(watch_limits const& limits, stream_facts const& it,
                   time_point now) -> watch_step
 {
+    if (unreachable(limits, it, now))
+    {
+        return end_attempt{};
+    }
     auto const gap =
         it.gap_objective > 0s ? it.gap_objective : limits.default_gap;
     if (it.last_event)
     {
-        return between_events(it, *it.last_event,
-                              part_of(gap, limits.probe_fraction),
-                              part_of(gap, limits.end_fraction), now);
+        return between_events(
+            it, *it.last_event, part_of(gap, limits.probe_fraction),
+            silence_limit(limits, it, part_of(gap, limits.end_fraction)), now);
     }
     if (it.warm)
     {
-        return between_events(it, it.connected_at.value_or(it.sent_at),
-                              part_of(gap, limits.probe_fraction),
-                              limits.warm_first_event_timeout, now);
+        return between_events(
+            it, it.connected_at.value_or(it.sent_at),
+            part_of(gap, limits.probe_fraction),
+            silence_limit(limits, it, limits.warm_first_event_timeout), now);
     }
     return before_first_event(limits, it, now);
 }
--- a/src/dispatch/stream_watch.hpp
+++ b/src/dispatch/stream_watch.hpp
@@ -2,6 +2,7 @@
 
 #include "core/units.hpp"
 
+#include <cstdint>
 #include <optional>
 #include <variant>
 
@@ -14,6 +15,12 @@
 /// short silence therefore triggers a connection probe, whose failure is
 /// conclusive. A longer silence ends the attempt without a probe, since
 /// resuming from the copy is cheap even if the target was only slow.
+///
+/// Sound targets may also fall silent for a second and go on, several of them
+/// within one stream. Leaving each of them uses up the runs that the route
+/// permits, and then the answer is cut. So each silence of a stream has to last
+/// twice as long as the one before, and the last run is left only after a
+/// silence that no sound target shows.
 namespace primrosedeal::dispatch
 {
 
@@ -36,6 +43,13 @@
     duration expected_first{};
     /// An earlier attempt already timed out during prefill.
     bool timed_out_in_prefill = false;
+    /// Earlier attempts that ended for a silence after an event.
+    std::uint32_t silent_attempts = 0;
+    /// The request may not run again after this attempt.
+    bool last_run = false;
+    /// Since when probes have failed; empty: the last one was answered, or
+    /// there was none.
+    std::optional<time_point> unreachable_since;
 };
 
 struct keep_waiting
@@ -77,6 +91,8 @@
     double prefill_time_factor = 1.3;
     /// Timeout for the first event of a stream that resumes from a copy.
     duration warm_first_event_timeout = 450ms;
+    /// Silence, or time without an answered probe, that ends the last run.
+    duration last_run_silence = 3s;
 };
 
 auto check_stream(watch_limits const& limits, stream_facts const& it,
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -184,6 +184,7 @@
         for (auto& event : splitter.feed(bytes))
         {
             plan.stream_timing.last_event = net::event_loop::now();
+            plan.stream_timing.unreachable_since.reset();
             bytes_without_data =
                 event.has_data ? 0 : bytes_without_data + event.bytes.size();
             events.on_event(*head, std::move(event));
@@ -264,17 +265,38 @@
                               { probe(now); },
                               [&](dispatch::end_attempt const&)
                               {
-                                  fail(attempt_failure::silent);
+                                  end_for_silence();
                               }},
                    step);
     }
 
+    void end_for_silence()
+    {
+        if (plan.stream_timing.unreachable_since)
+        {
+            unanswered_since = plan.stream_timing.probed_at;
+        }
+        fail(attempt_failure::silent);
+    }
+
     void schedule_check(duration after)
     {
         timeout_timer = loop.after_input(
             after, [this] { check_progress(net::event_loop::now()); });
     }
 
+    void on_probed(bool alive, time_point now)
+    {
+        auto& facts = plan.stream_timing;
+        if (alive)
+        {
+            facts.unreachable_since.reset();
+            return;
+        }
+        facts.unreachable_since = facts.unreachable_since.value_or(now);
+        check_progress(now);
+    }
+
     void probe(time_point now)
     {
         plan.stream_timing.probed_at = now;
@@ -282,11 +304,9 @@
                      [self = weak_from_this()](bool alive)
                      {
                          auto const it = self.lock();
-                         if (it && !it->ended && !alive)
+                         if (it && !it->ended)
                          {
-                             it->unanswered_since =
-                                 it->plan.stream_timing.probed_at;
-                             it->fail(attempt_failure::silent);
+                             it->on_probed(alive, net::event_loop::now());
                          }
                      });
         schedule_check(0s);
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -319,6 +319,7 @@
     {
         spec.copy_to = current_->copy->address;
     }
+    auto const last_run = state_.runs + 1 >= state_.max_runs;
     auto out = attempt_plan{};
     out.target = target;
     out.id = metadata_.id;
@@ -330,9 +331,10 @@
     out.stream_timing.first_event_due = admitted_.objective_at;
     out.stream_timing.warm = from.has_value();
     out.stream_timing.timed_out_in_prefill = timed_out_in_prefill_;
+    out.stream_timing.silent_attempts = silent_attempts_;
+    out.stream_timing.last_run = last_run;
     out.stream_timing.expected_first =
         host_.prefill_estimator.expect(metadata_.size.prompt.value());
-    auto const last_run = state_.runs + 1 >= state_.max_runs;
     if (route.kind == routes::request_kind::idempotent && !last_run)
     {
         out.response_timeout = part_of(route.objective, call_timeout_fraction);
@@ -615,6 +617,8 @@
     }
     timed_out_in_prefill_ |=
         how == attempt_failure::silent && !current_->has_event;
+    silent_attempts_ +=
+        how == attempt_failure::silent && current_->has_event ? 1 : 0;
     interrupted_ = state_.answer_started;
     release_target();
     retry_or_end(how, now);
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -216,6 +216,8 @@
     bool waiting_logged_ = false;
     /// An attempt timed out before its first event.
     bool timed_out_in_prefill_ = false;
+    /// Attempts that ended for a silence after an event.
+    std::uint32_t silent_attempts_ = 0;
     std::uint32_t copy_requests_ = 0;
     net::timer copy_timer_;
     net::timer retry_timer_;
