Name the services that a host does not reach in its digest

A host that is cut off from a service's targets has to know which other hosts reach them, and must not be asked for help itself. Digests had no word for that.

They get a list of services at their end, which hosts of earlier versions ignore and which is left out while it is empty, so other digests keep their size. fleet_view answers which hosts with current digests reach a service.

--- a/src/fleet/digest.cpp
+++ b/src/fleet/digest.cpp
@@ -36,10 +36,12 @@
 /// of the observation in microseconds.
 using limit_row = std::tuple<std::string, std::uint64_t, double, std::int64_t>;
 using limit_fields = std::tuple<std::vector<limit_row>>;
+/// Services whose targets the host does not reach.
+using reachability_fields = std::tuple<std::vector<std::string>>;
 using all_fields = decltype(std::tuple_cat(
     std::declval<fields>(), std::declval<evidence_fields>(),
     std::declval<sender_fields>(), std::declval<limit_fields>(),
-    std::declval<origin_fields>()));
+    std::declval<origin_fields>(), std::declval<reachability_fields>()));
 constexpr auto old_size = std::tuple_size_v<fields>;
 constexpr auto accusations_index = old_size;
 constexpr auto clearances_index = old_size + 1;
@@ -48,6 +50,7 @@
 constexpr auto limits_index = old_size + 4;
 constexpr auto versions_index = old_size + 5;
 constexpr auto origins_index = old_size + 6;
+constexpr auto unreachable_index = old_size + 7;
 
 /// Encodes the end of a limit.
 constexpr auto no_limit = -1.0;
@@ -88,6 +91,10 @@
 /// without news.
 auto pack_all(all_fields const& it, bool partial) -> std::string
 {
+    if (!std::get<unreachable_index>(it).empty())
+    {
+        return pack(it, partial);
+    }
     if (std::get<limits_index>(it).empty() &&
         std::get<origins_index>(it).empty())
     {
@@ -95,17 +102,20 @@
             first_elements(it, std::make_index_sequence<limits_index>{}),
             partial);
     }
-    return pack(it, partial);
+    return pack(
+        first_elements(it, std::make_index_sequence<unreachable_index>{}),
+        partial);
 }
 
 /// Shortens the longest list to `fraction` of its size, by one entry at least.
 /// Returns false if all lists are empty.
 auto shorten_longest_list(all_fields& it, double fraction) -> bool
 {
-    auto const lists = std::tie(
-        std::get<3>(it), std::get<5>(it), std::get<6>(it),
-        std::get<accusations_index>(it), std::get<clearances_index>(it),
-        std::get<limits_index>(it), std::get<origins_index>(it));
+    auto const lists =
+        std::tie(std::get<3>(it), std::get<5>(it), std::get<6>(it),
+                 std::get<accusations_index>(it),
+                 std::get<clearances_index>(it), std::get<limits_index>(it),
+                 std::get<origins_index>(it), std::get<unreachable_index>(it));
     auto const longest = std::apply(
         [](auto const&... list) { return std::max({list.size()...}); }, lists);
     auto done = longest == 0;
@@ -209,6 +219,10 @@
     }
     std::tie(std::get<versions_index>(out), std::get<origins_index>(out)) =
         to_fields(it.origins, now);
+    for (auto const& id : it.unreachable_services)
+    {
+        std::get<unreachable_index>(out).push_back(id.value());
+    }
     auto bytes = pack_all(out, it.partial);
     if (bytes.size() > max_bytes)
     {
@@ -300,6 +314,14 @@
                  all.ptr[origins_index].as<std::vector<origin_row>>()},
                 now);
         }
+        if (auto const& all = whole.via.array; all.size > unreachable_index)
+        {
+            for (auto const& id :
+                 all.ptr[unreachable_index].as<std::vector<std::string>>())
+            {
+                out.unreachable_services.emplace_back(id);
+            }
+        }
         return out;
     }
     catch (std::exception const&)
--- a/src/fleet/fleet_view.cpp
+++ b/src/fleet/fleet_view.cpp
@@ -24,6 +24,13 @@
     return 0;
 }
 
+auto reaches(digest const& it, service_id const& id) -> bool
+{
+    auto const& unreachable = it.unreachable_services;
+    return std::find(unreachable.begin(), unreachable.end(), id) ==
+           unreachable.end();
+}
+
 constexpr auto sample_period = duration{1s};
 
 auto whole_seconds(time_point it) -> std::int64_t
@@ -163,6 +170,27 @@
     return out;
 }
 
+auto fleet_view::hosts_reaching(service_id const& id) const
+    -> std::vector<host_id>
+{
+    auto out = std::vector<host_id>{};
+    for (auto const& [host, state] : hosts_)
+    {
+        if (reaches(state.last, id))
+        {
+            out.push_back(host);
+        }
+    }
+    return out;
+}
+
+auto fleet_view::any_host_reaches(service_id const& id) const -> bool
+{
+    return std::any_of(hosts_.begin(), hosts_.end(),
+                       [&](auto const& it)
+                       { return reaches(it.second.last, id); });
+}
+
 auto fleet_view::latest(host_id const& id) const -> digest const*
 {
     auto const it = hosts_.find(id);
--- a/src/fleet/fleet_view.hpp
+++ b/src/fleet/fleet_view.hpp
@@ -65,6 +65,11 @@
     /// Other hosts whose digests are current.
     [[nodiscard]] auto host_ids() const -> std::vector<host_id>;
 
+    /// Those of them that do not report `id` as unreachable for them.
+    [[nodiscard]] auto hosts_reaching(service_id const& id) const
+        -> std::vector<host_id>;
+    [[nodiscard]] auto any_host_reaches(service_id const& id) const -> bool;
+
     /// Number of other hosts whose digests are current.
     [[nodiscard]] auto live_hosts() const -> std::size_t
     {
