--- /dev/null
+++ b/src/reachability/helper_choice.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "core/ids.hpp"
+#include "core/random.hpp"
+#include "core/units.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+
+/// Chooses the host through which a host without a direct path to a target
+/// connects to it.
+///
+/// Load pattern: half of a failure domain's hosts lose their paths together,
+/// and each of them sends all its requests through others. Hosts of the same
+/// domain are closest and go first. Of two drawn at random the one with fewer
+/// of this host's own tunnels is taken, which spreads them without knowledge of
+/// what others send there. A helper that refused or failed is left out for a
+/// while, since it may be partitioned itself or have no capacity.
+namespace primrosedeal::reachability
+{
+
+struct helper_candidate
+{
+    host_id id;
+    domain_id domain;
+    /// Open tunnels of this host through it.
+    std::uint32_t tunnels = 0;
+    /// It failed for this request or lately, leaves, or does not reach the
+    /// service.
+    bool excluded = false;
+};
+
+/// Nothing if all candidates are excluded.
+auto choose_helper(std::span<helper_candidate const> candidates,
+                   domain_id const& own, random_source& random)
+    -> std::optional<host_id>;
+
+/// First exclusion of a helper; doubles with each further failure in a row.
+constexpr auto initial_helper_exclusion = duration{250ms};
+constexpr auto max_helper_exclusion = duration{2s};
+
+/// Helpers that refused a tunnel or failed.
+class helper_backoff
+{
+public:
+    void failed(host_id const& helper, time_point now);
+    void succeeded(host_id const& helper);
+
+    [[nodiscard]] auto excluded(host_id const& helper, time_point now) const
+        -> bool;
+
+private:
+    struct record
+    {
+        duration length{};
+        time_point until{};
+    };
+
+    std::map<host_id, record> records_;
+};
+
+} // namespace primrosedeal::reachability
