--- a/src/reachability/helper_choice.cpp
+++ b/src/reachability/helper_choice.cpp
@@ -1,6 +1,7 @@
 #include "reachability/helper_choice.hpp"
 
 #include <algorithm>
+#include <set>
 #include <vector>
 
 namespace primrosedeal::reachability
@@ -29,21 +30,48 @@
                    domain_id const& own, random_source& random)
     -> std::optional<host_id>
 {
-    auto same_domain = candidate_list{};
-    auto others = candidate_list{};
+    auto usable = candidate_list{};
+    auto tried_domains = std::set<domain_id>{};
+    auto own_hosts = std::size_t{0};
     for (auto const& it : candidates)
     {
-        if (!it.excluded)
+        own_hosts += it.domain == own ? 1 : 0;
+        if (it.tried)
+        {
+            tried_domains.insert(it.domain);
+        }
+        else if (!it.excluded)
+        {
+            usable.push_back(&it);
+        }
+    }
+    auto same_domain = candidate_list{};
+    auto untried_domains = candidate_list{};
+    for (auto const* const it : usable)
+    {
+        if (tried_domains.count(it->domain) > 0)
+        {
+            continue;
+        }
+        untried_domains.push_back(it);
+        if (it->domain == own)
         {
-            (it.domain == own ? same_domain : others).push_back(&it);
+            same_domain.push_back(it);
         }
     }
-    auto const& pool = same_domain.empty() ? others : same_domain;
-    if (pool.empty())
+    if (!same_domain.empty() && 2 * same_domain.size() >= own_hosts)
+    {
+        return less_used_of_two(same_domain, random);
+    }
+    if (!untried_domains.empty())
+    {
+        return less_used_of_two(untried_domains, random);
+    }
+    if (!usable.empty())
     {
-        return std::nullopt;
+        return less_used_of_two(usable, random);
     }
-    return less_used_of_two(pool, random);
+    return std::nullopt;
 }
 
 void helper_backoff::failed(host_id const& helper, time_point now)
--- a/src/reachability/helper_choice.hpp
+++ b/src/reachability/helper_choice.hpp
@@ -17,7 +17,10 @@
 /// domain are closest and go first. Of two drawn at random the one with fewer
 /// of this host's own tunnels is taken, which spreads them without knowledge of
 /// what others send there. A helper that refused or failed is left out for a
-/// while, since it may be partitioned itself or have no capacity.
+/// while, since it may be partitioned itself or have no capacity. If a whole
+/// domain is partitioned, most of its hosts do not know it before their next
+/// request: a domain is left after one helper of it has failed for a request,
+/// and the last few hosts that do not report it are not asked by all others.
 namespace primrosedeal::reachability
 {
 
@@ -27,12 +30,14 @@
     domain_id domain;
     /// Open tunnels of this host through it.
     std::uint32_t tunnels = 0;
-    /// It failed for this request or lately, leaves, or does not reach the
-    /// service.
+    /// It failed lately, leaves, or does not reach the service.
     bool excluded = false;
+    /// It failed for this request.
+    bool tried = false;
 };
 
-/// Nothing if all candidates are excluded.
+/// `candidates` are all other hosts with current digests, `own` the domain of
+/// this host. Nothing if all candidates are excluded or tried.
 auto choose_helper(std::span<helper_candidate const> candidates,
                    domain_id const& own, random_source& random)
     -> std::optional<host_id>;
--- a/src/reachability/helper_choice_test.cpp
+++ b/src/reachability/helper_choice_test.cpp
@@ -56,6 +56,57 @@
     BOOST_TEST((*it != host_id{"h0"} && *it != host_id{"h4"}));
 }
 
+BOOST_AUTO_TEST_CASE(of_another_domain_after_one_of_its_own_failed)
+{
+    auto random = random_source{1};
+    auto all = candidates(40);
+    all[0].tried = true;
+    all[1].tried = true;
+    for (auto i = 0; i < 100; ++i)
+    {
+        auto const it = choose_helper(all, own, random);
+        BOOST_REQUIRE(it);
+        auto const found =
+            std::find_if(all.begin(), all.end(),
+                         [&](auto const& each) { return each.id == *it; });
+        BOOST_TEST((found->domain == domain_id{"d2"} ||
+                    found->domain == domain_id{"d3"}));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(of_a_domain_that_failed_if_there_is_no_other)
+{
+    auto random = random_source{1};
+    auto all = candidates(5);
+    for (auto i = 0U; i < 4; ++i)
+    {
+        all[i].tried = true;
+    }
+    BOOST_TEST((choose_helper(all, own, random) == host_id{"h4"}));
+}
+
+// Otherwise all hosts of a partitioned domain ask the last few of them.
+BOOST_AUTO_TEST_CASE(of_any_domain_once_most_hosts_of_its_own_are_excluded)
+{
+    auto random = random_source{1};
+    auto all = candidates(40);
+    for (auto i = 0U; i < 24; i += 4)
+    {
+        all[i].excluded = true;
+    }
+    auto of_own = 0;
+    for (auto i = 0; i < 100; ++i)
+    {
+        auto const it = choose_helper(all, own, random);
+        BOOST_REQUIRE(it);
+        auto const found =
+            std::find_if(all.begin(), all.end(),
+                         [&](auto const& each) { return each.id == *it; });
+        of_own += found->domain == own ? 1 : 0;
+    }
+    BOOST_TEST(of_own < 30);
+}
+
 BOOST_AUTO_TEST_CASE(that_is_not_excluded)
 {
     auto random = random_source{1};
