Ask for three failed targets before a path counts as lost

Targets that reset connections for lack of capacity made hosts take their paths for lost: two resets in a row suffice, and every detour adds to the load.

Three distinct targets are needed now, or all if a service has fewer.

A host whose connections hang serves its first request one connect timeout of 250 ms later, if nothing ran beside it.

--- a/src/reachability/direct_path.hpp
+++ b/src/reachability/direct_path.hpp
@@ -44,8 +44,9 @@
 struct direct_path_limits
 {
     /// Distinct targets at which connections have to fail. Services with fewer
-    /// usable targets need all of them.
-    std::size_t min_targets = 2;
+    /// usable targets need all of them. Two targets that reset connections for
+    /// lack of capacity do not suffice.
+    std::size_t min_targets = 3;
     /// The same if all of them are in one failure domain, which may be down.
     std::size_t min_targets_of_one_domain = 4;
     /// Time in which they have to fail.
--- a/src/reachability/direct_path_test.cpp
+++ b/src/reachability/direct_path_test.cpp
@@ -50,6 +50,7 @@
 auto lose(story& it, int now_ms) -> path_lost
 {
     it.ends(0, refused, now_ms - 3, now_ms - 2);
+    it.ends(2, refused, now_ms - 2, now_ms - 1);
     auto const change = it.ends(1, refused, now_ms - 1, now_ms);
     BOOST_REQUIRE(change);
     return std::get<path_lost>(*change);
@@ -65,11 +66,13 @@
 {
     auto it = story{};
     BOOST_TEST(!it.ends(0, refused, 100, 102).has_value());
+    BOOST_TEST(!it.ends(3, refused, 102, 103).has_value());
+    BOOST_TEST(!it.ends(0, refused, 103, 104).has_value());
     auto const change = it.ends(1, refused, 102, 105);
     BOOST_REQUIRE(change);
     auto const& found = std::get<path_lost>(*change);
     BOOST_TEST(found.service == fitting);
-    BOOST_TEST(found.evidence.size() == 2U);
+    BOOST_TEST(found.evidence.size() == 3U);
     BOOST_TEST(found.evidence.front().first == target_id{"t0"});
     BOOST_TEST(found.evidence.front().second == domain_id{"d0"});
     BOOST_TEST((found.span == 3ms));
@@ -83,15 +86,20 @@
 {
     auto it = story{};
     BOOST_TEST(!it.ends(0, timed_out, 100, 350).has_value());
-    BOOST_TEST(it.ends(1, timed_out, 350, 600).has_value());
+    BOOST_TEST(!it.ends(1, timed_out, 350, 600).has_value());
+    BOOST_TEST(it.ends(2, timed_out, 600, 850).has_value());
     BOOST_TEST(it.lost());
 }
 
-BOOST_AUTO_TEST_CASE(finds_it_for_a_service_with_one_target)
+BOOST_AUTO_TEST_CASE(finds_it_for_a_service_with_one_or_two_targets)
 {
     auto it = story{};
     it.usable = 1;
     BOOST_TEST(it.ends(0, refused, 100, 102).has_value());
+    it.service = lookup;
+    it.usable = 2;
+    BOOST_TEST(!it.ends(0, refused, 100, 102).has_value());
+    BOOST_TEST(it.ends(1, refused, 102, 104).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(finds_it_for_the_services_concerned_only)
@@ -131,6 +139,7 @@
     // Begun before the other connection was accepted.
     BOOST_TEST(!it.ends(1, timed_out, 200, 450).has_value());
     BOOST_TEST(!it.ends(3, timed_out, 352, 602).has_value());
+    BOOST_TEST(!it.ends(2, timed_out, 352, 602).has_value());
     BOOST_TEST(!it.lost());
     BOOST_TEST(it.ends(1, timed_out, 352, 602).has_value());
 }
@@ -139,7 +148,9 @@
 {
     auto it = story{};
     it.ends(0, refused, 100, 102);
+    it.ends(2, refused, 4000, 4002);
     BOOST_TEST(!it.ends(1, refused, 4200, 4202).has_value());
+    BOOST_TEST(it.ends(3, refused, 4202, 4204).has_value());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/reachability/path_replay_test.cpp
+++ b/src/reachability/path_replay_test.cpp
@@ -688,11 +688,15 @@
                 auto const it = play(its, rule::detected);
                 BOOST_TEST(it.at_cut_hosts.share() >=
                            needed_fraction * it.at_others.share());
+                BOOST_TEST(it.early_at_cut_hosts.share() >=
+                           needed_fraction * it.early_at_others.share());
                 BOOST_TEST(it.at_others.share() == 1);
                 BOOST_TEST(it.early_at_others.share() == 1);
                 // A probe is due within the longest pause and its jitter.
                 BOOST_TEST(it.longest_until_direct <= 1s + 150ms + tick + 2ms);
-                BOOST_TEST(it.most_open <= max_open_tunnels);
+                BOOST_TEST(it.refused_tunnels == 0);
+                // At most a few times what a host's own callers send.
+                BOOST_TEST(it.most_tunnels_a_second <= 8 * requests_per_second);
             }
         }
     }
@@ -775,7 +779,10 @@
         its.busy_fraction = fraction;
         auto const naive = play(its, rule::tunnel_after_failure);
         auto const it = play(its, rule::detected);
-        BOOST_TEST(it.needless_tunnels < naive.needless_tunnels);
+        its.limits.min_targets = 2;
+        auto const hasty = play(its, rule::detected);
+        BOOST_TEST(it.needless_tunnels * 4 <= naive.needless_tunnels);
+        BOOST_TEST(it.needless_tunnels * 2 <= hasty.needless_tunnels);
         BOOST_TEST(it.at_others.share() == 1);
     }
 }
@@ -790,7 +797,10 @@
         its.how = how;
         auto const naive = play(its, rule::direct_only);
         auto const it = play(its, rule::detected);
-        BOOST_TEST(it.at_others.share() >= naive.at_others.share() * 0.99);
+        its.limits.min_targets = 2;
+        auto const hasty = play(its, rule::detected);
+        BOOST_TEST(it.at_others.share() >= naive.at_others.share());
+        BOOST_TEST(it.needless_tunnels < hasty.needless_tunnels);
     }
 }
 
