Report an unreachable service also if no other host reaches it

If all targets of a service are lost, each host reports that it does not reach them, but for the last one: as no other reached them, it concluded nothing, and all others asked it for tunnels until targets were back.

The digest now names every service whose targets do not accept connections of the host; that the path is lost still takes another host that reaches them. unreachable_services replaces lost_services, and probes are due in both cases.

--- a/src/reachability/direct_path.cpp
+++ b/src/reachability/direct_path.cpp
@@ -59,7 +59,8 @@
     {
         return accepted(service, state, now);
     }
-    if (state.lost || (state.last_accepted && begun_at <= *state.last_accepted))
+    if ((state.unreachable && state.unreachable->path_lost) ||
+        (state.last_accepted && begun_at <= *state.last_accepted))
     {
         return std::nullopt;
     }
@@ -70,15 +71,23 @@
         failures.pop_front();
     }
     failures.push_back({now, target, domain});
-    if (!others_reach || !suffices(failures, usable))
+    if (!suffices(failures, usable))
     {
         return std::nullopt;
     }
-    auto const since = failures.front().at;
-    state.lost = loss{since, now + limits_.initial_probe_pause,
-                      limits_.initial_probe_pause};
+    if (!state.unreachable)
+    {
+        state.unreachable =
+            outage{failures.front().at, now + limits_.initial_probe_pause,
+                   limits_.initial_probe_pause};
+    }
+    if (!others_reach)
+    {
+        return std::nullopt;
+    }
+    state.unreachable->path_lost = true;
     return path_lost{service, distinct_targets(std::exchange(failures, {})),
-                     now - since};
+                     now - state.unreachable->since};
 }
 
 auto direct_path::accepted(service_id const& service, record& state,
@@ -86,8 +95,8 @@
 {
     state.last_accepted = now;
     state.failures.clear();
-    auto const was = std::exchange(state.lost, std::nullopt);
-    if (!was)
+    auto const was = std::exchange(state.unreachable, std::nullopt);
+    if (!was || !was->path_lost)
     {
         return std::nullopt;
     }
@@ -108,30 +117,38 @@
     return targets.size() >= std::min(needed, usable);
 }
 
-auto direct_path::lost(service_id const& service) const -> bool
+auto direct_path::record_of(service_id const& service) const -> record const*
 {
     auto const it = records_.find(service);
-    return it != records_.end() && it->second.lost;
+    return it == records_.end() ? nullptr : &it->second;
+}
+
+auto direct_path::lost(service_id const& service) const -> bool
+{
+    auto const* const it = record_of(service);
+    return it != nullptr && it->unreachable && it->unreachable->path_lost;
 }
 
 auto direct_path::explains_failure(service_id const& service,
                                    time_point begun_at) const -> bool
 {
-    auto const it = records_.find(service);
-    if (it == records_.end())
-    {
-        return false;
-    }
-    auto const& restored_at = it->second.restored_at;
-    return it->second.lost || (restored_at && begun_at <= *restored_at);
+    auto const* const it = record_of(service);
+    return it != nullptr &&
+           (lost(service) || (it->restored_at && begun_at <= *it->restored_at));
+}
+
+auto direct_path::unreachable(service_id const& service) const -> bool
+{
+    auto const* const it = record_of(service);
+    return it != nullptr && it->unreachable;
 }
 
-auto direct_path::lost_services() const -> std::vector<service_id>
+auto direct_path::unreachable_services() const -> std::vector<service_id>
 {
     auto out = std::vector<service_id>{};
     for (auto const& [service, state] : records_)
     {
-        if (state.lost)
+        if (state.unreachable)
         {
             out.push_back(service);
         }
@@ -142,12 +159,12 @@
 auto direct_path::probe_due(service_id const& service, time_point now) -> bool
 {
     auto const it = records_.find(service);
-    if (it == records_.end() || !it->second.lost ||
-        now < it->second.lost->next_probe_at)
+    if (it == records_.end() || !it->second.unreachable ||
+        now < it->second.unreachable->next_probe_at)
     {
         return false;
     }
-    auto& state = *it->second.lost;
+    auto& state = *it->second.unreachable;
     state.probe_pause =
         std::min(state.probe_pause * 3 / 2, limits_.max_probe_pause);
     state.next_probe_at = now + state.probe_pause;
--- a/src/reachability/direct_path.hpp
+++ b/src/reachability/direct_path.hpp
@@ -22,8 +22,9 @@
 /// host sees about one request a second, so a few failures have to suffice.
 /// Connections to several targets that fail without one being accepted in
 /// between are put down to the path. A lost failure domain is not taken for
-/// that as long as other targets accept connections; if all targets of a
-/// service are lost, all hosts report it, and none is left to reach them.
+/// that as long as other targets accept connections. If all targets of a
+/// service are lost, each host reports that it does not reach them, also the
+/// last one to find out, so none is asked to connect for others.
 ///
 /// The state of a service is changed only by connections that this host begins
 /// itself: those of attempts, of probes, and of tunnels that it opens for
@@ -92,6 +93,8 @@
                  time_point begun_at, std::size_t usable, bool others_reach,
                  time_point now) -> std::optional<path_change>;
 
+    /// The service is unreachable for this host, and was found to be reached
+    /// by another one.
     [[nodiscard]] auto lost(service_id const& service) const -> bool;
 
     /// Whether a connection to a target of `service`, begun at `begun_at`, that
@@ -100,11 +103,14 @@
     [[nodiscard]] auto explains_failure(service_id const& service,
                                         time_point begun_at) const -> bool;
 
-    /// For the digest.
-    [[nodiscard]] auto lost_services() const -> std::vector<service_id>;
+    /// Services whose targets do not accept connections of this host, whether
+    /// others reach them or not. For the digest.
+    [[nodiscard]] auto unreachable_services() const -> std::vector<service_id>;
+    [[nodiscard]] auto unreachable(service_id const& service) const -> bool;
 
-    /// Whether to probe a target of `service` directly now. If so, the next
-    /// probe is due after a longer pause. Delay each by `probe_jitter`.
+    /// Whether to probe a target of `service`, which is unreachable, directly
+    /// now. If so, the next probe is due after a longer pause. Delay each by
+    /// `probe_jitter`.
     [[nodiscard]] auto probe_due(service_id const& service, time_point now)
         -> bool;
 
@@ -119,11 +125,13 @@
         domain_id domain;
     };
 
-    struct loss
+    struct outage
     {
         time_point since;
         time_point next_probe_at;
         duration probe_pause;
+        /// Another host reached the service.
+        bool path_lost = false;
     };
 
     struct record
@@ -132,11 +140,13 @@
         std::deque<failure> failures;
         std::optional<time_point> last_accepted;
         std::optional<time_point> restored_at;
-        std::optional<loss> lost;
+        std::optional<outage> unreachable;
     };
 
     auto accepted(service_id const& service, record& state, time_point now)
         -> std::optional<path_change>;
+    [[nodiscard]] auto record_of(service_id const& service) const
+        -> record const*;
     [[nodiscard]] auto suffices(std::deque<failure> const& it,
                                 std::size_t usable) const -> bool;
 
--- a/src/reachability/direct_path_test.cpp
+++ b/src/reachability/direct_path_test.cpp
@@ -77,7 +77,7 @@
     BOOST_TEST(found.evidence.front().second == domain_id{"d0"});
     BOOST_TEST((found.span == 3ms));
     BOOST_TEST(it.lost());
-    BOOST_TEST((it.path.lost_services() == std::vector{fitting}));
+    BOOST_TEST((it.path.unreachable_services() == std::vector{fitting}));
     // The state is reported once.
     BOOST_TEST(!it.ends(2, refused, 105, 107).has_value());
 }
@@ -166,11 +166,30 @@
         BOOST_TEST(!it.ends(n, refused, 100 + n, 101 + n).has_value());
     }
     BOOST_TEST(!it.lost());
+    BOOST_TEST(!it.path.explains_failure(fitting, at(100)));
     // Failures before another host reports that it reaches them count.
     it.others_reach = true;
     BOOST_TEST(it.ends(0, refused, 200, 201).has_value());
 }
 
+// Otherwise all others ask the last host that finds out.
+BOOST_AUTO_TEST_CASE(reports_it_although_no_other_is_left_that_reaches_them)
+{
+    auto it = story{};
+    it.others_reach = false;
+    it.ends(0, refused, 100, 101);
+    it.ends(1, refused, 101, 102);
+    BOOST_TEST(!it.path.unreachable(fitting));
+    it.ends(2, refused, 102, 103);
+    BOOST_TEST(it.path.unreachable(fitting));
+    BOOST_TEST((it.path.unreachable_services() == std::vector{fitting}));
+    BOOST_TEST(!it.path.probe_due(fitting, at(502)));
+    BOOST_TEST(it.path.probe_due(fitting, at(503)));
+    BOOST_TEST(!it.ends(0, accepted, 600, 601).has_value());
+    BOOST_TEST(it.path.unreachable_services().empty());
+    BOOST_TEST(!it.path.probe_due(fitting, at(5000)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(and_are_accepted_again)
@@ -185,7 +204,7 @@
     BOOST_TEST(found.service == fitting);
     BOOST_TEST((found.span == 1404ms));
     BOOST_TEST(!it.lost());
-    BOOST_TEST(it.path.lost_services().empty());
+    BOOST_TEST(it.path.unreachable_services().empty());
 }
 
 BOOST_AUTO_TEST_CASE(holds_late_time_outs_against_no_target)
--- a/src/reachability/path_replay_test.cpp
+++ b/src/reachability/path_replay_test.cpp
@@ -128,6 +128,9 @@
     cut_hosts cut = cut_hosts::none;
     cut_targets lost_targets = cut_targets::none;
     failing how = failing::reset;
+    /// Event loops of hosts are late, so that they open no tunnels: of every
+    /// second one of each domain.
+    bool late_helpers = false;
     /// Fraction of connections that targets reset for lack of capacity.
     double busy_fraction = 0;
     /// Hosts and targets of the first domain reach, and are reached from,
@@ -256,7 +259,7 @@
                 out_.most_tunnels_a_second =
                     std::max(out_.most_tunnels_a_second, n);
             }
-            BOOST_TEST((its_busy() || !it.path.lost(service)));
+            BOOST_TEST((its_busy() || !it.path.unreachable(service)));
         }
         return out_;
     }
@@ -420,13 +423,17 @@
         }
         auto const others =
             reported_ - (it.reported ? 1 : 0) < hosts_.size() - 1;
+        auto const was_unreachable = it.path.unreachable(service);
         auto const change =
             it.path.observe(service, to.id, to.domain, result, begun_at,
                             targets_.size(), others, now_);
+        auto const is_unreachable = it.path.unreachable(service);
+        if (is_unreachable != was_unreachable)
+        {
+            after(digest_delay, [=, this] { report(host, is_unreachable); });
+        }
         if (change)
         {
-            auto const is_lost = std::holds_alternative<path_lost>(*change);
-            after(digest_delay, [=, this] { report(host, is_lost); });
             if (auto const* const found = std::get_if<path_lost>(&*change))
             {
                 for (auto const& [id, domain] : found->evidence)
@@ -444,12 +451,12 @@
         return it.path.explains_failure(service, begun_at);
     }
 
-    void report(std::size_t host, bool is_lost)
+    void report(std::size_t host, bool is_unreachable)
     {
         auto& it = hosts_[host];
-        reported_ += static_cast<std::size_t>(is_lost) -
+        reported_ += static_cast<std::size_t>(is_unreachable) -
                      static_cast<std::size_t>(it.reported);
-        it.reported = is_lost;
+        it.reported = is_unreachable;
     }
 
     void connect_directly(simulated_request it, target const& to)
@@ -541,11 +548,21 @@
                        std::size_t helper)
     {
         auto& host = hosts_[helper];
-        if (rule_ == rule::detected && !host.limit.admit({}, now_))
+        auto work = tunnel_limit::own_work{};
+        if (scenario_.late_helpers &&
+            helper / dispatch::replay_domains % 2 == 1)
+        {
+            work.loop_delay = 2 * max_loop_delay;
+        }
+        if (rule_ == rule::detected && !host.limit.admit(work, now_))
         {
             ++out_.refused_tunnels;
-            after(round_trip, [=, this, it = std::move(it)]() mutable
-                  { tunnel_failed(std::move(it), helper); });
+            after(round_trip,
+                  [=, this, it = std::move(it)]() mutable
+                  {
+                      hosts_[it.at].backoff.failed(hosts_[helper].id, now_);
+                      tunnel_failed(std::move(it), helper);
+                  });
             return;
         }
         ++out_.tunnels;
@@ -562,10 +579,20 @@
                   {
                       hosts_[helper].limit.closed();
                       it.tried.push_back(to.id);
+                      if (rule_ == rule::detected)
+                      {
+                          // The helper or the target is at fault; a helper
+                          // finds out by itself if it is the one.
+                          hosts_[it.at].detector.report(
+                              to.id, to.domain,
+                              dispatch::observation::unreachable, now_);
+                      }
                       tunnel_failed(std::move(it), helper);
                       return;
                   }
                   auto& from = hosts_[it.at];
+                  from.detector.report(to.id, to.domain,
+                                       dispatch::observation::answered, now_);
                   from.backoff.succeeded(hosts_[helper].id);
                   serve(it);
                   after(answer_time,
@@ -581,7 +608,6 @@
     {
         auto& host = hosts_[it.at];
         --host.tunnels[hosts_[helper].id];
-        host.backoff.failed(hosts_[helper].id, now_);
         ++it.refusals;
         attempt(std::move(it));
     }
@@ -702,6 +728,62 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(serve_as_others_do_at_any_seed)
+{
+    constexpr auto seeds = std::uint64_t{20};
+    for (auto seed = std::uint64_t{1}; seed <= seeds; ++seed)
+    {
+        for (auto const how : all_failures)
+        {
+            auto its = scenario{};
+            its.cut = cut_hosts::three_of_eight;
+            its.how = how;
+            its.seed = seed;
+            auto const it = play(its, rule::detected);
+            BOOST_TEST(it.at_cut_hosts.share() >=
+                       needed_fraction * it.at_others.share());
+            BOOST_TEST(it.at_others.share() == 1);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(serve_while_the_targets_of_a_domain_are_lost_too)
+{
+    constexpr auto nearly_all = 0.95;
+    for (auto const hosts : {8U, 69U})
+    {
+        for (auto const how : all_failures)
+        {
+            auto its = scenario{};
+            its.hosts = hosts;
+            its.cut = cut_hosts::three_of_eight;
+            its.lost_targets = cut_targets::one_domain;
+            its.how = how;
+            auto const it = play(its, rule::detected);
+            BOOST_TEST(it.at_cut_hosts.share() >=
+                       nearly_all * it.at_others.share());
+            BOOST_TEST(it.early_at_cut_hosts.share() >=
+                       nearly_all * it.early_at_others.share());
+            BOOST_TEST(it.at_others.share() == 1);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(serve_through_others_if_helpers_have_no_room)
+{
+    for (auto const hosts : {8U, 69U})
+    {
+        auto its = scenario{};
+        its.hosts = hosts;
+        its.cut = cut_hosts::half_of_a_domain;
+        its.late_helpers = true;
+        auto const it = play(its, rule::detected);
+        BOOST_TEST(it.refused_tunnels > 0);
+        BOOST_TEST(it.at_cut_hosts.share() >=
+                   needed_fraction * it.at_others.share());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(would_serve_nobody_by_direct_attempts)
 {
     for (auto const how : all_failures)
