--- a/src/reachability/helper_choice.hpp
+++ b/src/reachability/helper_choice.hpp
@@ -17,10 +17,10 @@
 /// domain are closest and go first. Of two drawn at random the one with fewer
 /// of this host's own tunnels is taken, which spreads them without knowledge of
 /// what others send there. A helper that refused or failed is left out for a
-/// while, since it may be partitioned itself or have no capacity. If a whole
-/// domain is partitioned, most of its hosts do not know it before their next
-/// request: a domain is left after one helper of it has failed for a request,
-/// and the last few hosts that do not report it are not asked by all others.
+/// while, since it may have no capacity or be gone. If a whole domain is
+/// partitioned, most of its hosts do not know it before their next request: a
+/// domain is left after one helper of it has failed for a request, and the last
+/// few hosts that do not report it are not asked by all others.
 namespace primrosedeal::reachability
 {
 
@@ -46,7 +46,9 @@
 constexpr auto initial_helper_exclusion = duration{250ms};
 constexpr auto max_helper_exclusion = duration{2s};
 
-/// Helpers that refused a tunnel or failed.
+/// Helpers that refused a tunnel or could not be reached. One that reports that
+/// its connection to the target failed is not among them: either may be at
+/// fault, and a helper without a path says so in its digest.
 class helper_backoff
 {
 public:
