--- a/src/fleet/digest.hpp
+++ b/src/fleet/digest.hpp
@@ -69,7 +69,7 @@
     /// Versions at which the host's own recent streams run; the same as above
     /// applies.
     std::vector<stream_origin::reported_origin> origins;
-    /// Services whose targets the host does not reach itself though others do
+    /// Services whose targets do not accept connections of the host
     /// (`reachability::direct_path`). Partial digests have all of them. Absent
     /// in digests of hosts of earlier versions.
     std::vector<service_id> unreachable_services;
