Let a host open its connections from an address that it is given

Hosts of one test share the loopback address as the source of their connections, so that a target cannot tell them apart and none of them can be cut off from it alone.

--- a/src/cli/gateway_command.cpp
+++ b/src/cli/gateway_command.cpp
@@ -3,12 +3,20 @@
 #include "gateway/gateway.hpp"
 #include "log/crash_report.hpp"
 #include "log/log.hpp"
+#include "net/connect.hpp"
 #include "platform/protocol.hpp"
 #include "platform/settings.hpp"
 #include "platform/store_client.hpp"
 
+#include <absl/flags/flag.h>
+
 #include <csignal>
 #include <iostream>
+#include <string>
+
+ABSL_FLAG(std::string, source_address, "",
+          "gateway: local IPv4 address of the connections that it opens to "
+          "targets, hosts and the store; empty: the system chooses");
 
 namespace primrosedeal::cli
 {
@@ -22,6 +30,13 @@
         std::cerr << "gateway: one settings file at most was expected\n";
         return exit_code::usage;
     }
+    auto const source = absl::GetFlag(FLAGS_source_address);
+    if (!source.empty() && !net::parse_endpoint(source + ":1"))
+    {
+        std::cerr << "gateway: --source_address: IPV4 was expected\n";
+        return exit_code::usage;
+    }
+    net::set_source_address(source);
     try
     {
         auto const file =
--- a/src/gateway/connect_prober.cpp
+++ b/src/gateway/connect_prober.cpp
@@ -1,7 +1,7 @@
 #include "gateway/connect_prober.hpp"
 
+#include "net/connect.hpp"
 #include "net/connect_error.hpp"
-#include "net/socket_address.hpp"
 
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -35,16 +35,13 @@
 
     void start()
     {
-        auto address = net::to_sockaddr(at);
         bev = bufferevent_socket_new(owner.loop_.base(), -1,
                                      BEV_OPT_CLOSE_ON_FREE |
                                          BEV_OPT_DEFER_CALLBACKS);
         auto const failed =
             bev == nullptr ||
             (bufferevent_setcb(bev, nullptr, nullptr, on_event, this),
-             bufferevent_socket_connect(
-                 bev, reinterpret_cast<sockaddr const*>(&address),
-                 sizeof address) != 0);
+             !net::connect(bev, at));
         deadline = owner.loop_.after(failed ? duration{0} : probe_timeout,
                                      [this] { owner.finish(at, false); });
     }
--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -1,7 +1,7 @@
 #include "http1/client.hpp"
 
+#include "net/connect.hpp"
 #include "net/connect_error.hpp"
-#include "net/socket_address.hpp"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -84,9 +84,7 @@
         bufferevent_setcb(bev, on_read, nullptr, on_event, this);
         unsent = serialise(message);
         bufferevent_enable(bev, EV_READ | EV_WRITE);
-        auto const at = net::to_sockaddr(to);
-        if (bufferevent_socket_connect(
-                bev, reinterpret_cast<sockaddr const*>(&at), sizeof at) != 0)
+        if (!net::connect(bev, to))
         {
             deadline =
                 loop.after(0s, [this] { fail(call_error::not_connected); });
