Send a request through a tunnel of another host

A call could only go to its target directly, so that a host whose own connections fail had no other way.

`client_call` and `fetch` take a path: direct, as before, or a tunnel. Bytes from the target come in frames. An end of the connection without the last frame truncates the answer, also one without a length.

--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -54,8 +54,10 @@
 
 struct client_call::state
 {
-    state(net::event_loop& loop, bool head_request, call_events handlers)
-        : events(std::move(handlers)), parser(head_request),
+    state(net::event_loop& loop, bool head_request, call_events handlers,
+          connection_path its)
+        : events(std::move(handlers)), path(std::move(its)),
+          tunnel(std::get_if<tunnel_route>(&path)), parser(head_request),
           bev(bufferevent_socket_new(
               loop.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS))
     {
@@ -84,14 +86,39 @@
         bufferevent_setcb(bev, on_read, nullptr, on_event, this);
         unsent = serialise(message);
         bufferevent_enable(bev, EV_READ | EV_WRITE);
-        if (!net::connect(bev, to))
+        if (!net::connect(bev, tunnel == nullptr ? to : tunnel->helper))
         {
             deadline =
                 loop.after(0s, [this] { fail(call_error::not_connected); });
             return;
         }
-        deadline = loop.after(connect_timeout,
-                              [this] { fail(call_error::not_connected); });
+        deadline = loop.after(connect_timeout, [this] { on_timeout(); });
+    }
+
+    void on_timeout()
+    {
+        if (tunnel == nullptr)
+        {
+            fail(call_error::not_connected);
+            return;
+        }
+        fail_tunnel(helper_connected ? tunnel_refusal::no_answer
+                                     : tunnel_refusal::helper_unreachable);
+    }
+
+    void fail_tunnel(tunnel_refusal why)
+    {
+        auto const alive = std::weak_ptr{alive_mark};
+        close();
+        auto const refused = std::move(events.on_tunnel_refused);
+        if (refused)
+        {
+            refused(why);
+        }
+        if (!alive.expired())
+        {
+            fail(call_error::not_connected);
+        }
     }
 
     static void on_read(bufferevent* bev, void* arg)
@@ -105,26 +132,92 @@
         }
         auto bytes = std::string(n, '\0');
         evbuffer_remove(in, bytes.data(), n);
+        if (self.tunnel != nullptr)
+        {
+            self.on_tunnel_bytes(std::move(bytes));
+            return;
+        }
         self.answered = true;
         self.deliver(self.parser.feed(bytes), false);
     }
 
+    void on_tunnel_bytes(std::string bytes)
+    {
+        auto const alive = std::weak_ptr{alive_mark};
+        if (!connected)
+        {
+            helper_answer += bytes;
+            auto const n = helper_answer.find("\r\n\r\n");
+            if (n == std::string::npos)
+            {
+                if (helper_answer.size() > max_tunnel_head)
+                {
+                    fail_tunnel(tunnel_refusal::helper_unreachable);
+                }
+                return;
+            }
+            constexpr auto empty_line = std::size_t{4};
+            bytes = helper_answer.substr(n + empty_line);
+            if (auto const refusal = read_connect_answer(helper_answer))
+            {
+                fail_tunnel(*refusal);
+                return;
+            }
+            on_connected();
+        }
+        if (alive.expired() || bytes.empty())
+        {
+            return;
+        }
+        auto it = frames.feed(bytes);
+        if (!it.bytes.empty())
+        {
+            answered = true;
+            deliver(parser.feed(it.bytes), false);
+        }
+        // The handlers may have ended the call, or the answer is complete.
+        if (!alive.expired() && bev != nullptr && (it.ended || it.malformed))
+        {
+            on_closed(!it.malformed);
+        }
+    }
+
+    void on_connected()
+    {
+        connected = true;
+        deadline.cancel();
+        auto const bytes = std::exchange(unsent, {});
+        bufferevent_write(bev, bytes.data(), bytes.size());
+        if (events.on_connected)
+        {
+            events.on_connected();
+        }
+    }
+
     static void on_event(bufferevent* bev, short what, void* arg)
     {
         auto& self = *static_cast<state*>(arg);
         if ((what & BEV_EVENT_CONNECTED) != 0)
         {
-            self.connected = true;
-            self.deadline.cancel();
             auto const on = 1;
             setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_NODELAY, &on,
                        sizeof on);
-            auto const bytes = std::exchange(self.unsent, {});
-            bufferevent_write(bev, bytes.data(), bytes.size());
-            if (self.events.on_connected)
+            if (self.tunnel == nullptr)
             {
-                self.events.on_connected();
+                self.on_connected();
+                return;
             }
+            self.helper_connected = true;
+            auto const bytes = write_connect(self.tunnel->target);
+            bufferevent_write(bev, bytes.data(), bytes.size());
+            return;
+        }
+        if (self.tunnel != nullptr)
+        {
+            // The helper ends each tunnel with its last frame.
+            self.connected
+                ? self.on_closed(false)
+                : self.fail_tunnel(tunnel_refusal::helper_unreachable);
             return;
         }
         if (!self.connected && self.events.on_refused &&
@@ -215,12 +308,18 @@
     }
 
     call_events events;
+    connection_path path;
+    /// Points into `path`; null: a direct connection.
+    tunnel_route const* tunnel;
     response_parser parser;
+    std::string helper_answer;
+    frame_decoder frames;
     /// Queued by the handler that cancels the connect timeout and not before:
     /// libevent could send it on a connection that has just timed out.
     std::string unsent;
     bufferevent* bev;
     net::timer deadline;
+    bool helper_connected = false;
     bool connected = false;
     bool answered = false;
     std::shared_ptr<int> alive_mark = std::make_shared<int>(0);
@@ -228,9 +327,9 @@
 
 client_call::client_call(net::event_loop& loop, net::endpoint const& to,
                          request const& message, duration connect_timeout,
-                         call_events events)
+                         call_events events, connection_path path)
     : state_(std::make_unique<state>(loop, message.method == "HEAD",
-                                     std::move(events)))
+                                     std::move(events), std::move(path)))
 {
     state_->open(loop, to, message, connect_timeout);
 }
@@ -272,7 +371,7 @@
 
 fetch::fetch(net::event_loop& loop, net::endpoint const& to,
              request const& message, duration patience, handler done,
-             std::size_t max_body)
+             std::size_t max_body, connection_path path)
     : state_(std::make_unique<state>())
 {
     auto* const it = state_.get();
@@ -306,8 +405,8 @@
         it->finish(false);
     };
     it->expect_progress();
-    it->call = std::make_unique<client_call>(loop, to, message, patience,
-                                             std::move(events));
+    it->call = std::make_unique<client_call>(
+        loop, to, message, patience, std::move(events), std::move(path));
 }
 
 fetch::~fetch() = default;
--- a/src/http1/client.hpp
+++ b/src/http1/client.hpp
@@ -2,6 +2,7 @@
 
 #include "core/units.hpp"
 #include "http1/message.hpp"
+#include "http1/tunnel.hpp"
 #include "net/event_loop.hpp"
 
 #include <functional>
@@ -35,10 +36,13 @@
 /// `on_complete` or `on_error` is the last to run.
 struct call_events
 {
-    /// The connection was made, and the request is queued on it.
+    /// The connection to the target was made, directly or through a tunnel, and
+    /// the request is queued on it.
     std::function<void()> on_connected;
-    /// The other end refused the connection; `on_error` follows.
+    /// The other end refused the direct connection; `on_error` follows.
     std::function<void()> on_refused;
+    /// There is no tunnel; `on_error` with `not_connected` follows.
+    std::function<void(tunnel_refusal)> on_tunnel_refused;
     std::function<void(response_head)> on_head;
     std::function<void(std::string_view)> on_body;
     std::function<void()> on_complete;
@@ -51,10 +55,12 @@
 {
 public:
     /// Connects to `to` and sends `request`, whose `Content-Length` is set
-    /// here; its other headers go as they are.
+    /// here; its other headers go as they are. Through a tunnel the helper's
+    /// address of the target is used in place of `to`, and the target is
+    /// connected within `connect_timeout`.
     client_call(net::event_loop& loop, net::endpoint const& to,
                 request const& message, duration connect_timeout,
-                call_events events);
+                call_events events, connection_path path = direct_connection{});
     client_call(client_call const&) = delete;
     auto operator=(client_call const&) -> client_call& = delete;
     ~client_call();
@@ -82,7 +88,8 @@
 
     fetch(net::event_loop& loop, net::endpoint const& to,
           request const& message, duration patience, handler done,
-          std::size_t max_body = max_control_answer);
+          std::size_t max_body = max_control_answer,
+          connection_path path = direct_connection{});
     fetch(fetch const&) = delete;
     auto operator=(fetch const&) -> fetch& = delete;
     ~fetch();
