Let attempts and their probes take a tunnel

`attempt_plan.path` says how the target is reached; the probes of a silent stream go the same way. Probes share a connection only where address and path are the same.

New events tell how the connection to the target ended (accepted, refused or timed out) and that there is no tunnel, with the reason. `on_connection_answered` and the prober's `on_answered` stay evidence of direct connections alone.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -71,6 +71,8 @@
     std::size_t bytes_without_data = 0;
     std::optional<time_point> unanswered_since;
     bool refused = false;
+    bool target_timed_out = false;
+    bool connection_reported = false;
     bool streams = false;
     bool ended = false;
 
@@ -85,6 +87,11 @@
         {
             refused = true;
             report_answered();
+            report_connection(connection_outcome::refused);
+        };
+        handlers.on_tunnel_refused = [this](http1::tunnel_refusal why)
+        {
+            on_tunnel_refused(why);
         };
         handlers.on_head = [this](http1::response_head it)
         {
@@ -104,7 +111,7 @@
         };
         call = std::make_unique<http1::client_call>(
             loop, plan.target.address, plan.message, plan.connect_timeout,
-            std::move(handlers));
+            std::move(handlers), plan.path);
         if (!plan.streaming && plan.response_timeout)
         {
             timeout_timer = loop.after(*plan.response_timeout, [this]
@@ -112,18 +119,53 @@
         }
     }
 
+    [[nodiscard]] auto is_direct() const -> bool
+    {
+        return std::holds_alternative<http1::direct_connection>(plan.path);
+    }
+
     void report_answered() const
     {
-        if (events.on_connection_answered)
+        if (is_direct() && events.on_connection_answered)
         {
             events.on_connection_answered();
         }
     }
 
+    void report_connection(connection_outcome it)
+    {
+        if (std::exchange(connection_reported, true))
+        {
+            return;
+        }
+        if (events.on_connection_result)
+        {
+            events.on_connection_result(it);
+        }
+    }
+
+    void on_tunnel_refused(http1::tunnel_refusal why)
+    {
+        if (events.on_tunnel_refused)
+        {
+            events.on_tunnel_refused(why);
+        }
+        if (why == http1::tunnel_refusal::target_refused)
+        {
+            report_connection(connection_outcome::refused);
+        }
+        else if (why == http1::tunnel_refusal::target_timed_out)
+        {
+            target_timed_out = true;
+            report_connection(connection_outcome::timed_out);
+        }
+    }
+
     /// Until then only the connect timeout applies to a stream.
     void on_connected(time_point now)
     {
         report_answered();
+        report_connection(connection_outcome::accepted);
         if (plan.streaming)
         {
             plan.stream_timing.connected_at = now;
@@ -139,9 +181,12 @@
             how == attempt_failure::silent && call && !call->may_have_sent();
         stop();
         auto const reported = unsent ? attempt_failure::not_connected : how;
-        if (reported == attempt_failure::not_connected && !refused)
+        // A helper's silence says nothing of the target.
+        if (reported == attempt_failure::not_connected && !refused &&
+            (is_direct() || target_timed_out))
         {
             unanswered_since = plan.stream_timing.sent_at;
+            report_connection(connection_outcome::timed_out);
         }
         auto const report = std::move(events.on_failure);
         report(reported, std::move(response));
@@ -277,17 +322,18 @@
     void probe(time_point now)
     {
         plan.stream_timing.probed_at = now;
-        prober.probe(plan.target.address,
-                     [self = weak_from_this()](bool alive)
-                     {
-                         auto const it = self.lock();
-                         if (it && !it->ended && !alive)
-                         {
-                             it->unanswered_since =
-                                 it->plan.stream_timing.probed_at;
-                             it->fail(attempt_failure::silent);
-                         }
-                     });
+        prober.probe(
+            plan.target.address,
+            [self = weak_from_this()](bool alive)
+            {
+                auto const it = self.lock();
+                if (it && !it->ended && !alive)
+                {
+                    it->unanswered_since = it->plan.stream_timing.probed_at;
+                    it->fail(attempt_failure::silent);
+                }
+            },
+            plan.path);
         schedule_check(0s);
     }
 };
--- a/src/gateway/attempt.hpp
+++ b/src/gateway/attempt.hpp
@@ -24,12 +24,25 @@
     std::string body;
 };
 
+/// How the connection to the target ended, directly or through a tunnel.
+enum class connection_outcome
+{
+    accepted,
+    refused,
+    timed_out,
+};
+
 /// The last callback is exactly one of `on_response`, `on_stream_end` and
 /// `on_failure`, any of which may destroy the attempt.
 struct attempt_events
 {
-    /// The target accepted or refused the connection.
+    /// The target accepted or refused the direct connection.
     std::function<void()> on_connection_answered;
+    /// Called at most once; not where a helper failed. Must not destroy the
+    /// attempt, nor must the next one.
+    std::function<void(connection_outcome)> on_connection_result;
+    /// There is no tunnel; `on_failure` with `not_connected` follows.
+    std::function<void(http1::tunnel_refusal)> on_tunnel_refused;
     /// Called for the head of each response that the target itself made to
     /// this request.
     std::function<void(response_metadata const&)> on_response_head;
@@ -47,6 +60,8 @@
 struct attempt_plan
 {
     directory::listed_target target;
+    /// Probes go the same way.
+    http1::connection_path path;
     request_id id;
     http1::request message;
     duration connect_timeout{};
--- a/src/gateway/connect_prober.hpp
+++ b/src/gateway/connect_prober.hpp
@@ -1,21 +1,26 @@
 #pragma once
 
+#include "core/ids.hpp"
 #include "core/units.hpp"
+#include "http1/tunnel.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_message.hpp"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 /// Checks whether a target accepts connections. Concurrent probes of one
-/// address share one connection attempt.
+/// address by one path share one connection attempt.
 namespace primrosedeal::gateway
 {
 
 /// A healthy target accepts a connection within a few round trips.
 constexpr auto probe_timeout = duration{130ms};
+/// Through a tunnel two connections are made, one after the other.
+constexpr auto tunnel_probe_timeout = 2 * probe_timeout;
 
 class connect_prober
 {
@@ -26,20 +31,35 @@
     ~connect_prober();
 
     /// Calls `done` from the loop, never from inside `probe`, with whether the
-    /// connection was established within `probe_timeout`.
-    void probe(net::endpoint const& at, std::function<void(bool alive)> done);
+    /// connection was established within `probe_timeout`. Through a tunnel a
+    /// target also counts as alive where its helper answers that it has no
+    /// capacity or does not list the target, which says nothing of the target.
+    void probe(net::endpoint const& at, std::function<void(bool alive)> done,
+               http1::connection_path const& path = http1::direct_connection{});
 
-    /// Called before the results of each probe whose connection was accepted or
-    /// refused.
+    /// Called before the results of each direct probe whose connection was
+    /// accepted or refused.
     std::function<void()> on_answered;
 
 private:
     struct attempt;
 
-    void finish(net::endpoint const& at, bool alive);
+    /// Where the connection goes, and the target that a tunnel is for.
+    struct probed
+    {
+        net::endpoint at;
+        std::optional<target_id> through_tunnel;
+
+        friend auto operator==(probed const&, probed const&) -> bool = default;
+        // clang-tidy 14 takes the defaulted comparison with 0 for a pointer.
+        // NOLINTNEXTLINE(modernize-use-nullptr)
+        friend auto operator<=>(probed const&, probed const&) = default;
+    };
+
+    void finish(probed const& it, bool alive);
 
     net::event_loop& loop_;
-    std::map<net::endpoint, std::unique_ptr<attempt>> attempts_;
+    std::map<probed, std::unique_ptr<attempt>> attempts_;
 };
 
 } // namespace primrosedeal::gateway
