--- a/src/directory/target_directory.cpp
+++ b/src/directory/target_directory.cpp
@@ -125,6 +125,14 @@
     return it != entries_.end() && !it->second.it.leaving;
 }
 
+auto target_directory::address_of(target_id const& id) const
+    -> std::optional<net::endpoint>
+{
+    auto const it = entries_.find(id);
+    return it == entries_.end() ? std::nullopt
+                                : std::optional{it->second.it.address};
+}
+
 void target_directory::on(entry_written const& it, time_point now, changes& out)
 {
     if (it.it)
--- a/src/directory/target_directory.hpp
+++ b/src/directory/target_directory.hpp
@@ -142,6 +142,10 @@
 
     [[nodiscard]] auto takes_new_work(target_id const& id) const -> bool;
 
+    /// Of a listed target, also of a leaving one.
+    [[nodiscard]] auto address_of(target_id const& id) const
+        -> std::optional<net::endpoint>;
+
     /// Whether a missing entry may belong to a live target, since the store is
     /// unavailable or was until less than `lapse_grace` ago.
     [[nodiscard]] auto removals_uncertain(time_point now) const -> bool;
