Open tunnels for other hosts in the gateway

Any listed target is served, for at most 128 tunnels at a time and for none once the host is leaving. A host that leaves waits for its tunnels until the grace is over. Refusals and ends are logged with the bytes that were passed on.

No host asks for a tunnel yet.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -10,6 +10,7 @@
 #include "gateway/own_link_events.hpp"
 #include "gateway/peer_exchange.hpp"
 #include "gateway/relay.hpp"
+#include "gateway/tunnel_server.hpp"
 #include "http1/server.hpp"
 #include "log/log.hpp"
 
@@ -42,6 +43,9 @@
 /// Period of the counts of calls to the store.
 constexpr auto store_calls_period = duration{5s};
 
+/// Tunnels that this host opens for others at a time.
+constexpr auto max_tunnels = std::size_t{128};
+
 constexpr auto ok = 200;
 constexpr auto unavailable = 503;
 constexpr auto not_found = 404;
@@ -83,6 +87,7 @@
               [this](peer_state const& it) { on_peer_state(it); }),
           digests_(host_, peers_, make_digest_events()),
           origins_(host_, peers_, store),
+          tunnels_(loop, tunnel_limits{}, make_tunnel_events()),
           source_(loop, store, host_.random, peers_, host_.other_hosts,
                   settings, make_source_events()),
           link_monitor_(settings.link_bytes_per_second)
@@ -100,6 +105,7 @@
         readiness_server_.listen(at.readiness);
         metrics_server_.listen(at.metrics);
         peers_.listen(at.peers);
+        tunnels_.listen(at.tunnels);
         apply_limits();
         log::write(log::level::info, "started",
                    {{"host", at.host.value()},
@@ -159,6 +165,42 @@
         return out;
     }
 
+    auto make_tunnel_events() -> tunnel_events
+    {
+        auto out = tunnel_events{};
+        out.lookup = [this](target_id const& id)
+        {
+            return host_.targets.address_of(id);
+        };
+        out.admit = [this]
+        {
+            return may_open_tunnel();
+        };
+        out.on_closed = [] {
+        };
+        out.on_refused = [](target_id const& id, http1::tunnel_refusal why)
+        {
+            log::write(
+                log::level::info, "tunnel_refused",
+                {{"target", id.value()}, {"why", std::string{to_string(why)}}});
+        };
+        out.on_ended =
+            [](target_id const& id, tunnel_traffic const& bytes, bool in_order)
+        {
+            log::write(log::level::info, "tunnel_ended",
+                       {{"target", id.value()},
+                        {"to_target", std::to_string(bytes.to_target)},
+                        {"to_host", std::to_string(bytes.to_host)},
+                        {"in_order", in_order ? "true" : "false"}});
+        };
+        return out;
+    }
+
+    auto may_open_tunnel() const -> bool
+    {
+        return !host_.shutdown_started_at && tunnels_.open() < max_tunnels;
+    }
+
     auto make_source_events() -> store_watcher_events
     {
         auto out = store_watcher_events{};
@@ -644,7 +686,9 @@
         client_server_.close_idle();
         auto const over =
             since >= host_.settings.shutdown_grace - dispatch::grace_margin;
-        if (over || (host_.relays.empty() && client_server_.connections() == 0))
+        auto const idle = host_.relays.empty() && tunnels_.open() == 0 &&
+                          client_server_.connections() == 0;
+        if (over || idle)
         {
             loop_.stop();
         }
@@ -683,6 +727,7 @@
     peer_exchange peers_;
     digest_task digests_;
     origin_task origins_;
+    tunnel_server tunnels_;
     entry_source source_;
     link_monitor link_monitor_;
     entry_map entries_;
--- a/src/gateway/settings.hpp
+++ b/src/gateway/settings.hpp
@@ -26,6 +26,9 @@
     /// Address on which this host receives digests (UDP); the port is the same
     /// on all hosts.
     net::endpoint digests;
+    /// Listening address for other hosts that reach targets through this one;
+    /// the port is the same on all hosts.
+    net::endpoint tunnels;
     net::endpoint metrics;
     net::endpoint store;
     /// Peers to contact before the store has answered; may be stale.
