Take attempts through another host while the direct path is lost

Each direct connection now counts for or against the path to its service (reachability::direct_path). While the path is lost, attempts go through a tunnel of another host that reaches the service; all decisions on the request stay here. Failures that the path explains say nothing about targets, crashes or copies, and count as no refusal. Probes find the path again.

--- a/src/directory/target_directory.cpp
+++ b/src/directory/target_directory.cpp
@@ -125,12 +125,10 @@
     return it != entries_.end() && !it->second.it.leaving;
 }
 
-auto target_directory::address_of(target_id const& id) const
-    -> std::optional<net::endpoint>
+auto target_directory::find(target_id const& id) const -> listed_target const*
 {
     auto const it = entries_.find(id);
-    return it == entries_.end() ? std::nullopt
-                                : std::optional{it->second.it.address};
+    return it == entries_.end() ? nullptr : &it->second.it;
 }
 
 void target_directory::on(entry_written const& it, time_point now, changes& out)
--- a/src/directory/target_directory.hpp
+++ b/src/directory/target_directory.hpp
@@ -142,9 +142,9 @@
 
     [[nodiscard]] auto takes_new_work(target_id const& id) const -> bool;
 
-    /// Of a listed target, also of a leaving one.
-    [[nodiscard]] auto address_of(target_id const& id) const
-        -> std::optional<net::endpoint>;
+    /// A listed target, also a leaving one; null if there is none. Valid until
+    /// the next event.
+    [[nodiscard]] auto find(target_id const& id) const -> listed_target const*;
 
     /// Whether a missing entry may belong to a live target, since the store is
     /// unavailable or was until less than `lapse_grace` ago.
--- a/src/gateway/admit.cpp
+++ b/src/gateway/admit.cpp
@@ -47,6 +47,8 @@
         return "attempts_used";
     case refusal_reason::own_link_down:
         return "own_link_down";
+    case refusal_reason::no_path:
+        return "no_path";
     case refusal_reason::hopeless:
         return "hopeless";
     case refusal_reason::client_gone:
--- a/src/gateway/admit.hpp
+++ b/src/gateway/admit.hpp
@@ -37,6 +37,8 @@
     attempts_used,
     /// This host reaches no target.
     own_link_down,
+    /// The direct path to the targets is lost and no host can help.
+    no_path,
     /// The response cannot be completed before the deadline.
     hopeless,
     client_gone,
--- a/src/gateway/digest_task.cpp
+++ b/src/gateway/digest_task.cpp
@@ -97,9 +97,15 @@
     auto const in_contact = events_.store_contact(now).has_value();
     if (std::exchange(reported_contact_, in_contact) != in_contact)
     {
-        ++contact_changes_;
+        ++state_changes_;
     }
-    own.changes = host_.loads.change_count() + contact_changes_;
+    auto unreachable = host_.paths.unreachable_services();
+    if (unreachable != reported_unreachable_)
+    {
+        reported_unreachable_ = std::move(unreachable);
+        ++state_changes_;
+    }
+    own.changes = host_.loads.change_count() + state_changes_;
     own.lost = std::exchange(host_.newly_lost, {});
     own.replaced = std::exchange(host_.newly_replaced, {});
     own.receivers = receivers_;
@@ -128,6 +134,7 @@
     out.store_contact = events_.store_contact(now);
     out.limits = host_.limits.report(now);
     out.origins = host_.origins.report(now);
+    out.unreachable_services = host_.paths.unreachable_services();
     return out;
 }
 
--- a/src/gateway/digest_task.hpp
+++ b/src/gateway/digest_task.hpp
@@ -57,7 +57,9 @@
     /// Whether the store answered at the last call of `send`, and how often
     /// that has changed.
     bool reported_contact_ = false;
-    std::uint64_t contact_changes_ = 0;
+    std::vector<service_id> reported_unreachable_;
+    /// Changes of the two above.
+    std::uint64_t state_changes_ = 0;
     net::timer timer_;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -8,11 +8,13 @@
 #include "gateway/log_text.hpp"
 #include "gateway/origin_task.hpp"
 #include "gateway/own_link_events.hpp"
+#include "gateway/path_events.hpp"
 #include "gateway/peer_exchange.hpp"
 #include "gateway/relay.hpp"
 #include "gateway/tunnel_server.hpp"
 #include "http1/server.hpp"
 #include "log/log.hpp"
+#include "reachability/tunnel_limit.hpp"
 
 #include <csignal>
 #include <exception>
@@ -43,9 +45,6 @@
 /// Period of the counts of calls to the store.
 constexpr auto store_calls_period = duration{5s};
 
-/// Tunnels that this host opens for others at a time.
-constexpr auto max_tunnels = std::size_t{128};
-
 constexpr auto ok = 200;
 constexpr auto unavailable = 503;
 constexpr auto not_found = 404;
@@ -90,8 +89,13 @@
           tunnels_(loop, tunnel_limits{}, make_tunnel_events()),
           source_(loop, store, host_.random, peers_, host_.other_hosts,
                   settings, make_source_events()),
-          link_monitor_(settings.link_bytes_per_second)
+          link_monitor_(settings.link_bytes_per_second),
+          tunnel_limit_(settings.link_bytes_per_second)
     {
+        host_.tunnel_address = [this](host_id const& id)
+        {
+            return tunnel_address(id);
+        };
         host_.prober.on_answered = [this]
         {
             on_connection_answered(host_, net::event_loop::now());
@@ -105,6 +109,7 @@
         readiness_server_.listen(at.readiness);
         metrics_server_.listen(at.metrics);
         peers_.listen(at.peers);
+        tunnels_.limit_rate(tunnel_limit_.bytes_per_second());
         tunnels_.listen(at.tunnels);
         apply_limits();
         log::write(log::level::info, "started",
@@ -165,21 +170,47 @@
         return out;
     }
 
+    auto tunnel_address(host_id const& id) const -> std::optional<net::endpoint>
+    {
+        auto const it = peers_.known_peers().find(id);
+        return it == peers_.known_peers().end()
+                   ? std::nullopt
+                   : std::optional{net::endpoint{it->second.address,
+                                                 host_.settings.tunnels.port}};
+    }
+
     auto make_tunnel_events() -> tunnel_events
     {
         auto out = tunnel_events{};
         out.lookup = [this](target_id const& id)
         {
-            return host_.targets.address_of(id);
+            return find_for_tunnel(id);
         };
         out.admit = [this]
         {
             return may_open_tunnel();
         };
-        out.on_closed = [] {
+        out.on_closed = [this]
+        {
+            tunnel_limit_.closed();
+        };
+        out.on_opened = [this](target_id const& id)
+        {
+            on_connected_for_tunnel(id,
+                                    reachability::connection_result::accepted);
         };
-        out.on_refused = [](target_id const& id, http1::tunnel_refusal why)
+        out.on_refused = [this](target_id const& id, http1::tunnel_refusal why)
         {
+            if (why == http1::tunnel_refusal::target_refused)
+            {
+                on_connected_for_tunnel(
+                    id, reachability::connection_result::refused);
+            }
+            else if (why == http1::tunnel_refusal::target_timed_out)
+            {
+                on_connected_for_tunnel(
+                    id, reachability::connection_result::timed_out);
+            }
             log::write(
                 log::level::info, "tunnel_refused",
                 {{"target", id.value()}, {"why", std::string{to_string(why)}}});
@@ -196,9 +227,33 @@
         return out;
     }
 
-    auto may_open_tunnel() const -> bool
+    /// A target that this host may not reach either is not looked up.
+    auto find_for_tunnel(target_id const& id) const
+        -> std::optional<net::endpoint>
+    {
+        auto const* const it = host_.targets.find(id);
+        return it != nullptr && !host_.paths.unreachable(it->service)
+                   ? std::optional{it->address}
+                   : std::nullopt;
+    }
+
+    /// The connection of a tunnel is one of this host's own.
+    void on_connected_for_tunnel(target_id const& id,
+                                 reachability::connection_result result)
+    {
+        auto const now = net::event_loop::now();
+        if (auto const* const it = host_.targets.find(id))
+        {
+            on_direct_connection(host_, directory::listed_target{*it}, result,
+                                 now, now);
+        }
+    }
+
+    auto may_open_tunnel() -> bool
     {
-        return !host_.shutdown_started_at && tunnels_.open() < max_tunnels;
+        auto work = own_work_;
+        work.leaving = host_.shutdown_started_at.has_value();
+        return tunnel_limit_.admit(work, net::event_loop::now());
     }
 
     auto make_source_events() -> store_watcher_events
@@ -563,7 +618,8 @@
     {
         if (tick_due_at_ != time_point{})
         {
-            link_monitor_.record_delay(now - tick_due_at_);
+            own_work_.loop_delay = now - tick_due_at_;
+            link_monitor_.record_delay(own_work_.loop_delay);
         }
         tick_due_at_ = now + tick_period;
         auto totals = traffic_totals{};
@@ -582,6 +638,7 @@
         {
             return;
         }
+        own_work_.link_busy = it->link_busy;
         auto const bytes = [&](traffic_class of)
         {
             auto const& seen = it->bytes.of(of);
@@ -641,6 +698,7 @@
                         {"hosts_heard",
                          std::to_string(host_.other_hosts.live_hosts())}});
         }
+        probe_paths(host_, now);
         host_.quarantine.expire(now);
         host_.limits.expire(now);
         // The permission needs several seconds without a pause between calls.
@@ -730,6 +788,9 @@
     tunnel_server tunnels_;
     entry_source source_;
     link_monitor link_monitor_;
+    reachability::tunnel_limit tunnel_limit_;
+    /// What this host's own callers take, as of the last tick.
+    reachability::tunnel_limit::own_work own_work_;
     entry_map entries_;
     net::timer tick_timer_;
     time_point tick_due_at_{};
--- a/src/gateway/host_state.hpp
+++ b/src/gateway/host_state.hpp
@@ -17,14 +17,18 @@
 #include "net/event_loop.hpp"
 #include "quarantine/part_quarantine.hpp"
 #include "quarantine/trial_permission.hpp"
+#include "reachability/direct_path.hpp"
+#include "reachability/helper_choice.hpp"
 #include "request_limit/limit_table.hpp"
 #include "request_limit/limiter.hpp"
 #include "routes/route_table.hpp"
 #include "stream_origin/origin_table.hpp"
 #include "stream_origin/served_versions.hpp"
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 /// State shared by all requests of one host. Used only on the event loop's
 /// thread.
@@ -122,6 +126,19 @@
     /// Targets found replaced since the last digest was sent.
     std::vector<target_id> newly_replaced;
     connect_prober prober;
+    /// This host's own paths to the targets of each service.
+    reachability::direct_path paths;
+    reachability::helper_backoff helpers;
+    /// Tunnels of this host through others.
+    std::map<host_id, std::uint32_t> open_tunnels;
+    /// Where a host takes tunnels; nothing if its address is not known.
+    std::function<std::optional<net::endpoint>(host_id const&)> tunnel_address =
+        [](host_id const&)
+    {
+        return std::nullopt;
+    };
+    /// Probes that are about to be made.
+    std::map<service_id, net::timer> path_probes;
     class background_calls background_calls;
     metrics::gateway_metrics metrics;
     std::map<relay*, std::shared_ptr<relay>> relays;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -31,6 +31,8 @@
 /// Retry-After if the client's next connection, which reaches another host, is
 /// served at once.
 constexpr auto retry_after_elsewhere = duration{10ms};
+/// Helpers that may fail to open a tunnel for one request.
+constexpr auto max_failed_helpers = std::size_t{3};
 /// Range of scheduling priorities at a target.
 constexpr auto highest_priority = 0;
 constexpr auto lowest_priority = 9;
@@ -324,8 +326,14 @@
     out.target = target;
     out.id = metadata_.id;
     out.message = host_.wire.make_attempt(message_, spec);
+    out.path = current_->path.path;
     out.connect_timeout =
         dispatch::connect_timeout(state_, route.objective, now);
+    if (current_->path.helper)
+    {
+        // Two connections are made, one after the other.
+        out.connect_timeout *= 2;
+    }
     out.streaming = streaming();
     out.stream_timing.gap_objective = route.gap_objective;
     out.stream_timing.first_event_due = admitted_.objective_at;
@@ -345,9 +353,21 @@
 void relay::send(directory::listed_target const& target,
                  std::optional<copy_reference> const& from, time_point now)
 {
+    auto path = choose_path(host_, target, failed_helpers_, now);
+    auto const helped = path && path->helper;
+    if (!path || (helped && failed_helpers_.size() >= max_failed_helpers))
+    {
+        on_no_path(target, from, now);
+        return;
+    }
     auto const warm = from.has_value();
     current_.emplace();
     current_->target = target;
+    current_->path = std::move(*path);
+    if (helped)
+    {
+        on_tunnel_begun(host_, *current_->path.helper);
+    }
     current_->sent_at = now;
     current_->warm = warm;
     current_->from = from;
@@ -369,6 +389,7 @@
                 {"domain", target.domain.value()},
                 {"version", target.version.value()},
                 {"resumes", metadata_.resumes.value_or(request_id{}).value()},
+                {"helper", current_->path.helper.value_or(host_id{}).value()},
                 {"from_copy", warm ? "true" : "false"},
                 {"copy", current_->copy ? current_->copy->id.value() : ""},
                 {"copy_version",
@@ -399,6 +420,14 @@
     {
         on_connection_answered(host_, net::event_loop::now());
     };
+    events.on_connection_result = [this](connection_outcome it)
+    {
+        on_connection(it, net::event_loop::now());
+    };
+    events.on_tunnel_refused = [this](http1::tunnel_refusal why)
+    {
+        on_tunnel_refusal(why, net::event_loop::now());
+    };
     events.on_response_head = [this](response_metadata const& it)
     {
         on_response_head(it, net::event_loop::now());
@@ -524,6 +553,10 @@
 
 auto relay::caused_by_own_link(attempt_failure how, time_point now) -> bool
 {
+    if (current_->path.helper)
+    {
+        return false;
+    }
     auto const unanswered_since = current_->io->unanswered_since();
     if (unanswered_since)
     {
@@ -538,9 +571,11 @@
 {
     auto const target = current_->target;
     auto const own_link = caused_by_own_link(how, now);
+    auto const excused = own_link || failed_on_path(how);
+    auto const helped = current_->path.helper.has_value();
     auto const newly_excluded =
-        !own_link && host_.detector.report(target.id, target.domain,
-                                           observation_of(how), now);
+        !excused && host_.detector.report(target.id, target.domain,
+                                          observation_of(how), now);
     host_.metrics.attempt_failed(to_string(how));
     auto const last_sign = current_->has_event
                                ? last_event_at_.value_or(current_->sent_at)
@@ -557,6 +592,8 @@
           admitted_.organisation ? admitted_.organisation->value() : "none"},
          {"set_aside", newly_excluded ? "true" : "false"},
          {"own_link", own_link ? "true" : "false"},
+         {"path_lost", excused && !own_link ? "true" : "false"},
+         {"helper", current_->path.helper.value_or(host_id{}).value()},
          {"phase", std::string{phase_of(*current_)}},
          {"silent_ms", milliseconds(now - last_sign)},
          {"runs", std::to_string(state_.runs)},
@@ -585,15 +622,16 @@
     }
     else
     {
-        state_.refusals += own_link ? 0 : 1;
+        state_.refusals += excused ? 0 : 1;
         ++state_.fruitless_retries;
     }
-    state_.own_link_down = host_.own_link.down();
+    state_.own_link_down =
+        host_.own_link.down() && !host_.paths.lost(admitted_.service->id);
     if (response)
     {
         error_response_ = std::move(response);
     }
-    if (how == attempt_failure::broken)
+    if (how == attempt_failure::broken && !excused && !helped)
     {
         on_run_broken(target, now);
     }
@@ -601,7 +639,7 @@
     {
         on_request_answered(now);
     }
-    if (own_link && !arrived && current_->from)
+    if (excused && !arrived && current_->from)
     {
         // Nothing was sent, so the copy can still be used.
         resume_point_ = resume_point{target, *current_->from};
@@ -622,7 +660,8 @@
     interrupted_ = state_.answer_started;
     release_target();
     retry_or_end(how, now);
-    if (newly_excluded)
+    // Hosts with a direct path know better than one that was helped.
+    if (newly_excluded && !helped)
     {
         report_target_loss(target, now);
     }
@@ -711,8 +750,9 @@
     constexpr auto not_run = 503;
     auto const retryable =
         status == not_run && reason != refusal_reason::hopeless;
-    auto const delay = reason == refusal_reason::own_link_down
-                           ? retry_after_elsewhere
+    auto const elsewhere = reason == refusal_reason::own_link_down ||
+                           reason == refusal_reason::no_path;
+    auto const delay = elsewhere ? retry_after_elsewhere
                        : reason == refusal_reason::target_limits
                            ? limit_retry_after(now).value_or(retry_after_busy)
                            : retry_after_busy;
@@ -776,6 +816,10 @@
     {
         host_.loads.copy_dropped(current_->copy->id, metadata_.size);
     }
+    if (current_->path.helper)
+    {
+        on_tunnel_ended(host_, *current_->path.helper);
+    }
     current_.reset();
 }
 
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -4,6 +4,7 @@
 #include "gateway/admit.hpp"
 #include "gateway/attempt.hpp"
 #include "gateway/host_state.hpp"
+#include "gateway/path_events.hpp"
 #include "http1/server.hpp"
 #include "stream_origin/version_choice.hpp"
 
@@ -58,6 +59,10 @@
     /// The target has survived the beginning of the answer.
     bool proven = false;
     bool copy_lost = false;
+    /// How the target is reached.
+    attempt_path path;
+    /// The helper reported that its connection to the target failed.
+    bool helper_failed_there = false;
     std::unique_ptr<attempt> io;
 };
 
@@ -110,6 +115,16 @@
     void log_continued(duration pause);
     void on_stream_end(time_point now);
     void on_response(target_response const& it, time_point now);
+    /// There is no way to `target`, which was chosen for the next attempt.
+    void on_no_path(directory::listed_target const& target,
+                    std::optional<copy_reference> const& from, time_point now);
+    /// Records how the current attempt's connection ended.
+    void on_connection(connection_outcome it, time_point now);
+    void on_tunnel_refusal(http1::tunnel_refusal why, time_point now);
+    /// Whether the failure of the current attempt is due to its path, so that
+    /// it says nothing about its target.
+    [[nodiscard]] auto failed_on_path(dispatch::attempt_failure how) const
+        -> bool;
     /// Whether the failure of the current attempt is due to this host's link.
     [[nodiscard]] auto caused_by_own_link(dispatch::attempt_failure how,
                                           time_point now) -> bool;
@@ -162,6 +177,11 @@
     /// the version of its last attempt if an untried target has it.
     [[nodiscard]] auto place_attempt(time_point now)
         -> std::optional<directory::listed_target>;
+    /// Whether the direct path to the targets is lost.
+    [[nodiscard]] auto path_lost() const -> bool
+    {
+        return host_.paths.lost(admitted_.service->id);
+    }
     [[nodiscard]] auto was_tried(target_id const& id) const -> bool;
     /// The current attempt runs, or is about to run, at its target's version.
     void record_origin(time_point now);
@@ -200,6 +220,8 @@
     /// Copy left by the last attempt; the next one resumes from it if possible.
     std::optional<resume_point> resume_point_;
     std::vector<target_id> tried_targets_;
+    /// Hosts that did not open a tunnel for this request.
+    std::vector<host_id> failed_helpers_;
     std::optional<std::uint64_t> last_event_;
     std::optional<time_point> last_event_at_;
     duration time_to_first_event_{};
--- a/src/gateway/relay_copies.cpp
+++ b/src/gateway/relay_copies.cpp
@@ -102,7 +102,8 @@
                        [self = weak_from_this(), id = target.id](bool alive)
                        {
                            auto const it = self.lock();
-                           if (it && !alive && !it->host_.own_link.down())
+                           if (it && !alive && !it->host_.own_link.down() &&
+                               !it->path_lost())
                            {
                                it->on_target_lost(id, net::event_loop::now());
                            }
@@ -142,7 +143,8 @@
         host_.wire.make_copy_request({metadata_.id, replacement_->to.address}),
         copy_timeout,
         [this](std::optional<net::http_response> const& response, bool)
-        { on_copy_result(response, net::event_loop::now()); });
+        { on_copy_result(response, net::event_loop::now()); },
+        http1::max_control_answer, current_->path.path);
 }
 
 void relay::on_copy_result(std::optional<net::http_response> const& it,
--- a/src/gateway/relay_quarantine.cpp
+++ b/src/gateway/relay_quarantine.cpp
@@ -56,13 +56,21 @@
         may_have_just_begun(now) ? suspects_ : std::vector{identity_};
     ++state_.crashes;
     // A connection may break without a crash, but a target that has crashed
-    // takes no connections. A host that reaches nobody cannot tell.
+    // takes no connections. A host without a path to it cannot tell.
     host_.prober.probe(target.address,
                        [&host = host_, self = weak_from_this(), target,
-                        id = metadata_.id, accused = std::move(accused),
+                        id = metadata_.id, accused = std::move(accused), now,
                         waited = now - current_->sent_at](bool alive)
                        {
-                           if (!alive && !host.own_link.down())
+                           if (!alive)
+                           {
+                               on_direct_connection(
+                                   host, target,
+                                   reachability::connection_result::timed_out,
+                                   now, net::event_loop::now());
+                           }
+                           if (!alive && !host.own_link.down() &&
+                               !host.paths.unreachable(target.service))
                            {
                                record_crash(host, target, id, accused, waited);
                            }
--- a/src/metrics/gateway_metrics.cpp
+++ b/src/metrics/gateway_metrics.cpp
@@ -51,6 +51,9 @@
       own_link_changes_(counters(*registry_, "gateway_own_link_changes_total",
                                  "Changes of whether the host reaches any "
                                  "target.")),
+      path_changes_(counters(*registry_, "gateway_path_changes_total",
+                             "Changes of whether a direct path to the targets "
+                             "of a service is lost.")),
       target_changes_(counters(*registry_, "gateway_target_changes_total",
                                "Changes of belief about targets.")),
       limit_changes_(counters(*registry_, "gateway_request_limit_changes_total",
@@ -124,6 +127,11 @@
     own_link_changes_.Add({{"to", std::string{to}}}).Increment();
 }
 
+void gateway_metrics::path_changed(std::string_view to)
+{
+    path_changes_.Add({{"to", std::string{to}}}).Increment();
+}
+
 void gateway_metrics::first_event(duration since_arrival)
 {
     first_event_.Observe(to_seconds(since_arrival));
--- a/src/metrics/gateway_metrics.hpp
+++ b/src/metrics/gateway_metrics.hpp
@@ -34,6 +34,8 @@
     void stream_waited(std::string_view reason);
     /// The host was found to reach nobody, or somebody again.
     void own_link_changed(std::string_view to);
+    /// `to`: lost or restored.
+    void path_changed(std::string_view to);
     void first_event(duration since_arrival);
     void target_changed(std::string_view to);
     /// The request limit of a target changed; `source` observed it.
@@ -61,6 +63,7 @@
     prometheus::Family<prometheus::Histogram>& pauses_;
     prometheus::Family<prometheus::Counter>& stream_waits_;
     prometheus::Family<prometheus::Counter>& own_link_changes_;
+    prometheus::Family<prometheus::Counter>& path_changes_;
     prometheus::Family<prometheus::Counter>& target_changes_;
     prometheus::Family<prometheus::Counter>& limit_changes_;
     prometheus::Family<prometheus::Counter>& peer_bytes_;
