--- a/src/gateway/tunnel_server_test.cpp
+++ b/src/gateway/tunnel_server_test.cpp
@@ -10,6 +10,8 @@
 
 #include <event2/event.h>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -301,6 +303,33 @@
     BOOST_TEST(it.ended->to_host == sized_answer.size());
 }
 
+BOOST_AUTO_TEST_CASE(is_ended_by_no_timeout_of_the_kernel)
+{
+    auto target =
+        raw_target{loop, [&](std::string const&)
+                   {
+                       return raw_answer{"", "", 0, answer_end::stays_open};
+                   }};
+    auto it = helper{loop};
+    it.targets[target_id{"t"}] = {local.address, target.port()};
+    auto call = tunnelled_call{loop, it.route("t")};
+    run_until([&] { return target.runs() == 1; });
+    auto sockets = 0;
+    constexpr auto most_descriptors = 1024;
+    for (auto fd = 0; fd < most_descriptors; ++fd)
+    {
+        auto timeout = 0U;
+        auto n = socklen_t{sizeof timeout};
+        if (getsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, &n) == 0)
+        {
+            ++sockets;
+            BOOST_TEST(timeout == 0U);
+        }
+    }
+    // Both ends of two connections, and two listeners.
+    BOOST_TEST(sockets >= 6);
+}
+
 BOOST_AUTO_TEST_CASE(gets_a_whole_answer_without_a_length)
 {
     auto target = raw_target{
