--- a/src/gateway/attempt_test.cpp
+++ b/src/gateway/attempt_test.cpp
@@ -75,6 +75,10 @@
     std::optional<target_response> response;
     std::optional<attempt_failure> failure;
     bool stream_ended = false;
+    std::vector<connection_outcome> connections;
+    int direct_answers = 0;
+    std::optional<http1::tunnel_refusal> tunnel_refusal;
+    std::optional<time_point> unanswered_since;
 
     [[nodiscard]] auto over() const -> bool
     {
@@ -113,11 +117,25 @@
         {
             out.failure = how;
         };
+        events.on_connection_answered = [&out]
+        {
+            ++out.direct_answers;
+        };
+        events.on_connection_result = [&out](connection_outcome it)
+        {
+            out.connections.push_back(it);
+        };
+        events.on_tunnel_refused = [&out](http1::tunnel_refusal why)
+        {
+            BOOST_TEST(!out.failure.has_value());
+            out.tunnel_refusal = why;
+        };
         auto plan = attempt_plan{};
         plan.target.address = {"127.0.0.1", port};
+        plan.path = path;
         plan.id = request_id{"r1"};
         plan.message = {"POST", "/a", {{"Host", "h"}}, "prompt", true};
-        plan.connect_timeout = patience;
+        plan.connect_timeout = connect_timeout;
         plan.streaming = streaming;
         // No silence of a busy machine ends the attempt.
         plan.stream_timing.gap_objective = 10 * patience;
@@ -137,6 +155,18 @@
         return out;
     }
 
+    /// What comes of an attempt at `port` by `by`.
+    auto run_by(http1::connection_path by, std::uint16_t port, bool streaming)
+        -> outcome
+    {
+        path = std::move(by);
+        auto out = outcome{};
+        auto const it = begin(port, streaming, out);
+        run_until([&] { return out.over(); });
+        out.unanswered_since = it->unanswered_since();
+        return out;
+    }
+
     template <class Done>
     void run_until(Done const& done)
     {
@@ -174,6 +204,8 @@
     net::event_loop loop;
     platform::wire_protocol wire;
     connect_prober prober{loop};
+    http1::connection_path path;
+    duration connect_timeout = patience;
     std::size_t sent = 0;
     std::size_t peak = 0;
 };
@@ -546,6 +578,96 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(that_connects)
+
+BOOST_FIXTURE_TEST_CASE(tells_how_the_connection_to_the_target_ended, attempts)
+{
+    auto target =
+        raw_target{loop, [](std::string const&)
+                   {
+                       return raw_answer{signed_head + "\r\n" + event(1), "", 0,
+                                         answer_end::closed};
+                   }};
+    auto const direct = http1::direct_connection{};
+    auto const accepted = run_by(direct, target.port(), true);
+    BOOST_TEST(accepted.stream_ended);
+    BOOST_TEST(
+        (accepted.connections == std::vector{connection_outcome::accepted}));
+    BOOST_TEST(accepted.direct_answers == 1);
+
+    constexpr auto nobody = std::uint16_t{1};
+    auto const refused = run_by(direct, nobody, true);
+    BOOST_TEST((refused.failure == attempt_failure::not_connected));
+    BOOST_TEST(
+        (refused.connections == std::vector{connection_outcome::refused}));
+    BOOST_TEST(refused.direct_answers == 1);
+    BOOST_TEST(!refused.unanswered_since);
+
+    connect_timeout = 100ms;
+    auto const full = standins::full_listener{};
+    auto const late = run_by(direct, full.port(), true);
+    BOOST_TEST((late.failure == attempt_failure::not_connected));
+    BOOST_TEST(
+        (late.connections == std::vector{connection_outcome::timed_out}));
+    BOOST_TEST(late.direct_answers == 0);
+    BOOST_TEST(late.unanswered_since.has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(holds_a_failed_helper_against_no_target, attempts)
+{
+    using http1::tunnel_refusal;
+    auto answer = std::string{};
+    auto helper =
+        raw_target{loop, [&](std::string const&)
+                   {
+                       return raw_answer{answer, "", 0, answer_end::closed};
+                   }};
+    auto const route =
+        http1::tunnel_route{{"127.0.0.1", helper.port()}, target_id{"t"}};
+    // The address that this host has for the target is not used.
+    constexpr auto nobody = std::uint16_t{1};
+    for (auto const why :
+         {tunnel_refusal::not_listed, tunnel_refusal::no_capacity})
+    {
+        answer = http1::write_connect_answer(why);
+        auto const it = run_by(route, nobody, false);
+        BOOST_TEST((it.failure == attempt_failure::not_connected));
+        BOOST_TEST((it.tunnel_refusal == why));
+        BOOST_TEST(it.connections.empty());
+        BOOST_TEST(it.direct_answers == 0);
+        BOOST_TEST(!it.unanswered_since);
+    }
+    answer = "odd";
+    auto const odd = run_by(route, nobody, false);
+    BOOST_TEST((odd.tunnel_refusal == tunnel_refusal::helper_unreachable));
+    BOOST_TEST(odd.connections.empty());
+
+    answer = http1::write_connect_answer(tunnel_refusal::target_refused);
+    auto const refused = run_by(route, nobody, false);
+    BOOST_TEST(
+        (refused.connections == std::vector{connection_outcome::refused}));
+    BOOST_TEST(!refused.unanswered_since);
+
+    answer = http1::write_connect_answer(tunnel_refusal::target_timed_out);
+    auto const late = run_by(route, nobody, false);
+    BOOST_TEST(
+        (late.connections == std::vector{connection_outcome::timed_out}));
+    BOOST_TEST(late.unanswered_since.has_value());
+    BOOST_TEST(late.direct_answers == 0);
+
+    auto const bytes = signed_head + "\r\n" + event(1);
+    answer = http1::write_connect_answer(std::nullopt) +
+             http1::write_frame_head(bytes.size()) + bytes +
+             http1::write_frame_head(0);
+    auto const accepted = run_by(route, nobody, true);
+    BOOST_TEST(accepted.stream_ended);
+    BOOST_TEST(
+        (accepted.connections == std::vector{connection_outcome::accepted}));
+    BOOST_TEST(accepted.direct_answers == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace primrosedeal::gateway
