Take no refusal of another request for this request's own

Cause: a response with X-Not-Executed, or with status 421, was read as "this request did not run" before its request id was looked at. A faulty target that wrote the refusal of another request to a request that it had run or was running made the host send it to a second target, or tell its client that it had not run. A response with two ids counted as one without an id.

Change: a response that names another request, beside its own id too, is damaged: the request may have run. A refusal that names this request or none counts as before; each attempt has a connection of its own.

A refusal behind an answer, before one as an interim response, and half a refusal were no fault before; tests hold that.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -27,6 +27,11 @@
                       response_metadata const& metadata)
     -> std::optional<attempt_failure>
 {
+    // A refusal of another request says nothing about this one.
+    if (metadata.request_id_mismatch)
+    {
+        return attempt_failure::damaged;
+    }
     if (head.status == misdirected_request)
     {
         return attempt_failure::misdirected;
@@ -35,7 +40,7 @@
     {
         return attempt_failure::not_executed;
     }
-    if (metadata.request_id_mismatch || metadata.encoded || !metadata.is_signed)
+    if (metadata.encoded || !metadata.is_signed)
     {
         return attempt_failure::damaged;
     }
--- a/src/gateway/attempt_test.cpp
+++ b/src/gateway/attempt_test.cpp
@@ -473,6 +473,113 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(whose_target_refuses)
+
+struct refusals : attempts
+{
+    static auto response(std::string const& status, std::string const& more)
+        -> std::string
+    {
+        return "HTTP/1.1 " + status + " Any\r\nContent-Length: 0\r\n" + more +
+               "\r\n";
+    }
+
+    static auto naming(std::string const& id) -> std::string
+    {
+        return std::string{platform::names::request_id} + ": " + id + "\r\n";
+    }
+
+    auto failure_of(std::string const& bytes, bool streaming = false)
+        -> std::optional<attempt_failure>
+    {
+        auto target =
+            raw_target{loop, [&](std::string const&)
+                       {
+                           return raw_answer{bytes, {}, 0, answer_end::closed};
+                       }};
+        return run(target, streaming).failure;
+    }
+
+    std::vector<std::string> statuses = {"400", "408", "421", "429", "503"};
+    std::string refused =
+        std::string{platform::names::not_executed} + ": 1\r\n";
+    std::string is_signed =
+        std::string{platform::names::signature} + ": sig\r\n";
+};
+
+BOOST_FIXTURE_TEST_CASE(was_refused_if_its_id_or_none_is_named, refusals)
+{
+    for (auto const& status : statuses)
+    {
+        auto const expected = status == "421" ? attempt_failure::misdirected
+                                              : attempt_failure::not_executed;
+        for (auto const& id : {std::string{}, naming("r1")})
+        {
+            auto const bytes = response(status, refused + id);
+            BOOST_TEST((failure_of(bytes) == expected), bytes);
+            BOOST_TEST((failure_of(bytes, true) == expected), bytes);
+        }
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(took_the_refusal_of_another_request_for_its_own,
+                        refusals)
+{
+    for (auto const& status : statuses)
+    {
+        for (auto const& ids : {naming("r0"), naming("r1") + naming("r0")})
+        {
+            auto const bytes = response(status, refused + ids);
+            BOOST_TEST((failure_of(bytes) == attempt_failure::damaged), bytes);
+            BOOST_TEST((failure_of(bytes, true) == attempt_failure::damaged),
+                       bytes);
+        }
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(took_an_interim_response_for_a_refusal, refusals)
+{
+    auto target = raw_target{
+        loop, [&](std::string const&)
+        {
+            return raw_answer{"HTTP/1.1 103 Early Hints\r\n" + refused +
+                                  naming("r0") + "\r\n" +
+                                  response("200", is_signed + naming("r1")),
+                              {}};
+        }};
+    auto const it = run(target, false);
+    BOOST_TEST(!it.failure.has_value());
+    BOOST_TEST(it.response.has_value());
+}
+
+// A target may send more bytes after a complete response.
+BOOST_FIXTURE_TEST_CASE(took_a_refusal_behind_its_answer_for_its_own, refusals)
+{
+    auto const answer = response("200", is_signed + naming("r1"));
+    auto target = raw_target{
+        loop, [&](std::string const&)
+        {
+            return raw_answer{answer + response("503", refused + naming("r0")),
+                              {}};
+        }};
+    auto const it = run(target, false);
+    BOOST_REQUIRE(it.response);
+    BOOST_TEST(it.response->head.status == 200);
+}
+
+BOOST_FIXTURE_TEST_CASE(took_half_a_refusal_for_a_whole_one, refusals)
+{
+    auto const whole = response("503", refused + naming("r1"));
+    for (auto n = std::size_t{1}; n + 1 < whole.size(); ++n)
+    {
+        auto const it = failure_of(whole.substr(0, n));
+        BOOST_REQUIRE(it);
+        BOOST_TEST(dispatch::may_have_run(*it), n);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(whose_path_is_slow)
 
 // The opening packet is sent again after a second, later than the first probe
