Take no status for a refusal that the target has not stated

Cause: a signed 408, 429 or 503 without X-Not-Executed went to the client, who takes these statuses for a promise that the request has not run; a 421 without it counted as not run and set the target aside. A success with X-Not-Executed counted as a refusal.

Change: only an error status with X-Not-Executed is a refusal. These statuses without it, and a success with it, are damaged responses: the request may have run.

Result: took_a_status_for_a_refusal_that_was_not_stated and took_a_success_for_a_refusal, seen to fail first (5 and 2 checks); pass.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -18,11 +18,22 @@
 using dispatch::attempt_failure;
 
 constexpr auto misdirected_request = 421;
+constexpr auto first_client_error = 400;
 constexpr auto first_server_error = 500;
 constexpr auto first_redirect = 300;
 /// Bytes of a stream in which an event with data must end.
 constexpr auto max_event_bytes = std::size_t{1} << 20U;
 
+/// Statuses by which a client is told that its request did not run.
+auto states_not_run(int status) -> bool
+{
+    constexpr auto request_timeout = 408;
+    constexpr auto too_many_requests = 429;
+    constexpr auto unavailable = 503;
+    return status == request_timeout || status == misdirected_request ||
+           status == too_many_requests || status == unavailable;
+}
+
 auto classify_failure(http1::response_head const& head,
                       response_metadata const& metadata)
     -> std::optional<attempt_failure>
@@ -32,15 +43,14 @@
     {
         return attempt_failure::damaged;
     }
-    if (head.status == misdirected_request)
-    {
-        return attempt_failure::misdirected;
-    }
-    if (metadata.not_executed)
+    if (metadata.not_executed && head.status >= first_client_error)
     {
-        return attempt_failure::not_executed;
+        return head.status == misdirected_request
+                   ? attempt_failure::misdirected
+                   : attempt_failure::not_executed;
     }
-    if (metadata.encoded || !metadata.is_signed)
+    if (metadata.not_executed || states_not_run(head.status) ||
+        metadata.encoded || !metadata.is_signed)
     {
         return attempt_failure::damaged;
     }
--- a/src/gateway/attempt_test.cpp
+++ b/src/gateway/attempt_test.cpp
@@ -537,6 +537,27 @@
     }
 }
 
+// A client takes these statuses for a promise that the request did not run.
+BOOST_FIXTURE_TEST_CASE(took_a_status_for_a_refusal_that_was_not_stated,
+                        refusals)
+{
+    for (auto const* const status : {"408", "421", "429", "503"})
+    {
+        for (auto const& more : {naming("r1"), naming("r1") + is_signed})
+        {
+            auto const bytes = response(status, more);
+            BOOST_TEST((failure_of(bytes) == attempt_failure::damaged), bytes);
+        }
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(took_a_success_for_a_refusal, refusals)
+{
+    auto const bytes = response("200", refused + is_signed);
+    BOOST_TEST((failure_of(bytes) == attempt_failure::damaged));
+    BOOST_TEST((failure_of(bytes, true) == attempt_failure::damaged));
+}
+
 BOOST_FIXTURE_TEST_CASE(took_an_interim_response_for_a_refusal, refusals)
 {
     auto target = raw_target{
