Keep the error of the next target out of a begun stream

Cause: a signed response below 500 that is no success went to the client as the reply, also when the client had the head and events of the stream already. It got the head and the text of the error in the middle of its stream.

Change: for a begun stream such a response is a failed attempt, and the stream goes on elsewhere.

--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -504,6 +504,11 @@
 
 void relay::on_response(target_response const& it, time_point now)
 {
+    if (state_.answer_started)
+    {
+        on_failure(attempt_failure::target_error, std::nullopt, now);
+        return;
+    }
     host_.detector.report(current_->target.id, current_->target.domain,
                           observation::answered, now);
     on_request_answered(now);
--- a/src/gateway/relay_test.cpp
+++ b/src/gateway/relay_test.cpp
@@ -215,6 +215,81 @@
     BOOST_TEST(!taken.empty());
 }
 
+struct resumed_stream : one_host
+{
+    /// Begins a stream at a target that answers with `first` and breaks off;
+    /// the next target answers with `second`, and the one after it with events
+    /// from the second on.
+    void play(std::string const& second_response)
+    {
+        auto first =
+            raw_target{loop, [](std::string const&)
+                       {
+                           return answer_of(event(1), answer_end::reset);
+                       }};
+        auto second =
+            raw_target{loop, [&](std::string const&)
+                       {
+                           return standins::raw_answer{
+                               second_response, {}, 0, answer_end::closed};
+                       }};
+        auto third = raw_target{loop, [&](std::string const&)
+                                {
+                                    return answer_of(event(2) + event(3),
+                                                     answer_end::closed);
+                                }};
+        list("t0", "a", first.port());
+        send("/stream/", client);
+        run_until([&] { return client.started; });
+        list("t1", "b", second.port());
+        host.targets.handle(directory::entry_removed{target_id{"t0"}},
+                            net::event_loop::now());
+        run_until([&] { return second.runs() > 0 || client.over(); });
+        list("t2", "c", third.port());
+        host.targets.handle(directory::entry_removed{target_id{"t1"}},
+                            net::event_loop::now());
+        run_until([&] { return client.over(); });
+        second_runs = second.runs();
+    }
+
+    /// The answer of the second target is no part of what the client got.
+    void check(std::string const& second_response)
+    {
+        play(second_response);
+        BOOST_TEST(second_runs == 1, second_response);
+        BOOST_TEST(!client.reply.has_value(), second_response);
+        BOOST_TEST(client.finished, second_response);
+        BOOST_TEST(client.body == event(1) + event(2) + event(3),
+                   second_response);
+    }
+
+    static auto signed_response(std::string const& status,
+                                std::string const& more,
+                                std::string const& body) -> std::string
+    {
+        return "HTTP/1.1 " + status + "\r\n" +
+               std::string{platform::names::signature} + ": sig\r\n" + more +
+               "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+               body;
+    }
+
+    client_view client;
+    int second_runs = 0;
+};
+
+BOOST_AUTO_TEST_CASE(contained_the_error_of_its_next_target)
+{
+    for (auto const* const status :
+         {"302 Found", "400 Bad Request", "404 Not Found", "409 Conflict",
+          "410 Gone", "500 Internal Server Error", "502 Bad Gateway"})
+    {
+        resumed_stream{}.check(
+            resumed_stream::signed_response(status, "", "error"));
+        resumed_stream{}.check(
+            resumed_stream::signed_response(status, "", event(2)));
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(ends_at_its_deadline_while_it_waits, one_host)
 {
     auto first = raw_target{loop, [](std::string const&)
