Abort an answer rather than write a second head into it

Cause: exchange::reply after start wrote a head and a body between the chunks of the answer, so the mistake of one caller reached the client as bytes of its answer.

Change: the connection ends the answer incomplete.

Result: wrote_a_second_head_into_an_answer, seen to fail first; passes.

--- a/src/http1/connection_test.cpp
+++ b/src/http1/connection_test.cpp
@@ -225,6 +225,20 @@
     BOOST_TEST(got.ends_with("4\r\npart\r\n"));
 }
 
+BOOST_FIXTURE_TEST_CASE(wrote_a_second_head_into_an_answer, world)
+{
+    auto it =
+        server{loop, [](request const&, std::shared_ptr<exchange> const& client)
+               {
+                   client->start({200, {}});
+                   client->send("part");
+                   client->reply({500, {}}, "error", false);
+               }};
+    auto const port = it.listen(local);
+    auto const got = talk(*this, port, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    BOOST_TEST(got.ends_with("4\r\npart\r\n"));
+}
+
 // A request and the end of its connection's idle time are due in one pass of
 // the loop, as after a pause of the host.
 BOOST_FIXTURE_TEST_CASE(answers_a_request_that_comes_as_its_idle_time_ends,
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -134,6 +134,12 @@
 
     void reply(response_head const& head, std::string_view body, bool close)
     {
+        if (started_)
+        {
+            // The client would take this head for a part of the body.
+            abort();
+            return;
+        }
         auto const last = close || owner_.closing || !keep_alive_;
         auto const framing = "Content-Length: " + std::to_string(body.size());
         write(serialise_head(head, framing, last));
@@ -146,6 +152,7 @@
 
     void start(response_head const& head)
     {
+        started_ = true;
         write(serialise_head(head, "Transfer-Encoding: chunked",
                              owner_.closing || !keep_alive_));
     }
@@ -321,6 +328,7 @@
         head_request_ = message.method == "HEAD";
         continued_ = false;
         answering_ = true;
+        started_ = false;
         owner_.on_request(std::move(message), make_exchange());
     }
 
@@ -437,6 +445,8 @@
     time_point idle_since_{};
     std::function<void(client_loss)> gone_;
     bool answering_ = false;
+    /// The head of the answer has been sent.
+    bool started_ = false;
     bool keep_alive_ = true;
     bool head_request_ = false;
     bool continued_ = false;
