Take only events with ids from the next target of a stream

Cause: whatever a signed success of the next target held up to a blank line was sent as an event, such as the text of an error, and a response with nothing but a comment ended the stream as if it were complete.

Change: in an attempt that resumes a stream, an event with data and without an id is a damaged response, other text without an id is dropped, and an end before the first event with an id is a broken response. An id that jumps ahead is still accepted: ids increase, but need not be consecutive.

Result: contained_text_that_is_no_event and ended_complete_with_a_target_without_events, seen to fail first (6 checks and 1); pass.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -87,6 +87,7 @@
     std::optional<time_point> unanswered_since;
     bool refused = false;
     bool streams = false;
+    bool has_event = false;
     bool ended = false;
 
     void start()
@@ -200,6 +201,17 @@
             plan.stream_timing.last_event = net::event_loop::now();
             bytes_without_data =
                 event.has_data ? 0 : bytes_without_data + event.bytes.size();
+            if (plan.resumed && !event.id)
+            {
+                // Only an id tells what of the stream the client has.
+                if (event.has_data)
+                {
+                    fail(attempt_failure::damaged);
+                    return;
+                }
+                continue;
+            }
+            has_event = true;
             events.on_event(*head, std::move(event));
             if (ended)
             {
@@ -241,7 +253,7 @@
 
     void end_stream()
     {
-        if (!splitter.rest().empty() || !plan.stream_timing.last_event)
+        if (!splitter.rest().empty() || !has_event)
         {
             fail(attempt_failure::broken);
             return;
--- a/src/gateway/attempt.hpp
+++ b/src/gateway/attempt.hpp
@@ -51,6 +51,8 @@
     http1::request message;
     duration connect_timeout{};
     bool streaming = false;
+    /// The client has events of the stream that came before this attempt.
+    bool resumed = false;
     dispatch::stream_facts stream_timing;
     /// Timeout of a plain call; empty: none.
     std::optional<duration> response_timeout;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -318,6 +318,7 @@
     out.connect_timeout =
         dispatch::connect_timeout(state_, route.objective, now);
     out.streaming = streaming();
+    out.resumed = last_event_.has_value();
     out.stream_timing.gap_objective = route.gap_objective;
     out.stream_timing.first_event_due = admitted_.objective_at;
     out.stream_timing.warm = from.has_value();
--- a/src/gateway/relay_test.cpp
+++ b/src/gateway/relay_test.cpp
@@ -290,6 +290,31 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(contained_text_that_is_no_event)
+{
+    auto const json = std::string{"Content-Type: application/json\r\n"};
+    for (auto const* const body : {"{\"error\":\"x\"}", "{\"error\":\"x\"}\n\n",
+                                   "data: x\n\n", "error: x\n\n"})
+    {
+        resumed_stream{}.check(
+            resumed_stream::signed_response("200 OK", json, body));
+        resumed_stream{}.check(
+            resumed_stream::signed_response("200 OK", "", body));
+    }
+    resumed_stream{}.check(resumed_stream::signed_response(
+        "200 OK", "Content-Encoding: gzip\r\n", event(2)));
+}
+
+BOOST_AUTO_TEST_CASE(ended_complete_with_a_target_without_events)
+{
+    resumed_stream{}.check(resumed_stream::signed_response("200 OK", "", ""));
+    resumed_stream{}.check(
+        resumed_stream::signed_response("200 OK", "", ": nothing\n\n"));
+    resumed_stream{}.check("HTTP/1.1 204 No Content\r\n" +
+                           std::string{platform::names::signature} +
+                           ": sig\r\n\r\n");
+}
+
 BOOST_FIXTURE_TEST_CASE(ends_at_its_deadline_while_it_waits, one_host)
 {
     auto first = raw_target{loop, [](std::string const&)
