Do not send a stream again after an event without an id

Cause: after events without ids the next attempt of a resumable stream asked for the stream from its begin, and the client got its events twice.

Change: a stream that has sent such an event to its client is not resumed.

Result: was_sent_again_after_an_event_without_an_id, seen to fail first (a second target ran, and the body had the event twice); passes.

--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -470,6 +470,11 @@
     {
         last_event_ = it.id;
     }
+    else if (it.has_data)
+    {
+        // No other target can be told to go on after this event.
+        state_.resumable = false;
+    }
     longest_pause_ =
         std::max(longest_pause_, now - last_event_at_.value_or(now));
     last_event_at_ = now;
--- a/src/gateway/relay_test.cpp
+++ b/src/gateway/relay_test.cpp
@@ -315,6 +315,32 @@
                            ": sig\r\n\r\n");
 }
 
+// Nothing tells the next target where such a stream goes on.
+BOOST_FIXTURE_TEST_CASE(was_sent_again_after_an_event_without_an_id, one_host)
+{
+    auto client = client_view{};
+    auto first =
+        raw_target{loop, [](std::string const&)
+                   {
+                       return answer_of("data: t\n\n", answer_end::reset);
+                   }};
+    auto second =
+        raw_target{loop, [](std::string const&)
+                   {
+                       return answer_of("data: t\n\n", answer_end::closed);
+                   }};
+    list("t0", "a", first.port());
+    send("/stream/", client);
+    run_until([&] { return client.started; });
+    list("t1", "b", second.port());
+    host.targets.handle(directory::entry_removed{target_id{"t0"}},
+                        net::event_loop::now());
+    run_until([&] { return client.over(); });
+    BOOST_TEST(client.aborted);
+    BOOST_TEST(client.body == "data: t\n\n");
+    BOOST_TEST(second.runs() == 0);
+}
+
 BOOST_FIXTURE_TEST_CASE(ends_at_its_deadline_while_it_waits, one_host)
 {
     auto first = raw_target{loop, [](std::string const&)
