Answer a HEAD request on a streaming route

Cause: the response has no body, so it counted as a stream without events, a broken attempt, and was retried.

Change: the response to HEAD is never read as a stream.

Result: to_a_head_request_on_a_streaming_route, seen to fail first; passes.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -180,8 +180,8 @@
         {
             events.on_response_head(metadata);
         }
-        streams = plan.streaming && it.status < first_redirect &&
-                  !classify_failure(it, metadata);
+        streams = plan.streaming && plan.message.method != "HEAD" &&
+                  it.status < first_redirect && !classify_failure(it, metadata);
         head = std::move(it);
     }
 
--- a/src/gateway/attempt_test.cpp
+++ b/src/gateway/attempt_test.cpp
@@ -116,7 +116,7 @@
         auto plan = attempt_plan{};
         plan.target.address = {"127.0.0.1", port};
         plan.id = request_id{"r1"};
-        plan.message = {"POST", "/a", {{"Host", "h"}}, "prompt", true};
+        plan.message = {method, "/a", {{"Host", "h"}}, "prompt", true};
         plan.connect_timeout = patience;
         plan.streaming = streaming;
         // No silence of a busy machine ends the attempt.
@@ -171,6 +171,7 @@
     }
 
     bool initialised = (net::initialise_process(), true);
+    std::string method = "POST";
     net::event_loop loop;
     platform::wire_protocol wire;
     connect_prober prober{loop};
@@ -388,6 +389,19 @@
     BOOST_TEST(it.response->body.size() == chunks);
 }
 
+BOOST_FIXTURE_TEST_CASE(to_a_head_request_on_a_streaming_route, attempts)
+{
+    method = "HEAD";
+    auto target = raw_target{
+        loop, [](std::string const&)
+        {
+            return raw_answer{signed_head + "Content-Length: 9\r\n\r\n", {}};
+        }};
+    auto const it = run(target, true);
+    BOOST_REQUIRE(it.response);
+    BOOST_TEST(it.response->body.empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(with_large_events, attempts)
 {
     auto const large = event(1, std::string(256 << 10U, 'x'));
