--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -18,24 +18,39 @@
 using dispatch::attempt_failure;
 
 constexpr auto misdirected_request = 421;
+constexpr auto first_client_error = 400;
 constexpr auto first_server_error = 500;
 constexpr auto first_redirect = 300;
 /// Bytes of a stream in which an event with data must end.
 constexpr auto max_event_bytes = std::size_t{1} << 20U;
 
+/// Statuses by which a client is told that its request did not run.
+auto states_not_run(int status) -> bool
+{
+    constexpr auto request_timeout = 408;
+    constexpr auto too_many_requests = 429;
+    constexpr auto unavailable = 503;
+    return status == request_timeout || status == misdirected_request ||
+           status == too_many_requests || status == unavailable;
+}
+
 auto classify_failure(http1::response_head const& head,
                       response_metadata const& metadata)
     -> std::optional<attempt_failure>
 {
-    if (head.status == misdirected_request)
+    // A refusal of another request says nothing about this one.
+    if (metadata.request_id_mismatch)
     {
-        return attempt_failure::misdirected;
+        return attempt_failure::damaged;
     }
-    if (metadata.not_executed)
+    if (metadata.not_executed && head.status >= first_client_error)
     {
-        return attempt_failure::not_executed;
+        return head.status == misdirected_request
+                   ? attempt_failure::misdirected
+                   : attempt_failure::not_executed;
     }
-    if (metadata.request_id_mismatch || metadata.encoded || !metadata.is_signed)
+    if (metadata.not_executed || states_not_run(head.status) ||
+        metadata.encoded || !metadata.is_signed)
     {
         return attempt_failure::damaged;
     }
@@ -74,6 +89,7 @@
     bool target_timed_out = false;
     bool connection_reported = false;
     bool streams = false;
+    bool has_event = false;
     bool ended = false;
 
     void start()
@@ -210,8 +226,8 @@
         {
             events.on_response_head(metadata);
         }
-        streams = plan.streaming && it.status < first_redirect &&
-                  !classify_failure(it, metadata);
+        streams = plan.streaming && plan.message.method != "HEAD" &&
+                  it.status < first_redirect && !classify_failure(it, metadata);
         head = std::move(it);
     }
 
@@ -232,6 +248,17 @@
             plan.stream_timing.unreachable_since.reset();
             bytes_without_data =
                 event.has_data ? 0 : bytes_without_data + event.bytes.size();
+            if (plan.resumed && !event.id)
+            {
+                // Only an id tells what of the stream the client has.
+                if (event.has_data)
+                {
+                    fail(attempt_failure::damaged);
+                    return;
+                }
+                continue;
+            }
+            has_event = true;
             events.on_event(*head, std::move(event));
             if (ended)
             {
@@ -273,7 +300,7 @@
 
     void end_stream()
     {
-        if (!splitter.rest().empty() || !plan.stream_timing.last_event)
+        if (!splitter.rest().empty() || !has_event)
         {
             fail(attempt_failure::broken);
             return;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -335,6 +335,7 @@
         out.connect_timeout *= 2;
     }
     out.streaming = streaming();
+    out.resumed = last_event_.has_value();
     out.stream_timing.gap_objective = route.gap_objective;
     out.stream_timing.first_event_due = admitted_.objective_at;
     out.stream_timing.warm = from.has_value();
@@ -508,6 +509,11 @@
     {
         last_event_ = it.id;
     }
+    else if (it.has_data)
+    {
+        // No other target can be told to go on after this event.
+        state_.resumable = false;
+    }
     longest_pause_ =
         std::max(longest_pause_, now - last_event_at_.value_or(now));
     last_event_at_ = now;
@@ -543,6 +549,11 @@
 
 void relay::on_response(target_response const& it, time_point now)
 {
+    if (state_.answer_started)
+    {
+        on_failure(attempt_failure::target_error, std::nullopt, now);
+        return;
+    }
     host_.detector.report(current_->target.id, current_->target.domain,
                           observation::answered, now);
     on_request_answered(now);
