--- a/src/gateway/protocol.hpp
+++ b/src/gateway/protocol.hpp
@@ -87,6 +87,10 @@
     std::optional<request_limit::request_rate> request_limit;
     /// The response states a limit that is not a number of requests.
     bool unreadable_request_limit = false;
+    /// Requests a second that the target may reject for want of room, over all
+    /// hosts, before it crashes.
+    std::optional<request_limit::request_rate> rejection_limit;
+    bool unreadable_rejection_limit = false;
 };
 
 /// The configuration read from the store, or the error in it.
