--- a/src/request_limit/limit_table.cpp
+++ b/src/request_limit/limit_table.cpp
@@ -46,7 +46,10 @@
     {
         return false;
     }
-    put(it.target, {state, now, true});
+    auto const unchanged = same_process && before.limit == it.limit &&
+                           found->second.own &&
+                           now - found->second.recorded_at < report_period_;
+    put(it.target, {state, unchanged ? found->second.recorded_at : now, true});
     return before.limit != it.limit;
 }
 
@@ -72,7 +75,12 @@
     {
         return false;
     }
-    put(it.target, {it.state, now, false});
+    auto const unchanged = it.state.process_start == before.process_start &&
+                           it.state.limit == before.limit &&
+                           found->second.own &&
+                           now - found->second.recorded_at < report_period_;
+    put(it.target, unchanged ? entry{it.state, found->second.recorded_at, true}
+                             : entry{it.state, now, false});
     return before.limit != it.state.limit;
 }
 
@@ -101,6 +109,14 @@
     return found->second.state;
 }
 
+auto limit_table::ended(target_id const& id, incarnation process_start) const
+    -> bool
+{
+    auto const found = limits_.find(id);
+    return found != limits_.end() && !found->second.state.limit &&
+           found->second.state.process_start == process_start;
+}
+
 auto limit_table::report(time_point now) const -> std::vector<reported_limit>
 {
     auto out = std::vector<reported_limit>{};
--- a/src/request_limit/limit_table.hpp
+++ b/src/request_limit/limit_table.hpp
@@ -68,6 +68,13 @@
 class limit_table
 {
 public:
+    /// An unchanged limit is recorded anew, and so reported in the next digest,
+    /// only after `report_period`.
+    explicit limit_table(duration report_period = {})
+        : report_period_(report_period)
+    {
+    }
+
     /// Returns whether the limit in force has changed.
     auto observe(response const& it, time_point now) -> bool;
 
@@ -81,6 +88,11 @@
                             incarnation process_start) const
         -> std::optional<limit_state>;
 
+    /// Whether the target's process `process_start` stated a limit before, and
+    /// does not any more.
+    [[nodiscard]] auto ended(target_id const& id,
+                             incarnation process_start) const -> bool;
+
     /// This host's own observations, newest first, at most
     /// `max_reported_limits`.
     [[nodiscard]] auto report(time_point now) const
@@ -108,6 +120,7 @@
 
     void put(target_id const& id, entry const& it);
 
+    duration report_period_;
     std::map<target_id, entry> limits_;
 };
 
