Send to targets that survive few rejections only where they have room

Change: hosts keep what targets state, exchange it and recent rejections in digests (at their end, absent when empty), and placement asks the gate beside the request limits. Copies go only where half of the slots is free. A request that nothing but this refuses ends with the reason rejection_limits and a spread Retry-After. A log line and a metric tell of changes.

--- a/src/dispatch/limited_placement_test.cpp
+++ b/src/dispatch/limited_placement_test.cpp
@@ -47,7 +47,7 @@
 
     [[nodiscard]] auto view() const -> placement_view
     {
-        return {targets, detector, loads, others, limiter};
+        return {targets, detector, loads, others, limiter, no_gate};
     }
 
     std::vector<directory::listed_target> targets = replay_engines();
--- a/src/dispatch/own_link_test.cpp
+++ b/src/dispatch/own_link_test.cpp
@@ -72,7 +72,7 @@
     auto const loads = load_tracker{};
     auto const others = fleet::fleet_view{};
     auto const view =
-        placement_view{targets, detector, loads, others, no_limits};
+        placement_view{targets, detector, loads, others, no_limits, no_gate};
     auto random = random_source{seed};
     auto now = at(1);
     auto told = std::set<target_id>{};
--- a/src/dispatch/partition_replay_test.cpp
+++ b/src/dispatch/partition_replay_test.cpp
@@ -56,7 +56,7 @@
     auto const others = fleet::fleet_view{};
     auto random = random_source{seed};
     auto const view =
-        placement_view{targets, detector, loads, others, no_limits};
+        placement_view{targets, detector, loads, others, no_limits, no_gate};
     auto out = outcome{};
     auto now = time_point{};
     constexpr auto per_second = 1.2;
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -123,6 +123,7 @@
                            return (it.versions.empty() ||
                                    it.versions.contains(target.version)) &&
                                   view.limiter.permits(target.id, now) &&
+                                  view.gate.permits(target.id, it.arrival) &&
                                   has_room(total_load(view, target.id), target,
                                            it);
                        });
@@ -138,6 +139,7 @@
         return target.id != primary.id && !tried(it, target.id) &&
                target.version == primary.version &&
                !view.limiter.limited(target.id) &&
+               view.gate.has_ample_room(target.id) &&
                view.detector.health_of(target.id, target.domain, now) ==
                    health::healthy &&
                has_room(total_load(view, target.id), target, it);
--- a/src/dispatch/placement.hpp
+++ b/src/dispatch/placement.hpp
@@ -6,6 +6,7 @@
 #include "dispatch/failure_detector.hpp"
 #include "dispatch/load_tracker.hpp"
 #include "fleet/fleet_view.hpp"
+#include "rejection_limit/gate.hpp"
 #include "request_limit/limiter.hpp"
 
 #include <optional>
@@ -34,6 +35,7 @@
     std::set<software_version> versions;
     /// Targets that were already tried for this request.
     std::span<target_id const> tried;
+    rejection_limit::arrival arrival = rejection_limit::arrival::independent;
 };
 
 /// Inputs of placement, which keeps no state between calls.
@@ -46,18 +48,21 @@
     fleet::fleet_view const& others;
     /// This host's shares of the targets' request limits.
     request_limit::limiter const& limiter;
+    /// Whether targets that survive few rejections have room.
+    rejection_limit::gate const& gate;
 };
 
 /// Target for a new attempt, or nothing if no target has capacity. Targets
 /// that were already tried or are excluded are used only as a last resort, and
-/// limited ones only within this host's share.
+/// limited ones only within this host's share, and those that survive few
+/// rejections as far as `gate` permits.
 auto place(placement_view const& view, placement_request const& it,
            time_point now, random_source& random)
     -> std::optional<directory::listed_target>;
 
 /// Target for a copy of a request that runs at `primary`, of the same version
 /// and preferably in another domain; nothing if no healthy target without a
-/// limit has capacity.
+/// limit, or with ample room if it survives few rejections, has capacity.
 auto place_copy(placement_view const& view, placement_request const& it,
                 directory::listed_target const& primary, time_point now,
                 random_source& random)
--- a/src/dispatch/placement_replay_test.cpp
+++ b/src/dispatch/placement_replay_test.cpp
@@ -160,9 +160,9 @@
         auto request = placement_request{};
         request.size = it.size;
         request.target_memory = 55000;
-        auto const view =
-            placement_view{targets, healthy, own,
-                           use_digests ? others : without_digests, no_limits};
+        auto const view = placement_view{
+            targets,   healthy, own, use_digests ? others : without_digests,
+            no_limits, no_gate};
         auto const chosen = place(view, request, it.at, random);
         BOOST_REQUIRE(chosen);
         return std::stoul(chosen->id.value().substr(1));
@@ -241,7 +241,7 @@
     detector.report(target_id{"t5"}, domain_id{"d1"}, observation::unreachable,
                     now);
     auto const view =
-        placement_view{targets, detector, loads, others, no_limits};
+        placement_view{targets, detector, loads, others, no_limits, no_gate};
     auto request = placement_request{};
     request.size = {token_count{5000}, token_count{650}};
     request.target_memory = 55000;
@@ -268,7 +268,7 @@
     request.size = {token_count{5000}, token_count{650}};
     request.target_memory = 12000;
     auto const view =
-        placement_view{targets, detector, loads, others, no_limits};
+        placement_view{targets, detector, loads, others, no_limits, no_gate};
     loads.copy_added(targets.front().id, request.size);
     BOOST_TEST(place(view, request, time_point{}, random).has_value());
     loads.copy_added(targets.front().id, request.size);
--- a/src/dispatch/replay_engines.hpp
+++ b/src/dispatch/replay_engines.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "directory/target_directory.hpp"
+#include "rejection_limit/gate.hpp"
 #include "request_limit/limiter.hpp"
 
 #include <cstddef>
@@ -15,6 +16,7 @@
 constexpr auto replay_targets = std::size_t{36};
 
 inline auto const no_limits = request_limit::limiter{};
+inline auto const no_gate = rejection_limit::gate{};
 
 /// Identical engines `t0`, `t1`, ... assigned to the domains `d0` to `d3`
 /// round-robin.
--- a/src/dispatch/versioned_placement_test.cpp
+++ b/src/dispatch/versioned_placement_test.cpp
@@ -29,7 +29,7 @@
 
     [[nodiscard]] auto view() const -> placement_view
     {
-        return {targets, detector, loads, others, no_limits};
+        return {targets, detector, loads, others, no_limits, no_gate};
     }
 
     auto choose() -> std::optional<directory::listed_target>
--- a/src/fleet/digest.cpp
+++ b/src/fleet/digest.cpp
@@ -36,10 +36,16 @@
 /// of the observation in microseconds.
 using limit_row = std::tuple<std::string, std::uint64_t, double, std::int64_t>;
 using limit_fields = std::tuple<std::vector<limit_row>>;
+/// Target, start of its process, rejections, and the age of the last one in
+/// microseconds.
+using rejection_row =
+    std::tuple<std::string, std::uint64_t, std::uint32_t, std::int64_t>;
+using rejection_fields =
+    std::tuple<std::vector<limit_row>, std::vector<rejection_row>>;
 using all_fields = decltype(std::tuple_cat(
     std::declval<fields>(), std::declval<evidence_fields>(),
     std::declval<sender_fields>(), std::declval<limit_fields>(),
-    std::declval<origin_fields>()));
+    std::declval<origin_fields>(), std::declval<rejection_fields>()));
 constexpr auto old_size = std::tuple_size_v<fields>;
 constexpr auto accusations_index = old_size;
 constexpr auto clearances_index = old_size + 1;
@@ -48,6 +54,8 @@
 constexpr auto limits_index = old_size + 4;
 constexpr auto versions_index = old_size + 5;
 constexpr auto origins_index = old_size + 6;
+constexpr auto rejection_limits_index = old_size + 7;
+constexpr auto rejections_index = old_size + 8;
 
 /// Encodes the end of a limit.
 constexpr auto no_limit = -1.0;
@@ -88,13 +96,21 @@
 /// without news.
 auto pack_all(all_fields const& it, bool partial) -> std::string
 {
-    if (std::get<limits_index>(it).empty() &&
+    auto const no_rejections = std::get<rejection_limits_index>(it).empty() &&
+                               std::get<rejections_index>(it).empty();
+    if (no_rejections && std::get<limits_index>(it).empty() &&
         std::get<origins_index>(it).empty())
     {
         return pack(
             first_elements(it, std::make_index_sequence<limits_index>{}),
             partial);
     }
+    if (no_rejections)
+    {
+        return pack(first_elements(
+                        it, std::make_index_sequence<rejection_limits_index>{}),
+                    partial);
+    }
     return pack(it, partial);
 }
 
@@ -105,7 +121,8 @@
     auto const lists = std::tie(
         std::get<3>(it), std::get<5>(it), std::get<6>(it),
         std::get<accusations_index>(it), std::get<clearances_index>(it),
-        std::get<limits_index>(it), std::get<origins_index>(it));
+        std::get<limits_index>(it), std::get<origins_index>(it),
+        std::get<rejection_limits_index>(it), std::get<rejections_index>(it));
     auto const longest = std::apply(
         [](auto const&... list) { return std::max({list.size()...}); }, lists);
     auto done = longest == 0;
@@ -165,6 +182,20 @@
     return out;
 }
 
+auto to_limits(std::vector<limit_row> const& rows, time_point now)
+    -> std::vector<request_limit::reported_limit>
+{
+    auto out = std::vector<request_limit::reported_limit>{};
+    for (auto const& row : rows)
+    {
+        if (auto limit = to_limit(row, now))
+        {
+            out.push_back(std::move(*limit));
+        }
+    }
+    return out;
+}
+
 } // namespace
 
 auto encode(digest const& it, time_point now, std::size_t max_bytes)
@@ -209,6 +240,16 @@
     }
     std::tie(std::get<versions_index>(out), std::get<origins_index>(out)) =
         to_fields(it.origins, now);
+    for (auto const& each : it.rejection_limits)
+    {
+        std::get<rejection_limits_index>(out).push_back(to_row(each, now));
+    }
+    for (auto const& each : it.rejections)
+    {
+        std::get<rejections_index>(out).emplace_back(
+            each.target.value(), each.process_start.value(), each.count,
+            (now - each.last_at).count());
+    }
     auto bytes = pack_all(out, it.partial);
     if (bytes.size() > max_bytes)
     {
@@ -282,24 +323,38 @@
                           all.ptr[link_index].as<std::uint64_t>())
                     : 0;
         }
-        if (auto const& all = whole.via.array; all.size > limits_index)
+        auto const& all = whole.via.array;
+        if (all.size > limits_index)
         {
-            for (auto const& row :
-                 all.ptr[limits_index].as<std::vector<limit_row>>())
-            {
-                if (auto limit = to_limit(row, now))
-                {
-                    out.limits.push_back(std::move(*limit));
-                }
-            }
+            out.limits = to_limits(
+                all.ptr[limits_index].as<std::vector<limit_row>>(), now);
         }
-        if (auto const& all = whole.via.array; all.size > origins_index)
+        if (all.size > origins_index)
         {
             out.origins = to_origins(
                 {all.ptr[versions_index].as<std::vector<std::string>>(),
                  all.ptr[origins_index].as<std::vector<origin_row>>()},
                 now);
         }
+        if (all.size > rejection_limits_index)
+        {
+            out.rejection_limits = to_limits(
+                all.ptr[rejection_limits_index].as<std::vector<limit_row>>(),
+                now);
+        }
+        if (all.size > rejections_index)
+        {
+            for (auto const& [id, process_start, n, age] :
+                 all.ptr[rejections_index].as<std::vector<rejection_row>>())
+            {
+                if (age >= 0)
+                {
+                    out.rejections.push_back({target_id{id},
+                                              incarnation{process_start}, n,
+                                              now - duration{age}});
+                }
+            }
+        }
         return out;
     }
     catch (std::exception const&)
--- a/src/fleet/digest.hpp
+++ b/src/fleet/digest.hpp
@@ -4,6 +4,7 @@
 #include "core/units.hpp"
 #include "dispatch/load_tracker.hpp"
 #include "quarantine/part_quarantine.hpp"
+#include "rejection_limit/rejection_log.hpp"
 #include "request_limit/limit_table.hpp"
 #include "stream_origin/origin_table.hpp"
 
@@ -69,6 +70,11 @@
     /// Versions at which the host's own recent streams run; the same as above
     /// applies.
     std::vector<stream_origin::reported_origin> origins;
+    /// Rejection limits of targets, like request limits; and the requests that
+    /// targets rejected within the last second. Absent in digests of hosts of
+    /// earlier versions.
+    std::vector<request_limit::reported_limit> rejection_limits;
+    std::vector<rejection_limit::reported_rejections> rejections;
 };
 
 /// Largest digest in bytes, sent as one datagram. Entries that do not fit are
--- a/src/fleet/fleet_view.cpp
+++ b/src/fleet/fleet_view.cpp
@@ -244,6 +244,35 @@
     return out;
 }
 
+auto fleet_view::request_rate(service_id const& id, time_point now) const
+    -> std::optional<double>
+{
+    constexpr auto window = duration{3s};
+    auto const count = [&](std::map<service_id, service_count> const& counts)
+    {
+        auto const it = counts.find(id);
+        return it == counts.end() ? 0.0
+                                  : static_cast<double>(it->second.requests);
+    };
+    auto known = std::size_t{0};
+    auto out = 0.0;
+    for (auto const& [host, state] : hosts_)
+    {
+        auto const* since = &state.samples.front();
+        for (auto const& it : state.samples)
+        {
+            since = now - it.at >= window ? &it : since;
+        }
+        if (now - since->at >= sample_period)
+        {
+            ++known;
+            out += (count(state.last.counts) - count(since->counts)) /
+                   to_seconds(now - since->at);
+        }
+    }
+    return 2 * known > hosts_.size() ? std::optional{out} : std::nullopt;
+}
+
 auto own_counts::current_second(service_id const& id, time_point now)
     -> service_count&
 {
--- a/src/fleet/fleet_view.hpp
+++ b/src/fleet/fleet_view.hpp
@@ -46,6 +46,11 @@
     [[nodiscard]] auto recent(service_id const& id, time_point now) const
         -> service_count;
 
+    /// Requests a second of all other hosts in the last seconds; nothing if
+    /// most of them have been known for less than a second.
+    [[nodiscard]] auto request_rate(service_id const& id, time_point now) const
+        -> std::optional<double>;
+
     /// Whether the store has answered another host continuously since `since`.
     [[nodiscard]] auto store_served_since(time_point since) const -> bool;
 
--- a/src/fleet/paced_placement_test.cpp
+++ b/src/fleet/paced_placement_test.cpp
@@ -178,9 +178,10 @@
         auto request = dispatch::placement_request{};
         request.size = it.size;
         request.target_memory = 55000;
-        auto const chosen = dispatch::place(
-            {targets_, healthy_, at.loads, at.others, dispatch::no_limits},
-            request, now, at.random);
+        auto const chosen =
+            dispatch::place({targets_, healthy_, at.loads, at.others,
+                             dispatch::no_limits, dispatch::no_gate},
+                            request, now, at.random);
         BOOST_REQUIRE(chosen);
         it.target = chosen->id;
         at.loads.sent(it.target, it.size);
--- a/src/fleet/state_sender.cpp
+++ b/src/fleet/state_sender.cpp
@@ -190,6 +190,10 @@
                   [&](auto const& it) { return it.recorded_at <= since; });
     std::erase_if(out.origins,
                   [&](auto const& it) { return it.recorded_at <= since; });
+    std::erase_if(out.rejection_limits,
+                  [&](auto const& it) { return it.recorded_at <= since; });
+    std::erase_if(out.rejections,
+                  [&](auto const& it) { return it.last_at <= since; });
     return out;
 }
 
--- a/src/gateway/admit.cpp
+++ b/src/gateway/admit.cpp
@@ -39,6 +39,8 @@
         return "version_unknown";
     case refusal_reason::target_limits:
         return "target_limits";
+    case refusal_reason::rejection_limits:
+        return "rejection_limits";
     case refusal_reason::deadline:
         return "deadline";
     case refusal_reason::retry_budget:
--- a/src/gateway/admit.hpp
+++ b/src/gateway/admit.hpp
@@ -32,6 +32,8 @@
     version_unknown,
     /// The targets with room take no more requests from this host now.
     target_limits,
+    /// Targets that survive few rejections may have no room.
+    rejection_limits,
     deadline,
     retry_budget,
     attempts_used,
--- a/src/gateway/digest_task.cpp
+++ b/src/gateway/digest_task.cpp
@@ -67,6 +67,18 @@
             on_limit_changed(host_, limit.target, limit.state.limit, "peer");
         }
     }
+    for (auto const& limit : it.rejection_limits)
+    {
+        if (host_.rejection_limits.merge(limit, now))
+        {
+            on_rejection_limit_changed(host_, limit.target, limit.state.limit,
+                                       "peer");
+        }
+    }
+    for (auto const& each : it.rejections)
+    {
+        host_.rejections.merge(it.host, each);
+    }
     for (auto const& each : it.origins)
     {
         host_.origins.merge(each, now);
@@ -128,6 +140,8 @@
     out.store_contact = events_.store_contact(now);
     out.limits = host_.limits.report(now);
     out.origins = host_.origins.report(now);
+    out.rejection_limits = host_.rejection_limits.report(now);
+    out.rejections = host_.rejections.report(now);
     return out;
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -375,6 +375,9 @@
                 host_.detector.remove_target(it.id);
                 host_.limits.remove_target(it.id);
                 host_.limiter.remove_target(it.id);
+                host_.rejection_limits.remove_target(it.id);
+                host_.rejections.remove_target(it.id);
+                host_.rejection_gate.remove_target(it.id);
                 notify_relays(it.id);
             }
         }
@@ -601,6 +604,8 @@
         }
         host_.quarantine.expire(now);
         host_.limits.expire(now);
+        host_.rejection_limits.expire(now);
+        host_.rejections.expire(now);
         // The permission needs several seconds without a pause between calls.
         host_.may_admit_trials(now);
         host_.metrics.log_lines_dropped(log::dropped_lines());
--- a/src/gateway/host_state.hpp
+++ b/src/gateway/host_state.hpp
@@ -17,6 +17,7 @@
 #include "net/event_loop.hpp"
 #include "quarantine/part_quarantine.hpp"
 #include "quarantine/trial_permission.hpp"
+#include "rejection_limit/gate.hpp"
 #include "request_limit/limit_table.hpp"
 #include "request_limit/limiter.hpp"
 #include "routes/route_table.hpp"
@@ -25,6 +26,7 @@
 
 #include <map>
 #include <memory>
+#include <vector>
 
 /// State shared by all requests of one host. Used only on the event loop's
 /// thread.
@@ -40,6 +42,9 @@
 /// hundred tokens at the engines' rate under load.
 constexpr auto initial_stream_time = duration{6s};
 
+/// Targets state rejection limits in every response.
+constexpr auto rejection_limit_report_period = duration{5s};
+
 struct host_state
 {
     host_state(net::event_loop& on, protocol const& adapter, host_settings its,
@@ -78,10 +83,11 @@
         return trials.granted(now);
     }
 
-    /// Brings this host's shares of the limits of a service's targets up to
+    /// Brings what the limits of a service's targets permit this host up to
     /// date. Call before a target of `service` is chosen.
-    void update_limiter(service_id const& service, time_point now)
+    void update_limits(service_id const& service, time_point now)
     {
+        update_gate(service, now);
         if (limits.empty())
         {
             limiter.clear();
@@ -94,6 +100,31 @@
                        now);
     }
 
+    void update_gate(service_id const& service, time_point now)
+    {
+        if (rejection_limits.empty())
+        {
+            rejection_gate.clear();
+            return;
+        }
+        auto const usable = targets.usable(service);
+        auto uses = std::vector<rejection_limit::target_use>{};
+        for (auto const& it : usable)
+        {
+            uses.push_back({loads.at_target(it.id).requests,
+                            other_hosts.load_of(it.id).requests});
+        }
+        auto demand = rejection_limit::fleet_demand{};
+        demand.hosts = request_limit::group_of(
+            settings.host, other_hosts.host_ids(), known_host_count);
+        if (auto const rate = other_hosts.request_rate(service, now))
+        {
+            demand.others = request_limit::request_rate{*rate};
+        }
+        rejection_gate.update(rejection_limits, rejections, usable, uses,
+                              demand, now);
+    }
+
     net::event_loop& loop;
     protocol const& wire;
     host_settings settings;
@@ -105,6 +136,9 @@
     dispatch::load_tracker loads;
     request_limit::limit_table limits;
     request_limit::limiter limiter;
+    request_limit::limit_table rejection_limits{rejection_limit_report_period};
+    rejection_limit::rejection_log rejections;
+    rejection_limit::gate rejection_gate;
     stream_origin::origin_table origins;
     /// The origins of streams that began before this host started have been
     /// fetched, or no other host knows them.
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -206,8 +206,12 @@
 
 auto relay::view() const -> dispatch::placement_view
 {
-    return {host_.targets.usable(admitted_.service->id), host_.detector,
-            host_.loads, host_.other_hosts, host_.limiter};
+    return {host_.targets.usable(admitted_.service->id),
+            host_.detector,
+            host_.loads,
+            host_.other_hosts,
+            host_.limiter,
+            host_.rejection_gate};
 }
 
 auto relay::placement() const -> dispatch::placement_request
@@ -221,9 +225,17 @@
     }
     out.versions = versions_;
     out.tried = tried_targets_;
+    out.arrival = arrival();
     return out;
 }
 
+auto relay::arrival() const -> rejection_limit::arrival
+{
+    return tried_targets_.empty() && !metadata_.resume_after
+               ? rejection_limit::arrival::independent
+               : rejection_limit::arrival::burst;
+}
+
 auto relay::cannot_meet_deadline(time_point now) const -> bool
 {
     return streaming() &&
@@ -243,11 +255,12 @@
     {
         return;
     }
-    host_.update_limiter(admitted_.service->id, now);
+    host_.update_limits(admitted_.service->id, now);
     auto const point = std::exchange(resume_point_, std::nullopt);
     auto const usable =
         point && host_.targets.takes_new_work(point->target.id) &&
         host_.limiter.permits(point->target.id, now) &&
+        host_.rejection_gate.permits(point->target.id, arrival()) &&
         host_.detector.health_of(point->target.id, point->target.domain, now) !=
             dispatch::health::excluded;
     if (usable)
@@ -278,8 +291,9 @@
     {
         host_.request_counts.refund_attempt(admitted_.service->id, now);
     }
-    on_denial(limit_retry_after(now) ? refusal_reason::target_limits
-                                     : refusal_reason::no_target,
+    on_denial(limit_retry_after(now)    ? refusal_reason::target_limits
+              : rejection_retry_after() ? refusal_reason::rejection_limits
+                                        : refusal_reason::no_target,
               now);
 }
 
@@ -290,6 +304,13 @@
         host_.random, now);
 }
 
+auto relay::rejection_retry_after() -> std::optional<duration>
+{
+    return rejection_limit::retry_after(
+        host_.rejection_gate, host_.targets.usable(admitted_.service->id),
+        arrival(), host_.random);
+}
+
 auto relay::plan_attempt(directory::listed_target const& target,
                          std::optional<copy_reference> const& from,
                          time_point now) -> attempt_plan
@@ -374,6 +395,7 @@
     host_.loads.sent(target.id, metadata_.size);
     host_.detector.sent_to(target.domain, now);
     host_.limiter.sent(target.id, now);
+    host_.rejection_gate.sent(target.id, now);
     record_origin(now);
     if (warm)
     {
@@ -419,16 +441,22 @@
 void relay::on_response_head(response_metadata const& it, time_point now)
 {
     auto const& target = current_->target;
-    if (it.unreadable_request_limit)
+    auto const observed = [&](auto const& limit)
     {
-        return;
-    }
-    if (host_.limits.observe({target.id, target.process_start, it.request_limit,
-                              current_->sent_at},
-                             now))
+        return request_limit::response{target.id, target.process_start, limit,
+                                       current_->sent_at};
+    };
+    if (!it.unreadable_request_limit &&
+        host_.limits.observe(observed(it.request_limit), now))
     {
         on_limit_changed(host_, target.id, it.request_limit, "response");
     }
+    if (!it.unreadable_rejection_limit &&
+        host_.rejection_limits.observe(observed(it.rejection_limit), now))
+    {
+        on_rejection_limit_changed(host_, target.id, it.rejection_limit,
+                                   "response");
+    }
 }
 
 void relay::on_event(http1::response_head const& head, http1::stream_event it,
@@ -548,6 +576,10 @@
                                  ? "true"
                                  : "false"},
          {"last_event", last_event_ ? std::to_string(*last_event_) : "none"}});
+    if (how == attempt_failure::not_executed && !current_->warm)
+    {
+        host_.rejections.rejected(target.id, target.process_start, now);
+    }
     if (how == attempt_failure::misdirected)
     {
         host_.targets.handle(directory::target_replaced{target.id}, now);
@@ -696,6 +728,8 @@
                            ? retry_after_elsewhere
                        : reason == refusal_reason::target_limits
                            ? limit_retry_after(now).value_or(retry_after_busy)
+                       : reason == refusal_reason::rejection_limits
+                           ? rejection_retry_after().value_or(retry_after_busy)
                            : retry_after_busy;
     auto const retry_after = retryable ? std::optional{delay} : std::nullopt;
     reply_error({status, reason, retry_after});
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -104,6 +104,9 @@
     /// its way.
     [[nodiscard]] auto limit_retry_after(time_point now)
         -> std::optional<duration>;
+    /// The same if targets that survive few rejections stand in its way.
+    auto rejection_retry_after() -> std::optional<duration>;
+    [[nodiscard]] auto arrival() const -> rejection_limit::arrival;
     void on_response_head(response_metadata const& it, time_point now);
     void on_event(http1::response_head const& head, http1::stream_event it,
                   time_point now);
--- a/src/metrics/gateway_metrics.cpp
+++ b/src/metrics/gateway_metrics.cpp
@@ -55,6 +55,9 @@
                                "Changes of belief about targets.")),
       limit_changes_(counters(*registry_, "gateway_request_limit_changes_total",
                               "Changes of the request limits of targets.")),
+      rejection_limit_changes_(
+          counters(*registry_, "gateway_rejection_limit_changes_total",
+                   "Changes of the rejection limits of targets.")),
       peer_bytes_(counters(*registry_, "gateway_peer_bytes_total",
                            "Bytes exchanged with other hosts.")),
       store_calls_(counters(*registry_, "gateway_store_calls_total",
@@ -139,6 +142,11 @@
     limit_changes_.Add({{"source", std::string{source}}}).Increment();
 }
 
+void gateway_metrics::rejection_limit_changed(std::string_view source)
+{
+    rejection_limit_changes_.Add({{"source", std::string{source}}}).Increment();
+}
+
 void gateway_metrics::store_call_failed()
 {
     store_failures_.Increment();
--- a/src/metrics/gateway_metrics.hpp
+++ b/src/metrics/gateway_metrics.hpp
@@ -38,6 +38,8 @@
     void target_changed(std::string_view to);
     /// The request limit of a target changed; `source` observed it.
     void request_limit_changed(std::string_view source);
+    /// The same of its rejection limit.
+    void rejection_limit_changed(std::string_view source);
     void store_call_failed();
     void configuration_version(std::uint64_t it);
     void log_lines_dropped(std::uint64_t total);
@@ -63,6 +65,7 @@
     prometheus::Family<prometheus::Counter>& own_link_changes_;
     prometheus::Family<prometheus::Counter>& target_changes_;
     prometheus::Family<prometheus::Counter>& limit_changes_;
+    prometheus::Family<prometheus::Counter>& rejection_limit_changes_;
     prometheus::Family<prometheus::Counter>& peer_bytes_;
     prometheus::Family<prometheus::Counter>& store_calls_;
     prometheus::Histogram& first_event_;
--- a/src/request_limit/limit_table_test.cpp
+++ b/src/request_limit/limit_table_test.cpp
@@ -155,8 +155,42 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(that_every_response_states)
+
+BOOST_AUTO_TEST_CASE(is_recorded_anew_after_a_period_or_a_change)
+{
+    auto it = limit_table{5s};
+    auto const recorded_at = [&](time_point now)
+    {
+        return it.report(now).at(0).recorded_at;
+    };
+    it.observe(stated(2, 0), at(10));
+    it.observe(stated(2, 100), at(110));
+    BOOST_TEST((recorded_at(at(110)) == at(10)));
+    BOOST_TEST((it.report(at(110)).at(0).state.observed_at == at(110)));
+    it.merge(reported(request_rate{2}, 200), at(210));
+    BOOST_TEST((recorded_at(at(210)) == at(10)));
+    it.observe(stated(1, 300), at(310));
+    BOOST_TEST((recorded_at(at(310)) == at(310)));
+    it.observe(stated(1, 5400), at(5410));
+    BOOST_TEST((recorded_at(at(5410)) == at(5410)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(when_it_has_ended)
 
+BOOST_AUTO_TEST_CASE(is_known_as_ended_for_its_process)
+{
+    auto it = limit_table{};
+    BOOST_TEST(!it.ended(target, process));
+    it.observe(stated(2, 0), at(10));
+    BOOST_TEST(!it.ended(target, process));
+    it.observe(unlimited(20), at(30));
+    BOOST_TEST(it.ended(target, process));
+    BOOST_TEST(!it.ended(target, later_process));
+}
+
 BOOST_AUTO_TEST_CASE(is_forgotten_after_all_reports_of_it)
 {
     auto it = limit_table{};
