--- a/src/fleet/digest.hpp
+++ b/src/fleet/digest.hpp
@@ -4,6 +4,7 @@
 #include "core/units.hpp"
 #include "dispatch/load_tracker.hpp"
 #include "quarantine/part_quarantine.hpp"
+#include "rejection_limit/rejection_log.hpp"
 #include "request_limit/limit_table.hpp"
 #include "stream_origin/origin_table.hpp"
 
@@ -73,6 +74,11 @@
     /// (`reachability::direct_path`). Partial digests have all of them. Absent
     /// in digests of hosts of earlier versions.
     std::vector<service_id> unreachable_services;
+    /// Rejection limits of targets, like request limits; and the requests that
+    /// targets rejected within the last second. Absent in digests of hosts of
+    /// earlier versions.
+    std::vector<request_limit::reported_limit> rejection_limits;
+    std::vector<rejection_limit::reported_rejections> rejections;
 };
 
 /// Largest digest in bytes, sent as one datagram. Entries that do not fit are
