--- a/src/gateway/relay_test.cpp
+++ b/src/gateway/relay_test.cpp
@@ -303,423 +303,416 @@
     run_until([&] { return client.over(); });
     BOOST_TEST(client.finished);
     BOOST_TEST(target.runs() == 1);
-    struct resumed_stream : one_host
-    {
-        /// Begins a stream at a target that answers with `first` and breaks
-        /// off; the next target answers with `second`, and the one after it
-        /// with events from the second on.
-        void play(std::string const& second_response)
-        {
-            auto first =
-                raw_target{loop, [](std::string const&)
-                           {
-                               return answer_of(event(1), answer_end::reset);
-                           }};
-            auto second =
-                raw_target{loop, [&](std::string const&)
-                           {
-                               return standins::raw_answer{
-                                   second_response, {}, 0, answer_end::closed};
-                           }};
-            auto third = raw_target{loop, [&](std::string const&)
-                                    {
-                                        return answer_of(event(2) + event(3),
-                                                         answer_end::closed);
-                                    }};
-            list("t0", "a", first.port());
-            send("/stream/", client);
-            run_until([&] { return client.started; });
-            list("t1", "b", second.port());
-            host.targets.handle(directory::entry_removed{target_id{"t0"}},
-                                net::event_loop::now());
-            run_until([&] { return second.runs() > 0 || client.over(); });
-            list("t2", "c", third.port());
-            host.targets.handle(directory::entry_removed{target_id{"t1"}},
-                                net::event_loop::now());
-            run_until([&] { return client.over(); });
-            second_runs = second.runs();
-        }
-
-        /// The answer of the second target is no part of what the client got.
-        void check(std::string const& second_response)
-        {
-            play(second_response);
-            BOOST_TEST(second_runs == 1, second_response);
-            BOOST_TEST(!client.reply.has_value(), second_response);
-            BOOST_TEST(client.finished, second_response);
-            BOOST_TEST(client.body == event(1) + event(2) + event(3),
-                       second_response);
-        }
-
-        static auto signed_response(std::string const& status,
-                                    std::string const& more,
-                                    std::string const& body) -> std::string
-        {
-            return "HTTP/1.1 " + status + "\r\n" +
-                   std::string{platform::names::signature} + ": sig\r\n" +
-                   more + "Content-Length: " + std::to_string(body.size()) +
-                   "\r\n\r\n" + body;
-        }
-
-        client_view client;
-        int second_runs = 0;
-    };
-
-    BOOST_AUTO_TEST_CASE(contained_the_error_of_its_next_target)
-    {
-        for (auto const* const status :
-             {"302 Found", "400 Bad Request", "404 Not Found", "409 Conflict",
-              "410 Gone", "500 Internal Server Error", "502 Bad Gateway"})
-        {
-            resumed_stream{}.check(
-                resumed_stream::signed_response(status, "", "error"));
-            resumed_stream{}.check(
-                resumed_stream::signed_response(status, "", event(2)));
-        }
-    }
-
-    BOOST_AUTO_TEST_CASE(contained_text_that_is_no_event)
-    {
-        auto const json = std::string{"Content-Type: application/json\r\n"};
-        for (auto const* const body :
-             {"{\"error\":\"x\"}", "{\"error\":\"x\"}\n\n", "data: x\n\n",
-              "error: x\n\n"})
-        {
-            resumed_stream{}.check(
-                resumed_stream::signed_response("200 OK", json, body));
-            resumed_stream{}.check(
-                resumed_stream::signed_response("200 OK", "", body));
-        }
-        resumed_stream{}.check(resumed_stream::signed_response(
-            "200 OK", "Content-Encoding: gzip\r\n", event(2)));
-    }
-
-    BOOST_AUTO_TEST_CASE(ended_complete_with_a_target_without_events)
-    {
-        resumed_stream{}.check(
-            resumed_stream::signed_response("200 OK", "", ""));
-        resumed_stream{}.check(
-            resumed_stream::signed_response("200 OK", "", ": nothing\n\n"));
-        resumed_stream{}.check("HTTP/1.1 204 No Content\r\n" +
-                               std::string{platform::names::signature} +
-                               ": sig\r\n\r\n");
-    }
+}
 
-    // Nothing tells the next target where such a stream goes on.
-    BOOST_FIXTURE_TEST_CASE(was_sent_again_after_an_event_without_an_id,
-                            one_host)
+struct resumed_stream : one_host
+{
+    /// Begins a stream at a target that answers with `first` and breaks
+    /// off; the next target answers with `second`, and the one after it
+    /// with events from the second on.
+    void play(std::string const& second_response)
     {
-        auto client = client_view{};
         auto first =
             raw_target{loop, [](std::string const&)
                        {
-                           return answer_of("data: t\n\n", answer_end::reset);
+                           return answer_of(event(1), answer_end::reset);
                        }};
         auto second =
-            raw_target{loop, [](std::string const&)
+            raw_target{loop, [&](std::string const&)
                        {
-                           return answer_of("data: t\n\n", answer_end::closed);
+                           return standins::raw_answer{
+                               second_response, {}, 0, answer_end::closed};
                        }};
+        auto third = raw_target{loop, [&](std::string const&)
+                                {
+                                    return answer_of(event(2) + event(3),
+                                                     answer_end::closed);
+                                }};
         list("t0", "a", first.port());
         send("/stream/", client);
         run_until([&] { return client.started; });
         list("t1", "b", second.port());
         host.targets.handle(directory::entry_removed{target_id{"t0"}},
                             net::event_loop::now());
+        run_until([&] { return second.runs() > 0 || client.over(); });
+        list("t2", "c", third.port());
+        host.targets.handle(directory::entry_removed{target_id{"t1"}},
+                            net::event_loop::now());
         run_until([&] { return client.over(); });
-        BOOST_TEST(client.aborted);
-        BOOST_TEST(client.body == "data: t\n\n");
-        BOOST_TEST(second.runs() == 0);
+        second_runs = second.runs();
     }
 
-    BOOST_FIXTURE_TEST_CASE(ends_at_its_deadline_while_it_waits, one_host)
+    /// The answer of the second target is no part of what the client got.
+    void check(std::string const& second_response)
     {
-        auto first =
-            raw_target{loop, [](std::string const&)
-                       {
-                           return answer_of(event(1), answer_end::reset);
-                       }};
-        auto const closed = closed_port{};
-        auto client = client_view{};
-        list("t0", "a", first.port());
-        send("/stream/", client);
-        run_until([&] { return client.started; });
-        list("t1", "b", closed.port());
-        host.targets.handle(directory::entry_removed{target_id{"t0"}},
-                            net::event_loop::now());
-        auto const now = net::event_loop::now();
-        auto const deadline_at = now + 500ms;
-        for (auto const& [key, it] : std::map{host.relays})
-        {
-            it->limit_deadline(deadline_at, now);
-        }
-        run_until([&] { return client.over(); });
-        BOOST_TEST(client.aborted);
-        BOOST_TEST((net::event_loop::now() >= deadline_at - 15ms));
-        BOOST_TEST(host.relays.empty());
+        play(second_response);
+        BOOST_TEST(second_runs == 1, second_response);
+        BOOST_TEST(!client.reply.has_value(), second_response);
+        BOOST_TEST(client.finished, second_response);
+        BOOST_TEST(client.body == event(1) + event(2) + event(3),
+                   second_response);
     }
 
-    BOOST_AUTO_TEST_SUITE_END()
+    static auto signed_response(std::string const& status,
+                                std::string const& more,
+                                std::string const& body) -> std::string
+    {
+        return "HTTP/1.1 " + status + "\r\n" +
+               std::string{platform::names::signature} + ": sig\r\n" + more +
+               "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+               body;
+    }
 
-    BOOST_AUTO_TEST_SUITE(a_request_without_an_answer_yet)
+    client_view client;
+    int second_runs = 0;
+};
 
-    BOOST_FIXTURE_TEST_CASE(is_refused_after_six_refused_connections, one_host)
+BOOST_AUTO_TEST_CASE(contained_the_error_of_its_next_target)
+{
+    for (auto const* const status :
+         {"302 Found", "400 Bad Request", "404 Not Found", "409 Conflict",
+          "410 Gone", "500 Internal Server Error", "502 Bad Gateway"})
     {
-        auto const closed = closed_port{};
-        for (auto const* const id : {"t0", "t1", "t2"})
-        {
-            list(id, "a", closed.port());
-        }
-        for (auto const* const path : {"/stream/", "/call/"})
-        {
-            auto client = client_view{};
-            auto const before = connect_failures();
-            send(path, client);
-            run_until([&] { return client.over(); });
-            BOOST_REQUIRE(client.reply);
-            constexpr auto unavailable = 503;
-            BOOST_TEST(client.reply->status == unavailable);
-            BOOST_TEST(connect_failures() - before == dispatch::max_refusals);
-        }
+        resumed_stream{}.check(
+            resumed_stream::signed_response(status, "", "error"));
+        resumed_stream{}.check(
+            resumed_stream::signed_response(status, "", event(2)));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(contained_text_that_is_no_event)
+{
+    auto const json = std::string{"Content-Type: application/json\r\n"};
+    for (auto const* const body : {"{\"error\":\"x\"}", "{\"error\":\"x\"}\n\n",
+                                   "data: x\n\n", "error: x\n\n"})
+    {
+        resumed_stream{}.check(
+            resumed_stream::signed_response("200 OK", json, body));
+        resumed_stream{}.check(
+            resumed_stream::signed_response("200 OK", "", body));
     }
+    resumed_stream{}.check(resumed_stream::signed_response(
+        "200 OK", "Content-Encoding: gzip\r\n", event(2)));
+}
 
-    BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_CASE(ended_complete_with_a_target_without_events)
+{
+    resumed_stream{}.check(resumed_stream::signed_response("200 OK", "", ""));
+    resumed_stream{}.check(
+        resumed_stream::signed_response("200 OK", "", ": nothing\n\n"));
+    resumed_stream{}.check("HTTP/1.1 204 No Content\r\n" +
+                           std::string{platform::names::signature} +
+                           ": sig\r\n\r\n");
+}
 
-    BOOST_AUTO_TEST_SUITE(a_host_that_reaches_nobody)
+// Nothing tells the next target where such a stream goes on.
+BOOST_FIXTURE_TEST_CASE(was_sent_again_after_an_event_without_an_id, one_host)
+{
+    auto client = client_view{};
+    auto first =
+        raw_target{loop, [](std::string const&)
+                   {
+                       return answer_of("data: t\n\n", answer_end::reset);
+                   }};
+    auto second =
+        raw_target{loop, [](std::string const&)
+                   {
+                       return answer_of("data: t\n\n", answer_end::closed);
+                   }};
+    list("t0", "a", first.port());
+    send("/stream/", client);
+    run_until([&] { return client.started; });
+    list("t1", "b", second.port());
+    host.targets.handle(directory::entry_removed{target_id{"t0"}},
+                        net::event_loop::now());
+    run_until([&] { return client.over(); });
+    BOOST_TEST(client.aborted);
+    BOOST_TEST(client.body == "data: t\n\n");
+    BOOST_TEST(second.runs() == 0);
+}
 
-    struct cut_off_host : one_host
+BOOST_FIXTURE_TEST_CASE(ends_at_its_deadline_while_it_waits, one_host)
+{
+    auto first = raw_target{loop, [](std::string const&)
+                            {
+                                return answer_of(event(1), answer_end::reset);
+                            }};
+    auto const closed = closed_port{};
+    auto client = client_view{};
+    list("t0", "a", first.port());
+    send("/stream/", client);
+    run_until([&] { return client.started; });
+    list("t1", "b", closed.port());
+    host.targets.handle(directory::entry_removed{target_id{"t0"}},
+                        net::event_loop::now());
+    auto const now = net::event_loop::now();
+    auto const deadline_at = now + 500ms;
+    for (auto const& [key, it] : std::map{host.relays})
     {
-        cut_off_host()
-        {
-            for (auto const& [id, domain] : targets)
-            {
-                list(id, domain, nobody.port());
-            }
-        }
-
-        /// Sends as many calls as there are domains and waits for their ends.
-        void send_calls()
-        {
-            auto clients = std::vector<client_view>(4);
-            for (auto& it : clients)
-            {
-                send("/call/", it);
-            }
-            run_until(
-                [&]
-                {
-                    return std::all_of(clients.begin(), clients.end(),
-                                       [](client_view const& it)
-                                       { return it.over(); });
-                });
-        }
+        it->limit_deadline(deadline_at, now);
+    }
+    run_until([&] { return client.over(); });
+    BOOST_TEST(client.aborted);
+    BOOST_TEST((net::event_loop::now() >= deadline_at - 15ms));
+    BOOST_TEST(host.relays.empty());
+}
 
-        [[nodiscard]] auto health_of(std::string const& id,
-                                     std::string const& domain) const
-            -> dispatch::health
-        {
-            return host.detector.health_of(target_id{id}, domain_id{domain},
-                                           net::event_loop::now());
-        }
+BOOST_AUTO_TEST_SUITE_END()
 
-        std::vector<std::pair<std::string, std::string>> targets = {
-            {"t0", "a"}, {"t1", "b"}, {"t2", "c"}, {"t3", "d"},
-            {"t4", "a"}, {"t5", "b"}, {"t6", "c"}, {"t7", "d"}};
-        standins::full_listener nobody;
-    };
+BOOST_AUTO_TEST_SUITE(a_request_without_an_answer_yet)
 
-    BOOST_FIXTURE_TEST_CASE(excluded_every_target_and_told_its_peers,
-                            cut_off_host)
+BOOST_FIXTURE_TEST_CASE(is_refused_after_six_refused_connections, one_host)
+{
+    auto const closed = closed_port{};
+    for (auto const* const id : {"t0", "t1", "t2"})
     {
-        send_calls();
-        for (auto const& [id, domain] : targets)
-        {
-            BOOST_TEST((health_of(id, domain) == dispatch::health::healthy),
-                       id);
-        }
-        BOOST_TEST(host.newly_lost.empty());
-        BOOST_TEST(metric("gateway_own_link_changes_total{to=\"down\"}") == 1);
+        list(id, "a", closed.port());
     }
-
-    BOOST_FIXTURE_TEST_CASE(made_new_requests_fail_at_six_targets, cut_off_host)
+    for (auto const* const path : {"/stream/", "/call/"})
     {
-        send_calls();
-        auto const before = connect_failures();
         auto client = client_view{};
-        send("/call/", client);
+        auto const before = connect_failures();
+        send(path, client);
         run_until([&] { return client.over(); });
-        BOOST_TEST(connect_failures() - before == 1);
         BOOST_REQUIRE(client.reply);
         constexpr auto unavailable = 503;
         BOOST_TEST(client.reply->status == unavailable);
-        auto const retry_after =
-            http1::single_header(client.reply->headers, "Retry-After");
-        BOOST_REQUIRE(retry_after);
-        constexpr auto short_delay = 0.05;
-        BOOST_TEST(std::stod(std::string{*retry_after}) <= short_delay);
+        BOOST_TEST(connect_failures() - before == dispatch::max_refusals);
     }
+}
 
-    BOOST_FIXTURE_TEST_CASE(knows_again_that_targets_fail_after_a_connection,
-                            cut_off_host)
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_host_that_reaches_nobody)
+
+struct cut_off_host : one_host
+{
+    cut_off_host()
     {
-        send_calls();
-        auto target = raw_target{loop, [](std::string const&)
-                                 {
-                                     return answer_of("", answer_end::closed);
-                                 }};
         for (auto const& [id, domain] : targets)
         {
-            host.targets.handle(directory::entry_removed{target_id{id}},
-                                net::event_loop::now());
+            list(id, domain, nobody.port());
         }
-        list("t8", "a", target.port());
-        auto client = client_view{};
-        send("/call/", client);
-        run_until([&] { return client.over(); });
-        BOOST_TEST(metric("gateway_own_link_changes_total{to=\"up\"}") == 1);
-        list("t9", "b", nobody.port());
-        host.targets.handle(directory::entry_removed{target_id{"t8"}},
-                            net::event_loop::now());
-        auto second = client_view{};
-        send("/call/", second);
-        run_until([&] { return second.over(); });
-        BOOST_TEST((health_of("t9", "b") == dispatch::health::excluded));
-        BOOST_TEST(!host.newly_lost.empty());
     }
 
-    BOOST_FIXTURE_TEST_CASE(gave_up_the_copy_of_a_stream_with_its_connection,
-                            cut_off_host)
+    /// Sends as many calls as there are domains and waits for their ends.
+    void send_calls()
     {
-        for (auto const& [id, domain] : targets)
+        auto clients = std::vector<client_view>(4);
+        for (auto& it : clients)
         {
-            host.targets.handle(directory::entry_removed{target_id{id}},
-                                net::event_loop::now());
+            send("/call/", it);
         }
-        auto configuration = host.table->all();
-        auto engine = routes::engine_limits{};
-        engine.supports_continuous_copy = true;
-        configuration.services.front().engine = engine;
-        host.table = std::make_shared<routes::route_table>(configuration);
-        auto first =
-            raw_target{loop, [](std::string const&)
-                       {
-                           return answer_of(event(1), answer_end::stays_open);
-                       }};
-        auto holder = standins::full_listener{};
-        // The stream begins in the host's own domain.
-        host.settings.domain = domain_id{"a"};
-        list("first", "a", first.port());
-        auto client = client_view{};
-        list("holder", "b", holder.port());
-        send("/stream/", client);
-        run_until([&] { return client.started; });
-        host.targets.handle(directory::entry_removed{target_id{"first"}},
-                            net::event_loop::now());
-        for (auto const& [id, domain] : targets)
-        {
-            list(id, domain, nobody.port());
-        }
-        send_calls();
-        BOOST_REQUIRE(host.own_link.down());
-        auto const before = connect_failures();
-        constexpr auto several = 3;
-        run_until([&] { return connect_failures() - before >= several; });
-        auto head = std::string{};
-        auto taken = std::vector<int>{};
-        holder.drain();
         run_until(
             [&]
             {
-                for (auto const fd : holder.accept_all())
-                {
-                    taken.push_back(fd);
-                }
-                for (auto const fd : taken)
-                {
-                    char buf[4096];
-                    auto const n = ::recv(fd, buf, sizeof buf, MSG_DONTWAIT);
-                    head.append(buf, static_cast<std::size_t>(n > 0 ? n : 0));
-                }
-                return head.find("\r\n\r\n") != std::string::npos ||
-                       client.over();
+                return std::all_of(clients.begin(), clients.end(),
+                                   [](client_view const& it)
+                                   { return it.over(); });
             });
-        BOOST_TEST(head.find(std::string{platform::names::continue_from} +
-                             ": ") != std::string::npos);
-        for (auto const fd : taken)
-        {
-            ::close(fd);
-        }
     }
 
-    BOOST_FIXTURE_TEST_CASE(
-        accused_a_request_of_a_crash_that_it_could_not_confirm, cut_off_host)
+    [[nodiscard]] auto health_of(std::string const& id,
+                                 std::string const& domain) const
+        -> dispatch::health
     {
-        for (auto const& [id, domain] : targets)
+        return host.detector.health_of(target_id{id}, domain_id{domain},
+                                       net::event_loop::now());
+    }
+
+    std::vector<std::pair<std::string, std::string>> targets = {
+        {"t0", "a"}, {"t1", "b"}, {"t2", "c"}, {"t3", "d"},
+        {"t4", "a"}, {"t5", "b"}, {"t6", "c"}, {"t7", "d"}};
+    standins::full_listener nobody;
+};
+
+BOOST_FIXTURE_TEST_CASE(excluded_every_target_and_told_its_peers, cut_off_host)
+{
+    send_calls();
+    for (auto const& [id, domain] : targets)
+    {
+        BOOST_TEST((health_of(id, domain) == dispatch::health::healthy), id);
+    }
+    BOOST_TEST(host.newly_lost.empty());
+    BOOST_TEST(metric("gateway_own_link_changes_total{to=\"down\"}") == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(made_new_requests_fail_at_six_targets, cut_off_host)
+{
+    send_calls();
+    auto const before = connect_failures();
+    auto client = client_view{};
+    send("/call/", client);
+    run_until([&] { return client.over(); });
+    BOOST_TEST(connect_failures() - before == 1);
+    BOOST_REQUIRE(client.reply);
+    constexpr auto unavailable = 503;
+    BOOST_TEST(client.reply->status == unavailable);
+    auto const retry_after =
+        http1::single_header(client.reply->headers, "Retry-After");
+    BOOST_REQUIRE(retry_after);
+    constexpr auto short_delay = 0.05;
+    BOOST_TEST(std::stod(std::string{*retry_after}) <= short_delay);
+}
+
+BOOST_FIXTURE_TEST_CASE(knows_again_that_targets_fail_after_a_connection,
+                        cut_off_host)
+{
+    send_calls();
+    auto target = raw_target{loop, [](std::string const&)
+                             {
+                                 return answer_of("", answer_end::closed);
+                             }};
+    for (auto const& [id, domain] : targets)
+    {
+        host.targets.handle(directory::entry_removed{target_id{id}},
+                            net::event_loop::now());
+    }
+    list("t8", "a", target.port());
+    auto client = client_view{};
+    send("/call/", client);
+    run_until([&] { return client.over(); });
+    BOOST_TEST(metric("gateway_own_link_changes_total{to=\"up\"}") == 1);
+    list("t9", "b", nobody.port());
+    host.targets.handle(directory::entry_removed{target_id{"t8"}},
+                        net::event_loop::now());
+    auto second = client_view{};
+    send("/call/", second);
+    run_until([&] { return second.over(); });
+    BOOST_TEST((health_of("t9", "b") == dispatch::health::excluded));
+    BOOST_TEST(!host.newly_lost.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(gave_up_the_copy_of_a_stream_with_its_connection,
+                        cut_off_host)
+{
+    for (auto const& [id, domain] : targets)
+    {
+        host.targets.handle(directory::entry_removed{target_id{id}},
+                            net::event_loop::now());
+    }
+    auto configuration = host.table->all();
+    auto engine = routes::engine_limits{};
+    engine.supports_continuous_copy = true;
+    configuration.services.front().engine = engine;
+    host.table = std::make_shared<routes::route_table>(configuration);
+    auto first =
+        raw_target{loop, [](std::string const&)
+                   {
+                       return answer_of(event(1), answer_end::stays_open);
+                   }};
+    auto holder = standins::full_listener{};
+    // The stream begins in the host's own domain.
+    host.settings.domain = domain_id{"a"};
+    list("first", "a", first.port());
+    auto client = client_view{};
+    list("holder", "b", holder.port());
+    send("/stream/", client);
+    run_until([&] { return client.started; });
+    host.targets.handle(directory::entry_removed{target_id{"first"}},
+                        net::event_loop::now());
+    for (auto const& [id, domain] : targets)
+    {
+        list(id, domain, nobody.port());
+    }
+    send_calls();
+    BOOST_REQUIRE(host.own_link.down());
+    auto const before = connect_failures();
+    constexpr auto several = 3;
+    run_until([&] { return connect_failures() - before >= several; });
+    auto head = std::string{};
+    auto taken = std::vector<int>{};
+    holder.drain();
+    run_until(
+        [&]
         {
-            host.targets.handle(directory::entry_removed{target_id{id}},
-                                net::event_loop::now());
-        }
-        auto target = standins::full_listener{};
-        target.drain();
-        list("t8", "a", target.port());
-        auto client = client_view{};
-        send("/call/", client);
-        auto taken = std::vector<int>{};
-        run_until(
-            [&]
+            for (auto const fd : holder.accept_all())
             {
-                for (auto const it : target.accept_all())
-                {
-                    taken.push_back(it);
-                }
-                return std::any_of(taken.begin(), taken.end(),
-                                   [](int it)
-                                   {
-                                       char byte = 0;
-                                       return ::recv(it, &byte, 1,
-                                                     MSG_PEEK | MSG_DONTWAIT) >
-                                              0;
-                                   });
-            });
-        target.fill();
-        for (auto const& [id, domain] : targets)
-        {
-            list(id, domain, nobody.port());
-        }
-        send_calls();
-        BOOST_REQUIRE(host.own_link.down());
-        for (auto const it : taken)
-        {
-            ::close(it);
-        }
-        run_until([&] { return client.over(); });
-        auto const probed_at = net::event_loop::now() + 2 * probe_timeout;
-        run_until([&] { return net::event_loop::now() > probed_at; });
-        BOOST_TEST(host.own_link.down());
-        BOOST_TEST(host.quarantine.make_report(net::event_loop::now())
-                       .accusations.empty());
+                taken.push_back(fd);
+            }
+            for (auto const fd : taken)
+            {
+                char buf[4096];
+                auto const n = ::recv(fd, buf, sizeof buf, MSG_DONTWAIT);
+                head.append(buf, static_cast<std::size_t>(n > 0 ? n : 0));
+            }
+            return head.find("\r\n\r\n") != std::string::npos || client.over();
+        });
+    BOOST_TEST(head.find(std::string{platform::names::continue_from} + ": ") !=
+               std::string::npos);
+    for (auto const fd : taken)
+    {
+        ::close(fd);
     }
+}
 
-    // All targets but those of one domain are out of reach.
-    BOOST_FIXTURE_TEST_CASE(is_not_one_that_reaches_its_own_domain,
-                            cut_off_host)
+BOOST_FIXTURE_TEST_CASE(accused_a_request_of_a_crash_that_it_could_not_confirm,
+                        cut_off_host)
+{
+    for (auto const& [id, domain] : targets)
     {
-        auto target = raw_target{loop, [](std::string const&)
-                                 {
-                                     return answer_of("", answer_end::closed);
-                                 }};
-        list("t3", "d", target.port());
-        list("t7", "d", target.port());
-        send_calls();
-        BOOST_TEST(metric("gateway_own_link_changes_total{to=\"down\"}") == 0);
-        auto client = client_view{};
-        send("/call/", client);
-        run_until([&] { return client.over(); });
-        BOOST_REQUIRE(client.reply);
-        constexpr auto success = 200;
-        BOOST_TEST(client.reply->status == success);
+        host.targets.handle(directory::entry_removed{target_id{id}},
+                            net::event_loop::now());
+    }
+    auto target = standins::full_listener{};
+    target.drain();
+    list("t8", "a", target.port());
+    auto client = client_view{};
+    send("/call/", client);
+    auto taken = std::vector<int>{};
+    run_until(
+        [&]
+        {
+            for (auto const it : target.accept_all())
+            {
+                taken.push_back(it);
+            }
+            return std::any_of(taken.begin(), taken.end(),
+                               [](int it)
+                               {
+                                   char byte = 0;
+                                   return ::recv(it, &byte, 1,
+                                                 MSG_PEEK | MSG_DONTWAIT) > 0;
+                               });
+        });
+    target.fill();
+    for (auto const& [id, domain] : targets)
+    {
+        list(id, domain, nobody.port());
     }
+    send_calls();
+    BOOST_REQUIRE(host.own_link.down());
+    for (auto const it : taken)
+    {
+        ::close(it);
+    }
+    run_until([&] { return client.over(); });
+    auto const probed_at = net::event_loop::now() + 2 * probe_timeout;
+    run_until([&] { return net::event_loop::now() > probed_at; });
+    BOOST_TEST(host.own_link.down());
+    BOOST_TEST(host.quarantine.make_report(net::event_loop::now())
+                   .accusations.empty());
+}
+
+// All targets but those of one domain are out of reach.
+BOOST_FIXTURE_TEST_CASE(is_not_one_that_reaches_its_own_domain, cut_off_host)
+{
+    auto target = raw_target{loop, [](std::string const&)
+                             {
+                                 return answer_of("", answer_end::closed);
+                             }};
+    list("t3", "d", target.port());
+    list("t7", "d", target.port());
+    send_calls();
+    BOOST_TEST(metric("gateway_own_link_changes_total{to=\"down\"}") == 0);
+    auto client = client_view{};
+    send("/call/", client);
+    run_until([&] { return client.over(); });
+    BOOST_REQUIRE(client.reply);
+    constexpr auto success = 200;
+    BOOST_TEST(client.reply->status == success);
+}
 
-    BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace primrosedeal::gateway
