--- a/src/reachability/path_replay_test.cpp
+++ b/src/reachability/path_replay_test.cpp
@@ -357,9 +357,10 @@
         auto request = dispatch::placement_request{};
         request.own_domain = host.domain;
         request.tried = it.tried;
-        auto const to = dispatch::place(
-            {targets_, host.detector, loads_, no_others_, dispatch::no_limits},
-            request, now_, random_);
+        auto const to =
+            dispatch::place({targets_, host.detector, loads_, no_others_,
+                             dispatch::no_limits, dispatch::no_gate},
+                            request, now_, random_);
         BOOST_REQUIRE(to);
         ++it.attempts;
         auto const through_helper =
