Leave a silent run only if another target can take it over

Callers saw a begun answer closed after 0.4 s of their target's silence although no other run could follow: the stream may not be resumed, its version has no other target, a leaving host has no time for another run, or there is no target. The run that was left might have gone on. An attempt whose silence is over its bound now asks whether a target can take the run over, keeps it as a last run if none can, and asks again each 100 ms.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -23,6 +23,8 @@
 constexpr auto first_redirect = 300;
 /// Bytes of a stream in which an event with data must end.
 constexpr auto max_event_bytes = std::size_t{1} << 20U;
+/// Time after which a run that no target could take over is checked again.
+constexpr auto move_check_period = duration{100ms};
 
 /// Statuses by which a client is told that its request did not run.
 auto states_not_run(int status) -> bool
@@ -329,8 +331,20 @@
 
     void check_progress(time_point now)
     {
-        auto const step = dispatch::check_stream(dispatch::watch_limits{},
-                                                 plan.stream_timing, now);
+        auto& facts = plan.stream_timing;
+        auto step =
+            dispatch::check_stream(dispatch::watch_limits{}, facts, now);
+        if (std::holds_alternative<dispatch::end_attempt>(step) &&
+            events.can_move && !events.can_move())
+        {
+            auto const last_run = std::exchange(facts.last_run, true);
+            step = dispatch::check_stream(dispatch::watch_limits{}, facts, now);
+            facts.last_run = last_run;
+            if (auto* const it = std::get_if<dispatch::keep_waiting>(&step))
+            {
+                it->until = std::min(it->until, now + move_check_period);
+            }
+        }
         std::visit(overloaded{[&](dispatch::keep_waiting const& it)
                               { schedule_check(it.until - now); },
                               [&](dispatch::probe_target const&)
--- a/src/gateway/attempt.hpp
+++ b/src/gateway/attempt.hpp
@@ -46,6 +46,8 @@
     /// Called for the head of each response that the target itself made to
     /// this request.
     std::function<void(response_metadata const&)> on_response_head;
+    /// Whether another target could take over the run now; absent: it could.
+    std::function<bool()> can_move;
     /// Called for each complete event of a streaming response.
     std::function<void(http1::response_head const&, http1::stream_event)>
         on_event;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -456,6 +456,10 @@
         on_response_head(it, net::event_loop::now());
     };
     events.on_event =
+    events.can_move = [this]
+    {
+        return can_move(net::event_loop::now());
+    };
         [this](http1::response_head const& head, http1::stream_event it)
     {
         on_event(head, std::move(it), net::event_loop::now());
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -118,6 +118,8 @@
     void log_continued(duration pause);
     void on_stream_end(time_point now);
     void on_response(target_response const& it, time_point now);
+    /// Whether another target could take over the current run now.
+    [[nodiscard]] auto can_move(time_point now) -> bool;
     /// There is no way to `target`, which was chosen for the next attempt.
     void on_no_path(directory::listed_target const& target,
                     std::optional<copy_reference> const& from, time_point now);
--- a/src/gateway/relay_fixture.hpp
+++ b/src/gateway/relay_fixture.hpp
@@ -109,7 +109,10 @@
         calls.path_prefix = "/call/";
         calls.kind = routes::request_kind::non_idempotent;
         calls.resumable = false;
-        it.routes = {streams, calls};
+        auto fixed = streams;
+        fixed.path_prefix = "/fixed/";
+        fixed.resumable = false;
+        it.routes = {streams, calls, fixed};
         it.services = {{service, "/health/", 100, {}}};
         host.table = std::make_shared<routes::route_table>(std::move(it));
         host.list_is_current = true;
--- a/src/gateway/relay_paths.cpp
+++ b/src/gateway/relay_paths.cpp
@@ -83,3 +83,22 @@
 }
 
 } // namespace primrosedeal::gateway
+auto relay::can_move(time_point now) -> bool
+{
+    if (!state_.resumable || state_.runs + 1 >= state_.max_runs)
+    {
+        return false;
+    }
+    if (resume_point_after_failure())
+    {
+        return true;
+    }
+    auto it = placement();
+    if (begun() && origin_)
+    {
+        it.versions = {*origin_};
+    }
+    auto const to = dispatch::place(view(), it, now, host_.random);
+    return to && to->id != current_->target.id && !cannot_meet_deadline(now);
+}
+
--- a/src/gateway/relay_test.cpp
+++ b/src/gateway/relay_test.cpp
@@ -262,6 +262,45 @@
     BOOST_TEST(client.body == whole);
 }
 
+BOOST_FIXTURE_TEST_CASE(was_cut_for_a_silence_that_no_other_run_could_follow,
+                        one_host)
+{
+    auto answer = answer_of(event(1), answer_end::closed);
+    answer.rest = event(2);
+    answer.pause = 1s;
+    auto const whole = event(1) + event(2);
+    auto target = raw_target{loop, [&](std::string const&)
+                             {
+                                 return answer;
+                             }};
+    auto other = raw_target{loop, [&](std::string const&)
+                            {
+                                return answer;
+                            }};
+    list("t0", "a", target.port(), software_version{"v1"});
+
+    auto fixed = client_view{};
+    send("/fixed/", fixed);
+    run_until([&] { return fixed.over(); });
+    BOOST_TEST(fixed.finished);
+    BOOST_TEST(fixed.body == whole);
+
+    auto leaving = client_view{};
+    send("/stream/", leaving);
+    run_until([&] { return leaving.started; });
+    // Its version has no other target.
+    list("t1", "b", other.port(), software_version{"v2"});
+    auto it = *host.targets.find(target_id{"t0"});
+    it.leaving = true;
+    host.targets.handle(directory::entry_written{it.id, it},
+                        net::event_loop::now());
+    run_until([&] { return leaving.over(); });
+    BOOST_TEST(leaving.finished);
+    BOOST_TEST(leaving.body == whole);
+    BOOST_TEST(target.runs() == 2);
+    BOOST_TEST(other.runs() == 0);
+}
+
 BOOST_FIXTURE_TEST_CASE(left_its_target_for_a_pause_of_its_own_host, one_host)
 {
     auto answer = answer_of(event(1), answer_end::closed);
