--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -32,8 +32,8 @@
     constexpr auto request_timeout = 408;
     constexpr auto too_many_requests = 429;
     constexpr auto unavailable = 503;
-    return status == request_timeout || status == misdirected_request ||
-           status == too_many_requests || status == unavailable;
+    return status == request_timeout || status == too_many_requests ||
+           status == unavailable;
 }
 
 auto classify_failure(http1::response_head const& head,
@@ -45,11 +45,13 @@
     {
         return attempt_failure::damaged;
     }
+    if (head.status == misdirected_request)
+    {
+        return attempt_failure::misdirected;
+    }
     if (metadata.not_executed && head.status >= first_client_error)
     {
-        return head.status == misdirected_request
-                   ? attempt_failure::misdirected
-                   : attempt_failure::not_executed;
+        return attempt_failure::not_executed;
     }
     if (metadata.not_executed || states_not_run(head.status) ||
         metadata.encoded || !metadata.is_signed)
