--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -202,6 +202,10 @@
             how == attempt_failure::silent && call && !call->may_have_sent();
         stop();
         auto const reported = unsent ? attempt_failure::not_connected : how;
+        if (unsent && !is_direct())
+        {
+            on_tunnel_refused(http1::tunnel_refusal::no_answer);
+        }
         // A helper's silence says nothing of the target.
         if (reported == attempt_failure::not_connected && !refused &&
             (is_direct() || target_timed_out))
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -86,11 +86,11 @@
               [this](peer_state const& it) { on_peer_state(it); }),
           digests_(host_, peers_, make_digest_events()),
           origins_(host_, peers_, store),
+          tunnel_limit_(settings.link_bytes_per_second),
           tunnels_(loop, tunnel_limits{}, make_tunnel_events()),
           source_(loop, store, host_.random, peers_, host_.other_hosts,
                   settings, make_source_events()),
-          link_monitor_(settings.link_bytes_per_second),
-          tunnel_limit_(settings.link_bytes_per_second)
+          link_monitor_(settings.link_bytes_per_second)
     {
         host_.tunnel_address = [this](host_id const& id)
         {
@@ -244,8 +244,9 @@
         auto const now = net::event_loop::now();
         if (auto const* const it = host_.targets.find(id))
         {
+            // The connection began this long ago at most.
             on_direct_connection(host_, directory::listed_target{*it}, result,
-                                 now, now);
+                                 now - tunnel_limits{}.connect_timeout, now);
         }
     }
 
@@ -790,10 +791,10 @@
     peer_exchange peers_;
     digest_task digests_;
     origin_task origins_;
+    reachability::tunnel_limit tunnel_limit_;
     tunnel_server tunnels_;
     entry_source source_;
     link_monitor link_monitor_;
-    reachability::tunnel_limit tunnel_limit_;
     /// What this host's own callers take, as of the last tick.
     reachability::tunnel_limit::own_work own_work_;
     entry_map entries_;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -376,12 +376,17 @@
                  std::optional<copy_reference> const& from, time_point now)
 {
     auto path = choose_path(host_, target, failed_helpers_, now);
-    auto const helped = path && path->helper;
-    if (!path || (helped && failed_helpers_.size() >= max_failed_helpers))
+    if (!path || (path->helper && failed_helpers_.size() >= max_failed_helpers))
     {
-        on_no_path(target, from, now);
-        return;
+        // One direct attempt finds a path that is back before a probe does.
+        if (std::exchange(sent_without_helper_, true))
+        {
+            on_no_path(target, from, now);
+            return;
+        }
+        path = attempt_path{};
     }
+    auto const helped = path->helper.has_value();
     auto const warm = from.has_value();
     current_.emplace();
     current_->target = target;
@@ -451,15 +456,15 @@
     {
         on_tunnel_refusal(why, net::event_loop::now());
     };
+    events.can_move = [this]
+    {
+        return can_move(net::event_loop::now());
+    };
     events.on_response_head = [this](response_metadata const& it)
     {
         on_response_head(it, net::event_loop::now());
     };
     events.on_event =
-    events.can_move = [this]
-    {
-        return can_move(net::event_loop::now());
-    };
         [this](http1::response_head const& head, http1::stream_event it)
     {
         on_event(head, std::move(it), net::event_loop::now());
@@ -669,7 +674,7 @@
     }
     else
     {
-        state_.refusals += excused ? 0 : 1;
+        state_.refusals += own_link || helped ? 0 : 1;
         ++state_.fruitless_retries;
     }
     state_.own_link_down =
@@ -707,6 +712,11 @@
     interrupted_ = state_.answer_started;
     release_target();
     retry_or_end(how, now);
+    if (helped &&
+        (how == attempt_failure::silent || how == attempt_failure::broken))
+    {
+        host_.helpers.failed(*current_->path.helper, now);
+    }
     // Hosts with a direct path know better than one that was helped.
     if (newly_excluded && !helped)
     {
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -225,6 +225,8 @@
     /// Copy left by the last attempt; the next one resumes from it if possible.
     std::optional<resume_point> resume_point_;
     std::vector<target_id> tried_targets_;
+    /// It was sent directly, for want of a helper, since it last waited.
+    bool sent_without_helper_ = false;
     /// Hosts that did not open a tunnel for this request.
     std::vector<host_id> failed_helpers_;
     std::optional<std::uint64_t> last_event_;
--- a/src/gateway/relay_paths.cpp
+++ b/src/gateway/relay_paths.cpp
@@ -43,6 +43,7 @@
     }
     // A begun stream asks all helpers again after its delay.
     failed_helpers_.clear();
+    sent_without_helper_ = false;
     on_denial(refusal_reason::no_path, now);
 }
 
@@ -72,17 +73,17 @@
 
 auto relay::failed_on_path(attempt_failure how) const -> bool
 {
-    auto const without_answer =
-        how == attempt_failure::not_connected || how == attempt_failure::broken;
+    auto const without_answer = how == attempt_failure::not_connected ||
+                                how == attempt_failure::broken ||
+                                how == attempt_failure::silent;
     if (current_->path.helper)
     {
         return without_answer && !current_->helper_failed_there;
     }
-    return (without_answer || how == attempt_failure::silent) &&
+    return without_answer &&
            path_explains_failure(host_, current_->target, current_->sent_at);
 }
 
-} // namespace primrosedeal::gateway
 auto relay::can_move(time_point now) -> bool
 {
     if (!state_.resumable || state_.runs + 1 >= state_.max_runs)
@@ -102,3 +103,4 @@
     return to && to->id != current_->target.id && !cannot_meet_deadline(now);
 }
 
+} // namespace primrosedeal::gateway
--- a/src/gateway/tunnel_server.cpp
+++ b/src/gateway/tunnel_server.cpp
@@ -354,7 +354,7 @@
 
     void arm(duration after)
     {
-        timer_ = owner_.loop.after(after, [this] { on_timer(); });
+        timer_ = owner_.loop.after_input(after, [this] { on_timer(); });
     }
 
     void on_timer()
--- a/src/gateway/tunnel_server.hpp
+++ b/src/gateway/tunnel_server.hpp
@@ -23,7 +23,8 @@
 {
     /// Time for the head of a CONNECT.
     duration head_timeout = 1s;
-    duration connect_timeout = 250ms;
+    /// Hosts wait at least this long for their tunnel.
+    duration connect_timeout = 130ms;
     /// A tunnel without a byte in either direction is closed after it.
     duration idle_timeout = 60s;
     /// Time for the host to take the last bytes of a tunnel.
