--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -654,6 +654,11 @@
     {
         host_.rejections.rejected(target.id, target.process_start, now);
     }
+    if (helped &&
+        (how == attempt_failure::silent || how == attempt_failure::broken))
+    {
+        host_.helpers.failed(*current_->path.helper, now);
+    }
     if (how == attempt_failure::misdirected)
     {
         host_.targets.handle(directory::target_replaced{target.id}, now);
@@ -712,11 +717,6 @@
     interrupted_ = state_.answer_started;
     release_target();
     retry_or_end(how, now);
-    if (helped &&
-        (how == attempt_failure::silent || how == attempt_failure::broken))
-    {
-        host_.helpers.failed(*current_->path.helper, now);
-    }
     // Hosts with a direct path know better than one that was helped.
     if (newly_excluded && !helped)
     {
--- /dev/null
+++ b/src/gateway/relay_paths_test.cpp
@@ -0,0 +1,152 @@
+#include "gateway/relay_fixture.hpp"
+#include "gateway/tunnel_server.hpp"
+#include "standins/raw_target.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+// Requests of a host that has lost its path to the targets, and of its helper
+// on the same loop.
+namespace primrosedeal::gateway
+{
+
+namespace
+{
+
+using standins::answer_end;
+using standins::raw_target;
+
+struct host_without_path : one_host
+{
+    host_without_path()
+    {
+        auto it = fleet::digest{};
+        it.host = host_id{"helper"};
+        it.domain = domain_id{"a"};
+        it.sequence = 1;
+        host.other_hosts.apply(it, net::event_loop::now());
+        host.tunnel_address = [this](host_id const&)
+        {
+            return std::optional{net::endpoint{"127.0.0.1", helper_port}};
+        };
+        start_helper();
+    }
+
+    /// The target is at `port`; for the host itself it is at `own_port`.
+    void list_behind_cut(std::uint16_t port, std::uint16_t own_port)
+    {
+        target_port = port;
+        list("t0", "a", own_port);
+        auto const now = net::event_loop::now();
+        for (auto const* const id : {"x", "y", "z"})
+        {
+            host.paths.observe(service, target_id{id}, domain_id{id},
+                               reachability::connection_result::refused, now, 3,
+                               true, now);
+        }
+        BOOST_REQUIRE(host.paths.lost(service));
+    }
+
+    void start_helper()
+    {
+        auto events = tunnel_events{};
+        events.lookup = [this](target_id const&)
+        {
+            return std::optional{net::endpoint{"127.0.0.1", target_port}};
+        };
+        events.admit = []
+        {
+            return true;
+        };
+        events.on_closed = [] {
+        };
+        events.on_opened = [this](target_id const&)
+        {
+            ++opened;
+        };
+        helper = std::make_unique<tunnel_server>(loop, tunnel_limits{},
+                                                 std::move(events));
+        helper_port = helper->listen({"127.0.0.1", 0});
+    }
+
+    std::unique_ptr<tunnel_server> helper;
+    std::uint16_t helper_port = 0;
+    std::uint16_t target_port = 0;
+    int opened = 0;
+};
+
+/// A port at which nothing listens any more.
+auto unused_port(net::event_loop& loop) -> std::uint16_t
+{
+    return raw_target{loop, {}}.port();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(a_host_without_a_path)
+
+BOOST_FIXTURE_TEST_CASE(refused_what_its_helper_could_reach, host_without_path)
+{
+    auto target = raw_target{loop, [](std::string const&)
+                             {
+                                 return answer_of(event(1), answer_end::closed);
+                             }};
+    list_behind_cut(target.port(), unused_port(loop));
+    auto client = client_view{};
+    send("/stream/", client);
+    run_until([&] { return client.over(); });
+    BOOST_TEST(client.finished);
+    BOOST_TEST(client.body == event(1));
+    BOOST_TEST(opened == 1);
+    BOOST_TEST(host.open_tunnels.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(lost_a_stream_with_its_helper, host_without_path)
+{
+    auto target = raw_target{
+        loop, [](std::string const& head)
+        {
+            auto const resumed =
+                head.find(std::string{platform::names::last_event_id}) !=
+                std::string::npos;
+            return resumed ? answer_of(event(2), answer_end::closed)
+                           : answer_of(event(1), answer_end::stays_open);
+        }};
+    list_behind_cut(target.port(), target.port());
+    auto client = client_view{};
+    send("/stream/", client);
+    run_until([&] { return client.started; });
+    BOOST_TEST(opened == 1);
+    helper.reset();
+    run_until([&] { return client.over(); });
+    BOOST_TEST(client.finished);
+    BOOST_TEST(client.body == event(1) + event(2));
+    BOOST_TEST(target.runs() == 2);
+    // The direct attempt has found the path again.
+    BOOST_TEST(!host.paths.lost(service));
+    BOOST_TEST(
+        host.helpers.excluded(host_id{"helper"}, net::event_loop::now()));
+}
+
+BOOST_FIXTURE_TEST_CASE(asked_without_end_when_nobody_could_help,
+                        host_without_path)
+{
+    list_behind_cut(unused_port(loop), unused_port(loop));
+    helper.reset();
+    auto const before = connect_failures();
+    auto client = client_view{};
+    send("/call/", client);
+    run_until([&] { return client.over(); });
+    BOOST_REQUIRE(client.reply);
+    constexpr auto unavailable = 503;
+    BOOST_TEST(client.reply->status == unavailable);
+    constexpr auto most = 4;
+    BOOST_TEST(connect_failures() - before <= most);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace primrosedeal::gateway
