--- a/src/gateway/path_events.cpp
+++ b/src/gateway/path_events.cpp
@@ -72,7 +72,7 @@
     {
         return;
     }
-    auto const target = targets[host.random.below(targets.size())];
+    auto const& target = targets[host.random.below(targets.size())];
     host.prober.probe(target.address,
                       [&host, target, now](bool alive)
                       {
--- a/src/request_limit/limit_table.hpp
+++ b/src/request_limit/limit_table.hpp
@@ -70,11 +70,12 @@
 public:
     /// An unchanged limit is recorded anew, and so reported in the next digest,
     /// only after `report_period`.
-    explicit limit_table(duration report_period = {})
-        : report_period_(report_period)
+    explicit limit_table(duration report_period) : report_period_(report_period)
     {
     }
 
+    limit_table() = default;
+
     /// Returns whether the limit in force has changed.
     auto observe(response const& it, time_point now) -> bool;
 
@@ -120,7 +121,7 @@
 
     void put(target_id const& id, entry const& it);
 
-    duration report_period_;
+    duration report_period_{};
     std::map<target_id, entry> limits_;
 };
 
