--- a/src/gateway/attempt_test.cpp
+++ b/src/gateway/attempt_test.cpp
@@ -134,10 +134,8 @@
         plan.target.address = {"127.0.0.1", port};
         plan.path = path;
         plan.id = request_id{"r1"};
-        plan.message = {"POST", "/a", {{"Host", "h"}}, "prompt", true};
-        plan.connect_timeout = connect_timeout;
         plan.message = {method, "/a", {{"Host", "h"}}, "prompt", true};
-        plan.connect_timeout = patience;
+        plan.connect_timeout = connect_timeout;
         plan.streaming = streaming;
         // No silence of a busy machine ends the attempt.
         plan.stream_timing.gap_objective = 10 * patience;
