Log and count what clients send on connections that have been ended

A request that crosses the end of its connection was drained without a trace, so the ways by which it comes to that could not be told apart: an idle close of a leaving host, the end after an answer that did not say so, the idle time.

The first dropped bytes of a connection are logged with the reason of its end, whether an answer announced it, and the connection's age and requests.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -108,6 +108,8 @@
         client_server_.listen(at.clients);
         readiness_server_.listen(at.readiness);
         metrics_server_.listen(at.metrics);
+        client_server_.on_dropped_input([this](http1::dropped_input const& it)
+                                        { on_dropped_input(it); });
         peers_.listen(at.peers);
         tunnels_.limit_rate(tunnel_limit_.bytes_per_second());
         tunnels_.listen(at.tunnels);
@@ -299,6 +301,20 @@
                      net::event_loop::now());
     }
 
+    /// A request among the bytes crossed the end of its connection.
+    void on_dropped_input(http1::dropped_input const& it)
+    {
+        host_.metrics.client_input_dropped(to_string(it.why));
+        log::write(log::level::info, "client_input_dropped",
+                   {{"why", std::string{to_string(it.why)}},
+                    {"announced", it.announced ? "true" : "false"},
+                    {"leaving", host_.shutdown_started_at ? "true" : "false"},
+                    {"requests_before", std::to_string(it.requests)},
+                    {"connection_age_ms", milliseconds(it.connection_age)},
+                    {"since_end_ms", milliseconds(it.since_end)},
+                    {"bytes", std::to_string(it.bytes)}});
+    }
+
     void on_readiness_query(http1::request const& it, http1::exchange& from)
     {
         if (!host_.wire.is_readiness_query(it.target))
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -70,6 +70,24 @@
     return "unknown";
 }
 
+auto to_string(end_reason it) -> std::string_view
+{
+    switch (it)
+    {
+    case end_reason::last_answer:
+        return "last_answer";
+    case end_reason::aborted:
+        return "aborted";
+    case end_reason::rejected:
+        return "rejected";
+    case end_reason::idle_timeout:
+        return "idle_timeout";
+    case end_reason::closed_idle:
+        return "closed_idle";
+    }
+    return "unknown";
+}
+
 class connection;
 
 struct server::state
@@ -81,6 +99,7 @@
 
     net::event_loop& loop;
     handler on_request;
+    std::function<void(dropped_input const&)> on_dropped_input;
     server_limits limits;
     evconnlistener* listener = nullptr;
     std::map<connection*, std::shared_ptr<connection>> connections;
@@ -100,7 +119,8 @@
         bufferevent_setcb(bev_, on_read, on_written, on_event, this);
         bufferevent_setwatermark(bev_, EV_READ, 0, max_read_ahead);
         bufferevent_enable(bev_, EV_READ | EV_WRITE);
-        idle_since_ = net::event_loop::now();
+        accepted_at_ = net::event_loop::now();
+        idle_since_ = accepted_at_;
         arm(owner_.limits.idle_timeout);
     }
 
@@ -118,13 +138,15 @@
                !parser_.started() && unread() == 0 && !has_pending_input();
     }
 
-    void end_gently()
+    void end_gently(end_reason why)
     {
         if (bev_ == nullptr || ending_)
         {
             return;
         }
         ending_ = true;
+        end_reason_ = why;
+        ended_at_ = net::event_loop::now();
         arm(linger);
         if (unsent() == 0)
         {
@@ -140,21 +162,21 @@
             abort();
             return;
         }
-        auto const last = close || owner_.closing || !keep_alive_;
+        announced_ = close || owner_.closing || !keep_alive_;
         auto const framing = "Content-Length: " + std::to_string(body.size());
-        write(serialise_head(head, framing, last));
+        write(serialise_head(head, framing, announced_));
         if (!head_request_)
         {
             write(body);
         }
-        answered(last);
+        answered(announced_);
     }
 
     void start(response_head const& head)
     {
         started_ = true;
-        write(serialise_head(head, "Transfer-Encoding: chunked",
-                             owner_.closing || !keep_alive_));
+        announced_ = owner_.closing || !keep_alive_;
+        write(serialise_head(head, "Transfer-Encoding: chunked", announced_));
     }
 
     void send(std::string_view bytes)
@@ -193,7 +215,7 @@
         if (answering_)
         {
             release();
-            end_gently();
+            end_gently(end_reason::aborted);
         }
     }
 
@@ -255,7 +277,7 @@
         auto* const in = bufferevent_get_input(bev_);
         if (ending_)
         {
-            evbuffer_drain(in, evbuffer_get_length(in));
+            drop(in);
             return;
         }
         auto const was_started = parser_.started();
@@ -283,6 +305,19 @@
         }
     }
 
+    void drop(evbuffer* in)
+    {
+        auto const n = evbuffer_get_length(in);
+        evbuffer_drain(in, n);
+        if (n > 0 && !std::exchange(drop_reported_, true) &&
+            owner_.on_dropped_input)
+        {
+            auto const now = net::event_loop::now();
+            owner_.on_dropped_input({end_reason_, announced_, requests_,
+                                     now - accepted_at_, now - ended_at_, n});
+        }
+    }
+
     /// The head has one deadline as a whole; a body must not stop coming.
     void on_progress(bool was_started)
     {
@@ -317,7 +352,8 @@
     void refuse_and_end(int status)
     {
         write(serialise_head({status, {}}, "Content-Length: 0", true));
-        end_gently();
+        announced_ = true;
+        end_gently(end_reason::rejected);
     }
 
     void hand_over()
@@ -329,6 +365,7 @@
         continued_ = false;
         answering_ = true;
         started_ = false;
+        ++requests_;
         owner_.on_request(std::move(message), make_exchange());
     }
 
@@ -339,7 +376,7 @@
         release();
         if (last)
         {
-            end_gently();
+            end_gently(end_reason::last_answer);
             return;
         }
         idle_since_ = net::event_loop::now();
@@ -434,7 +471,7 @@
         }
         else
         {
-            end_gently();
+            end_gently(end_reason::idle_timeout);
         }
     }
 
@@ -442,7 +479,10 @@
     bufferevent* bev_;
     request_parser parser_;
     net::timer timer_;
+    time_point accepted_at_{};
     time_point idle_since_{};
+    time_point ended_at_{};
+    std::uint64_t requests_ = 0;
     std::function<void(client_loss)> gone_;
     bool answering_ = false;
     /// The head of the answer has been sent.
@@ -450,7 +490,11 @@
     bool keep_alive_ = true;
     bool head_request_ = false;
     bool continued_ = false;
+    /// The last head that was sent said that it ends the connection.
+    bool announced_ = false;
     bool ending_ = false;
+    end_reason end_reason_ = end_reason::last_answer;
+    bool drop_reported_ = false;
 };
 
 namespace
@@ -580,11 +624,16 @@
     {
         if (it->idle())
         {
-            it->end_gently();
+            it->end_gently(end_reason::closed_idle);
         }
     }
 }
 
+void server::on_dropped_input(std::function<void(dropped_input const&)> report)
+{
+    state_->on_dropped_input = std::move(report);
+}
+
 void server::stop_listening()
 {
     if (state_->listener != nullptr)
--- a/src/http1/server.hpp
+++ b/src/http1/server.hpp
@@ -26,6 +26,36 @@
 
 auto to_string(client_loss it) -> std::string_view;
 
+/// Why the server ended a connection.
+enum class end_reason
+{
+    /// An answer that ended in good order was the last one.
+    last_answer,
+    /// The answer could not be completed.
+    aborted,
+    /// The request was malformed, too large or too slow.
+    rejected,
+    idle_timeout,
+    /// The server ended its idle connections.
+    closed_idle,
+};
+
+auto to_string(end_reason it) -> std::string_view;
+
+/// Bytes that a client sent to a connection that had been ended; a request
+/// among them gets no answer.
+struct dropped_input
+{
+    end_reason why = end_reason::last_answer;
+    /// The last answer said that it ends the connection.
+    bool announced = false;
+    /// Requests on the connection before.
+    std::uint64_t requests = 0;
+    duration connection_age{};
+    duration since_end{};
+    std::size_t bytes = 0;
+};
+
 /// The way back to one client for one request. Calls after the client has
 /// gone do nothing.
 class exchange
@@ -88,6 +118,9 @@
 
     void stop_listening();
 
+    /// `report` gets the first dropped bytes of each connection.
+    void on_dropped_input(std::function<void(dropped_input const&)> report);
+
     [[nodiscard]] auto connections() const -> std::size_t;
 
     struct state;
--- a/src/metrics/gateway_metrics.cpp
+++ b/src/metrics/gateway_metrics.cpp
@@ -42,6 +42,9 @@
                          "Attempts without a usable answer.")),
       clients_lost_(counters(*registry_, "gateway_clients_lost_total",
                              "Connections that ended before their answer.")),
+      dropped_input_(
+          counters(*registry_, "gateway_client_input_dropped_total",
+                   "Ended connections on which a client still sent.")),
       crashes_(counters(*registry_, "gateway_target_crashes_total",
                         "Targets that crashed as they began an answer.")),
       pauses_(histograms(*registry_, "gateway_continuation_seconds",
@@ -109,6 +112,11 @@
     clients_lost_.Add({{"how", std::string{how}}}).Increment();
 }
 
+void gateway_metrics::client_input_dropped(std::string_view why)
+{
+    dropped_input_.Add({{"why", std::string{why}}}).Increment();
+}
+
 void gateway_metrics::target_crashed(std::string_view cause)
 {
     crashes_.Add({{"cause", std::string{cause}}}).Increment();
--- a/src/metrics/gateway_metrics.hpp
+++ b/src/metrics/gateway_metrics.hpp
@@ -26,6 +26,8 @@
     void refused(std::string_view reason);
     void attempt_failed(std::string_view how);
     void client_lost(std::string_view how);
+    /// A client sent on a connection that the host had ended for `why`.
+    void client_input_dropped(std::string_view why);
     /// A target crashed as it began an answer; `cause` is what it is put down
     /// to.
     void target_crashed(std::string_view cause);
@@ -61,6 +63,7 @@
     prometheus::Family<prometheus::Counter>& refusals_;
     prometheus::Family<prometheus::Counter>& failures_;
     prometheus::Family<prometheus::Counter>& clients_lost_;
+    prometheus::Family<prometheus::Counter>& dropped_input_;
     prometheus::Family<prometheus::Counter>& crashes_;
     prometheus::Family<prometheus::Histogram>& pauses_;
     prometheus::Family<prometheus::Counter>& stream_waits_;
