End a connection only after an answer that has said so

Callers: the request that a client sent after a stream had ended got no answer if the host had been told to stop while the stream ran.

Cause: the head of an answer that begins before SIGTERM says that the connection stays open, and its end closed it all the same.

The end of an answer ends the connection only if its head has said so; the next answer does.

Red before: http1_test dropped_the_request_after_an_answer_begun_before_a_stop (end of the connection in the place of the second answer).

--- a/src/http1/connection_test.cpp
+++ b/src/http1/connection_test.cpp
@@ -275,6 +275,35 @@
     BOOST_TEST(client.receive_all(*this).ends_with("\r\n\r\nwhole"));
 }
 
+// The connection was closed with the end of an answer that had not said so.
+BOOST_FIXTURE_TEST_CASE(dropped_the_request_after_an_answer_begun_before_a_stop,
+                        world)
+{
+    auto streams = std::vector<std::shared_ptr<exchange>>{};
+    auto it =
+        server{loop, [&](request const& asked, std::shared_ptr<exchange> client)
+               {
+                   if (asked.target == "/whole")
+                   {
+                       client->reply({200, {}}, "whole", false);
+                       return;
+                   }
+                   client->start({200, {}});
+                   streams.push_back(std::move(client));
+               }};
+    auto const client = plain_client{it.listen(local)};
+    client.send("GET /stream HTTP/1.1\r\nHost: h\r\n\r\n");
+    run_until([&] { return !streams.empty(); });
+    it.close_after_answers();
+    streams.front()->finish();
+    auto next = net::timer{};
+    next = loop.after(
+        20ms, [&] { client.send("GET /whole HTTP/1.1\r\nHost: h\r\n\r\n"); });
+    auto const got = client.receive_all(*this);
+    BOOST_TEST(got.find("Connection: close") != std::string::npos);
+    BOOST_TEST(got.ends_with("\r\n\r\nwhole"));
+}
+
 // The request comes while the loop is busy, so it waits in the kernel.
 BOOST_AUTO_TEST_SUITE(dropped_a_request_that_it_had_not_read)
 
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -169,7 +169,7 @@
         {
             write(body);
         }
-        answered(announced_);
+        answered();
     }
 
     void start(response_head const& head)
@@ -207,7 +207,7 @@
     void finish()
     {
         write("0\r\n\r\n");
-        answered(owner_.closing || !keep_alive_);
+        answered();
     }
 
     void abort()
@@ -371,10 +371,11 @@
 
     auto make_exchange() -> std::shared_ptr<exchange>;
 
-    void answered(bool last)
+    void answered()
     {
         release();
-        if (last)
+        // Otherwise the client may be sending its next request already.
+        if (announced_)
         {
             end_gently(end_reason::last_answer);
             return;
--- a/src/http1/server.hpp
+++ b/src/http1/server.hpp
@@ -110,7 +110,8 @@
     /// In force for what clients send from now on.
     void set_limits(server_limits const& it);
 
-    /// From now on every answer ends its connection.
+    /// From now on every answer says that it ends its connection. An answer
+    /// that began before without saying so does not end it.
     void close_after_answers();
 
     /// Closes the connections on which no request is being read or answered.
