Serve the connections that wait as a server stops listening

Callers: a connection that the system had accepted was reset with its request, if the server had not taken it yet.

stop_listening accepts what waits in the queue before it closes the listener.

--- a/src/http1/connection_test.cpp
+++ b/src/http1/connection_test.cpp
@@ -304,6 +304,20 @@
     BOOST_TEST(got.ends_with("\r\n\r\nwhole"));
 }
 
+BOOST_FIXTURE_TEST_CASE(reset_connections_that_it_had_not_accepted, world)
+{
+    auto it =
+        server{loop, [](request const&, std::shared_ptr<exchange> const& client)
+               {
+                   client->reply({200, {}}, "whole", true);
+               }};
+    auto const port = it.listen(local);
+    auto const client = plain_client{port};
+    client.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    it.stop_listening();
+    BOOST_TEST(client.receive_all(*this).ends_with("\r\n\r\nwhole"));
+}
+
 // The request comes while the loop is busy, so it waits in the kernel.
 BOOST_AUTO_TEST_SUITE(dropped_a_request_that_it_had_not_read)
 
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -13,6 +13,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <cstdio>
 #include <map>
 #include <stdexcept>
@@ -104,6 +105,15 @@
     evconnlistener* listener = nullptr;
     std::map<connection*, std::shared_ptr<connection>> connections;
     bool closing = false;
+
+    void accepted(evutil_socket_t fd);
+    void free_listener()
+    {
+        if (listener != nullptr)
+        {
+            evconnlistener_free(std::exchange(listener, nullptr));
+        }
+    }
 };
 
 class connection : public std::enable_shared_from_this<connection>
@@ -562,6 +572,17 @@
 
 } // namespace
 
+void server::state::accepted(evutil_socket_t fd)
+{
+    if (connections.size() >= limits.max_connections)
+    {
+        ::close(fd);
+        return;
+    }
+    auto it = std::make_shared<connection>(*this, fd);
+    connections.emplace(it.get(), it);
+}
+
 auto connection::make_exchange() -> std::shared_ptr<exchange>
 {
     return std::make_shared<open_exchange>(weak_from_this());
@@ -574,7 +595,7 @@
 
 server::~server()
 {
-    stop_listening();
+    state_->free_listener();
     state_->connections.clear();
 }
 
@@ -584,14 +605,7 @@
     auto const on_accept =
         [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* arg)
     {
-        auto& self = *static_cast<state*>(arg);
-        if (self.connections.size() >= self.limits.max_connections)
-        {
-            ::close(fd);
-            return;
-        }
-        auto it = std::make_shared<connection>(self, fd);
-        self.connections.emplace(it.get(), it);
+        static_cast<state*>(arg)->accepted(fd);
     };
     state_->listener = evconnlistener_new_bind(
         state_->loop.base(), on_accept, state_.get(),
@@ -637,10 +651,22 @@
 
 void server::stop_listening()
 {
-    if (state_->listener != nullptr)
+    if (state_->listener == nullptr)
     {
-        evconnlistener_free(std::exchange(state_->listener, nullptr));
+        return;
+    }
+    // Closing the listener resets the connections that still wait in it.
+    auto const from = evconnlistener_get_fd(state_->listener);
+    auto fd = 0;
+    while (fd >= 0 || errno == EINTR || errno == ECONNABORTED)
+    {
+        fd = ::accept4(from, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (fd >= 0)
+        {
+            state_->accepted(fd);
+        }
     }
+    state_->free_listener();
 }
 
 auto server::connections() const -> std::size_t
--- a/src/http1/server.hpp
+++ b/src/http1/server.hpp
@@ -117,6 +117,7 @@
     /// Closes the connections on which no request is being read or answered.
     void close_idle();
 
+    /// Accepts the connections that wait to be accepted, and none after them.
     void stop_listening();
 
     /// `report` gets the first dropped bytes of each connection.
