Answer a request that crosses the end of an idle connection

Cause: a half-close says nothing to the client whose request is on its way, at whatever time it comes.

Change: a server that ends an idle connection says status 408 first, which means that no request was read and that one in transit may be repeated (RFC 9110, 15.5.9). A request that crosses gets it as its answer; it is never run. The same holds for the end of the idle time.

--- a/src/dispatch/shutdown_steps.cpp
+++ b/src/dispatch/shutdown_steps.cpp
@@ -10,11 +10,10 @@
     {
         return exit_process{};
     }
-    auto const unused = view.connections == 0 && view.open_requests == 0 &&
-                        view.open_tunnels == 0 &&
-                        now >= view.started_at + balancer_drain_delay;
-    // Connections accepted at the last moment have time to send a request
-    // before they count as idle.
+    auto const drained = now >= view.started_at + balancer_drain_delay;
+    auto const unused = drained && view.connections == 0 &&
+                        view.open_requests == 0 && view.open_tunnels == 0;
+    // Connections accepted at the last moment still have time to be refused.
     auto const last_accept = final_answer_time(view.started_at, view.grace);
     if (view.accepting && (unused || now >= last_accept))
     {
@@ -24,7 +23,7 @@
     {
         return exit_process{};
     }
-    if (now >= view.started_at + view.grace - grace_margin)
+    if (drained || now >= view.started_at + view.grace - grace_margin)
     {
         return end_idle_connections{};
     }
--- a/src/dispatch/shutdown_steps.hpp
+++ b/src/dispatch/shutdown_steps.hpp
@@ -8,13 +8,11 @@
 
 /// Decides what a host does with its clients' connections while it shuts down.
 ///
-/// Load pattern: hosts are restarted one after the other while clients keep
-/// their connections, pause for seconds and send again at any moment. A request
-/// that is on its way when its host ends the connection gets no answer, and one
-/// that may run only once cannot be sent again by its client. So a connection
-/// ends by an answer that says so; one that has had no such answer is held for
-/// as long as the grace permits, so that the last moment, at which a request
-/// can still be lost, comes once and to few connections.
+/// Load pattern: hosts are restarted one after the other, a second apart, while
+/// clients keep their connections, pause for seconds and send again at any
+/// moment. The longer each host holds idle connections, the more hosts leave at
+/// the same time and refuse streams. So idle connections end once the load
+/// balancer has left the host, and the host exits when nobody uses it.
 namespace primrosedeal::dispatch
 {
 
@@ -47,7 +45,7 @@
 {
 };
 
-/// End the connections without a request.
+/// End the connections without a request; accept and serve others.
 struct end_idle_connections
 {
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -767,7 +767,7 @@
                               [&](dispatch::stop_accepting)
                               { client_server_.stop_listening(); },
                               [&](dispatch::end_idle_connections)
-                              { client_server_.close_idle(); },
+                              { client_server_.close_idle(now); },
                               [&](dispatch::exit_process)
                               {
                                   loop_.stop();
--- a/src/http1/connection_test.cpp
+++ b/src/http1/connection_test.cpp
@@ -263,18 +263,93 @@
 BOOST_FIXTURE_TEST_CASE(answers_a_request_that_comes_as_idle_ones_are_closed,
                         world)
 {
+    auto limits = server_limits{};
+    limits.min_idle_time = 0s;
     auto it =
         server{loop, [](request const&, std::shared_ptr<exchange> const& client)
                {
                    client->reply({200, {}}, "whole", true);
                }};
+    it.set_limits(limits);
     auto const client = plain_client{it.listen(local)};
     run_until([&] { return it.connections() == 1; });
     client.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
-    auto const close = loop.after(0s, [&] { it.close_idle(); });
+    auto const close =
+        loop.after(0s, [&] { it.close_idle(net::event_loop::now()); });
     BOOST_TEST(client.receive_all(*this).ends_with("\r\n\r\nwhole"));
 }
 
+BOOST_AUTO_TEST_SUITE(left_a_request_without_an_answer)
+
+constexpr auto first_request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+
+struct kept_connection : world
+{
+    server it{loop, [](request const&, std::shared_ptr<exchange> const& from)
+              {
+                  from->reply({200, {}}, "whole", false);
+              }};
+    plain_client client{it.listen(local)};
+    std::vector<dropped_input> dropped;
+
+    /// Closes idle connections as the next request is on its way.
+    auto cross() -> std::string
+    {
+        it.on_dropped_input([&](dropped_input const& each)
+                            { dropped.push_back(each); });
+        run_until([&] { return it.connections() == 1; });
+        auto const close = loop.after(
+            50ms,
+            [&]
+            {
+                it.close_idle(net::event_loop::now());
+                client.send("GET /crossed HTTP/1.1\r\nHost: h\r\n\r\n");
+            });
+        return client.receive_all(*this);
+    }
+};
+
+BOOST_FIXTURE_TEST_CASE(that_crossed_the_end_of_an_idle_connection,
+                        kept_connection)
+{
+    auto limits = server_limits{};
+    limits.min_idle_time = 0s;
+    it.set_limits(limits);
+    client.send(first_request);
+    auto const got = cross();
+    auto const second = got.find("HTTP/1.1 408 ");
+    BOOST_REQUIRE(second != std::string::npos);
+    BOOST_TEST(got.find("whole") < second);
+    BOOST_TEST(got.find("Connection: close", second) != std::string::npos);
+    BOOST_TEST(got.find("Retry-After: 0", second) != std::string::npos);
+    run_until([&] { return dropped.size() == 1; });
+    BOOST_TEST(dropped.front().announced);
+    BOOST_TEST((dropped.front().why == end_reason::closed_idle));
+}
+
+BOOST_FIXTURE_TEST_CASE(that_was_the_first_one_of_its_connection,
+                        kept_connection)
+{
+    auto const last = loop.after(100ms, [&] { it.close_after_answers(); });
+    auto const next = loop.after(150ms, [&] { client.send(first_request); });
+    auto const got = cross();
+    BOOST_TEST(got.starts_with("HTTP/1.1 200 "));
+    BOOST_TEST(dropped.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(that_crossed_the_end_of_the_idle_time, kept_connection)
+{
+    constexpr auto idle = duration{100ms};
+    auto limits = server_limits{};
+    limits.idle_timeout = idle;
+    it.set_limits(limits);
+    client.send(first_request);
+    BOOST_TEST(client.receive_all(*this).find("HTTP/1.1 408 ") !=
+               std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 // The connection was closed with the end of an answer that had not said so.
 BOOST_FIXTURE_TEST_CASE(dropped_the_request_after_an_answer_begun_before_a_stop,
                         world)
@@ -332,6 +407,9 @@
 
 BOOST_FIXTURE_TEST_CASE(when_it_closed_idle_connections, busy_server)
 {
+    auto limits = server_limits{};
+    limits.min_idle_time = 0s;
+    it.set_limits(limits);
     auto const client = plain_client{port};
     run_until([&] { return it.connections() == 1; });
     auto const work =
@@ -339,7 +417,7 @@
                    [&]
                    {
                        client.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
-                       it.close_idle();
+                       it.close_idle(net::event_loop::now());
                    });
     BOOST_TEST(client.receive_all(*this).ends_with("\r\n\r\nwhole"));
 }
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -36,6 +36,7 @@
 /// Unsent bytes of an answer at which its client counts as gone.
 constexpr auto max_unsent = std::size_t{8} << 20U;
 constexpr auto backlog = 1024;
+constexpr auto request_timeout = 408;
 
 auto serialise_head(response_head const& it, std::string_view framing,
                     bool close) -> std::string
@@ -142,12 +143,22 @@
         close_socket();
     }
 
-    [[nodiscard]] auto idle() const -> bool
+    [[nodiscard]] auto idle(time_point now) const -> bool
     {
         return bev_ != nullptr && !answering_ && !ending_ &&
+               now >= idle_since_ + owner_.limits.min_idle_time &&
                !parser_.started() && unread() == 0 && !has_pending_input();
     }
 
+    /// The notice answers a request that is on its way.
+    void end_idle(end_reason why)
+    {
+        write(serialise_head({request_timeout, {{"Retry-After", "0"}}},
+                             "Content-Length: 0", true));
+        announced_ = true;
+        end_gently(why);
+    }
+
     void end_gently(end_reason why)
     {
         if (bev_ == nullptr || ending_)
@@ -459,7 +470,6 @@
     void timed_out()
     {
         auto const self = shared_from_this();
-        constexpr auto request_timeout = 408;
         if (ending_)
         {
             lost(client_loss::not_reading);
@@ -482,7 +492,7 @@
         }
         else
         {
-            end_gently(end_reason::idle_timeout);
+            end_idle(end_reason::idle_timeout);
         }
     }
 
@@ -632,14 +642,14 @@
     state_->closing = true;
 }
 
-void server::close_idle()
+void server::close_idle(time_point now)
 {
     auto const all = state_->connections;
     for (auto const& [key, it] : all)
     {
-        if (it->idle())
+        if (it->idle(now))
         {
-            it->end_gently(end_reason::closed_idle);
+            it->end_idle(end_reason::closed_idle);
         }
     }
 }
--- a/src/http1/server.hpp
+++ b/src/http1/server.hpp
@@ -89,6 +89,9 @@
     duration head_timeout = 3s;
     /// Longest time between two requests, and without progress of a body.
     duration idle_timeout = 15s;
+    /// Time for a request to come before a connection counts as idle for
+    /// `close_idle`.
+    duration min_idle_time = 500ms;
     /// Connections held at once; further ones are closed at once.
     std::size_t max_connections = 3000;
 };
@@ -114,8 +117,11 @@
     /// that began before without saying so does not end it.
     void close_after_answers();
 
-    /// Closes the connections on which no request is being read or answered.
-    void close_idle();
+    /// Ends the connections on which no request has been read or answered for
+    /// `min_idle_time`. A client whose request crosses the end gets status 408,
+    /// as after the idle timeout: the request was not read and may be repeated
+    /// (RFC 9110, 15.5.9).
+    void close_idle(time_point now);
 
     /// Accepts the connections that wait to be accepted, and none after them.
     void stop_listening();
