Give the beginning of a body the time of a body

Callers got 408 where their head and the first bytes of its body came in one read and the body then paused for the limit of a head, which is the shorter one.

The timer was chosen by whether the message had begun before the read and not by whether its head was complete. Now a complete head has the body's limit.

--- a/src/http1/connection_test.cpp
+++ b/src/http1/connection_test.cpp
@@ -560,4 +560,48 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(limits_in_time)
+
+constexpr auto part_of_body =
+    "POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+    "Content-Length: 4\r\n\r\nbo";
+constexpr auto rest_of_body = "dy";
+
+struct limited_server : world
+{
+    limited_server()
+    {
+        limits.head_timeout = 10s;
+        limits.idle_timeout = 10s;
+        it.set_limits(limits);
+    }
+
+    void wait(duration time)
+    {
+        auto over = false;
+        auto const timer = loop.after(time, [&] { over = true; });
+        run_until([&] { return over; });
+    }
+
+    server it{loop, [](request const&, std::shared_ptr<exchange> const& client)
+              {
+                  client->reply({200, {}}, "whole", true);
+              }};
+    std::uint16_t port = it.listen(local);
+    server_limits limits;
+};
+
+BOOST_FIXTURE_TEST_CASE(gave_a_body_only_the_time_of_a_head, limited_server)
+{
+    limits.head_timeout = 50ms;
+    it.set_limits(limits);
+    auto const client = plain_client{port};
+    client.send(part_of_body);
+    wait(4 * limits.head_timeout);
+    client.send(rest_of_body);
+    BOOST_TEST(client.receive_all(*this).ends_with("\r\n\r\nwhole"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace primrosedeal::http1
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -286,13 +286,13 @@
     /// The head has one deadline as a whole; a body must not stop coming.
     void on_progress(bool was_started)
     {
-        if (!was_started)
+        if (parser_.head_complete())
         {
-            arm(owner_.limits.head_timeout);
+            arm(owner_.limits.idle_timeout);
         }
-        else if (parser_.head_complete())
+        else if (!was_started)
         {
-            arm(owner_.limits.idle_timeout);
+            arm(owner_.limits.head_timeout);
         }
         if (parser_.expects_continue() && !continued_)
         {
