Let a longer limit hold for what is already being sent

Callers got 408 for a head or body that was within the limits in force: its timer had been set under the shorter limit before and was not looked at again. Only idle connections asked for the present limit as their time ended.

Now heads and bodies ask too. A limit that shrinks still leaves what has begun its older time.

--- a/src/http1/connection_test.cpp
+++ b/src/http1/connection_test.cpp
@@ -562,6 +562,8 @@
 
 BOOST_AUTO_TEST_SUITE(limits_in_time)
 
+constexpr auto part_of_head = "GET /a HTTP/1.1\r\nHost";
+constexpr auto rest_of_head = ": h\r\nConnection: close\r\n\r\n";
 constexpr auto part_of_body =
     "POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
     "Content-Length: 4\r\n\r\nbo";
@@ -602,6 +604,27 @@
     BOOST_TEST(client.receive_all(*this).ends_with("\r\n\r\nwhole"));
 }
 
+BOOST_FIXTURE_TEST_CASE(timed_out_under_the_shorter_limit_before,
+                        limited_server)
+{
+    constexpr auto shorter = duration{1s};
+    auto changed = limits;
+    changed.head_timeout = shorter;
+    changed.idle_timeout = shorter;
+    it.set_limits(changed);
+    auto const in_head = plain_client{port};
+    auto const in_body = plain_client{port};
+    in_head.send(part_of_head);
+    in_body.send(part_of_body);
+    wait(shorter / 20);
+    it.set_limits(limits);
+    wait(shorter);
+    in_head.send(rest_of_head);
+    in_body.send(rest_of_body);
+    BOOST_TEST(in_head.receive_all(*this).ends_with("\r\n\r\nwhole"));
+    BOOST_TEST(in_body.receive_all(*this).ends_with("\r\n\r\nwhole"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace primrosedeal::http1
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -100,8 +100,7 @@
         bufferevent_setcb(bev_, on_read, on_written, on_event, this);
         bufferevent_setwatermark(bev_, EV_READ, 0, max_read_ahead);
         bufferevent_enable(bev_, EV_READ | EV_WRITE);
-        idle_since_ = net::event_loop::now();
-        arm(owner_.limits.idle_timeout);
+        await_client();
     }
 
     connection(connection const&) = delete;
@@ -286,13 +285,9 @@
     /// The head has one deadline as a whole; a body must not stop coming.
     void on_progress(bool was_started)
     {
-        if (parser_.head_complete())
+        if (!was_started || parser_.head_complete())
         {
-            arm(owner_.limits.idle_timeout);
-        }
-        else if (!was_started)
-        {
-            arm(owner_.limits.head_timeout);
+            await_client();
         }
         if (parser_.expects_continue() && !continued_)
         {
@@ -342,8 +337,7 @@
             end_gently();
             return;
         }
-        idle_since_ = net::event_loop::now();
-        arm(owner_.limits.idle_timeout);
+        await_client();
         // A request that came meanwhile is parsed from a fresh stack.
         auto const self = weak_from_this();
         owner_.loop.post(
@@ -403,6 +397,20 @@
         }
     }
 
+    /// Longest time that the client may take for what it sends next.
+    [[nodiscard]] auto timeout() const -> duration
+    {
+        return parser_.started() && !parser_.head_complete()
+                   ? owner_.limits.head_timeout
+                   : owner_.limits.idle_timeout;
+    }
+
+    void await_client()
+    {
+        waiting_since_ = net::event_loop::now();
+        arm(timeout());
+    }
+
     void arm(duration after)
     {
         timer_ = owner_.loop.after(after, [this] { timed_out(); });
@@ -416,17 +424,17 @@
         {
             lost(client_loss::not_reading);
         }
-        else if (parser_.started())
-        {
-            refuse_and_end(request_timeout);
-        }
-        else if (auto const left = idle_since_ + owner_.limits.idle_timeout -
-                                   net::event_loop::now();
+        else if (auto const left =
+                     waiting_since_ + timeout() - net::event_loop::now();
                  left > 0s)
         {
             // A new configuration allows longer pauses.
             arm(left);
         }
+        else if (parser_.started())
+        {
+            refuse_and_end(request_timeout);
+        }
         else if (unread() > 0 || has_pending_input())
         {
             // A request has come in this pass of the loop; it is parsed next.
@@ -442,7 +450,8 @@
     bufferevent* bev_;
     request_parser parser_;
     net::timer timer_;
-    time_point idle_since_{};
+    /// When a head began, or else the last progress.
+    time_point waiting_since_{};
     std::function<void(client_loss)> gone_;
     bool answering_ = false;
     /// The head of the answer has been sent.
