Read what has arrived of a request before its time is said to be over

After a pause of the loop, as for a large configuration, callers whose head or body had come in time got 408: the timers of a pass of the loop run before the bytes that wait are parsed. Idle connections looked for such bytes already.

Now heads and bodies look as well. The bytes of a body are progress. Those of a head have to complete it as they are read, or 408 follows then.

--- a/src/http1/connection_test.cpp
+++ b/src/http1/connection_test.cpp
@@ -625,6 +625,38 @@
     BOOST_TEST(in_body.receive_all(*this).ends_with("\r\n\r\nwhole"));
 }
 
+// The rest waits in the kernel as the timers of its connection are due.
+BOOST_FIXTURE_TEST_CASE(timed_out_what_had_come_while_the_loop_was_busy,
+                        limited_server)
+{
+    limits.head_timeout = 200ms;
+    limits.idle_timeout = 200ms;
+    it.set_limits(limits);
+    auto const in_head = plain_client{port};
+    auto const in_body = plain_client{port};
+    in_head.send(part_of_head);
+    in_body.send(part_of_body);
+    wait(limits.head_timeout / 4);
+    in_head.send(rest_of_head);
+    in_body.send(rest_of_body);
+    ::usleep(2 * limits.head_timeout.count());
+    BOOST_TEST(in_head.receive_all(*this).ends_with("\r\n\r\nwhole"));
+    BOOST_TEST(in_body.receive_all(*this).ends_with("\r\n\r\nwhole"));
+}
+
+BOOST_FIXTURE_TEST_CASE(gave_a_head_more_time_for_each_byte, limited_server)
+{
+    limits.head_timeout = 200ms;
+    limits.idle_timeout = 3 * patience;
+    it.set_limits(limits);
+    auto const client = plain_client{port};
+    client.send(part_of_head);
+    wait(limits.head_timeout / 4);
+    client.send(":");
+    ::usleep(2 * limits.head_timeout.count());
+    BOOST_TEST(client.receive_all(*this).starts_with("HTTP/1.1 408 "));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace primrosedeal::http1
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -35,6 +35,7 @@
 /// Unsent bytes of an answer at which its client counts as gone.
 constexpr auto max_unsent = std::size_t{8} << 20U;
 constexpr auto backlog = 1024;
+constexpr auto request_timeout = 408;
 
 auto serialise_head(response_head const& it, std::string_view framing,
                     bool close) -> std::string
@@ -285,7 +286,17 @@
     /// The head has one deadline as a whole; a body must not stop coming.
     void on_progress(bool was_started)
     {
-        if (!was_started || parser_.head_complete())
+        if (parser_.head_complete())
+        {
+            head_overdue_ = false;
+            await_client();
+        }
+        else if (head_overdue_ && !has_pending_input())
+        {
+            refuse_and_end(request_timeout);
+            return;
+        }
+        else if (!was_started)
         {
             await_client();
         }
@@ -322,6 +333,7 @@
         keep_alive_ = message.keep_alive;
         head_request_ = message.method == "HEAD";
         continued_ = false;
+        head_overdue_ = false;
         answering_ = true;
         started_ = false;
         owner_.on_request(std::move(message), make_exchange());
@@ -419,7 +431,6 @@
     void timed_out()
     {
         auto const self = shared_from_this();
-        constexpr auto request_timeout = 408;
         if (ending_)
         {
             lost(client_loss::not_reading);
@@ -431,15 +442,16 @@
             // A new configuration allows longer pauses.
             arm(left);
         }
-        else if (parser_.started())
-        {
-            refuse_and_end(request_timeout);
-        }
         else if (unread() > 0 || has_pending_input())
         {
-            // A request has come in this pass of the loop; it is parsed next.
+            // It came while the loop was busy, and is parsed next.
+            head_overdue_ = parser_.started() && !parser_.head_complete();
             arm(owner_.limits.idle_timeout);
         }
+        else if (parser_.started())
+        {
+            refuse_and_end(request_timeout);
+        }
         else
         {
             end_gently();
@@ -459,6 +471,8 @@
     bool keep_alive_ = true;
     bool head_request_ = false;
     bool continued_ = false;
+    /// Bytes of a head waited to be read as its time ended.
+    bool head_overdue_ = false;
     bool ending_ = false;
 };
 
