Keep connections idle for as long as clients of the older limits expect

Under a configuration with a shorter idle time, a connection accepted or answered from then on was closed by the shorter one at once. Clients go on using connections by the limits that they know, which for the time that a change takes may be those before, so their next request met a closed connection and got neither an answer nor a refusal. A pause in a body got 408.

Now the longer of both idle times holds until the bound on changes and 2 s have passed since the change; a longer one holds at once.

http1_test limits_in_time/closed_sooner_than_clients_of_the_limits_before_expect, red before (no "whole" in what came: npos == npos), green after. kept_to_limits_that_no_client_takes_for_valid guards the end of that time.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -45,6 +45,10 @@
 /// Period of the counts of calls to the store.
 constexpr auto store_calls_period = duration{5s};
 
+/// Time beside the bound on changes for which clients may go by the limits of
+/// the configuration before.
+constexpr auto change_bound_margin = duration{2s};
+
 constexpr auto ok = 200;
 constexpr auto unavailable = 503;
 constexpr auto not_found = 404;
@@ -448,6 +452,8 @@
             out.sizes = {limits.head_bytes, limits.body_bytes};
             out.head_timeout = limits.head_timeout;
             out.idle_timeout = limits.idle_timeout;
+            out.former_limits_known =
+                host_.settings.change_bound + change_bound_margin;
         }
         client_server_.set_limits(out);
     }
--- a/src/http1/connection_test.cpp
+++ b/src/http1/connection_test.cpp
@@ -587,7 +587,7 @@
 
     server it{loop, [](request const&, std::shared_ptr<exchange> const& client)
               {
-                  client->reply({200, {}}, "whole", true);
+                  client->reply({200, {}}, "whole", false);
               }};
     std::uint16_t port = it.listen(local);
     server_limits limits;
@@ -657,6 +657,35 @@
     BOOST_TEST(client.receive_all(*this).starts_with("HTTP/1.1 408 "));
 }
 
+BOOST_FIXTURE_TEST_CASE(closed_sooner_than_clients_of_the_limits_before_expect,
+                        limited_server)
+{
+    limits.idle_timeout = 50ms;
+    it.set_limits(limits);
+    auto const client = plain_client{port};
+    wait(4 * limits.idle_timeout);
+    client.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    wait(4 * limits.idle_timeout);
+    client.send(part_of_body);
+    wait(4 * limits.idle_timeout);
+    client.send(rest_of_body);
+    auto const got = client.receive_all(*this);
+    BOOST_TEST(got.find("whole") != got.rfind("whole"));
+}
+
+BOOST_FIXTURE_TEST_CASE(kept_to_limits_that_no_client_takes_for_valid,
+                        limited_server)
+{
+    limits.idle_timeout = 3 * patience;
+    it.set_limits(limits);
+    limits.idle_timeout = 50ms;
+    limits.former_limits_known = 50ms;
+    it.set_limits(limits);
+    wait(2 * limits.former_limits_known);
+    auto const client = plain_client{port};
+    BOOST_TEST(client.receive_all(*this).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace primrosedeal::http1
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -13,6 +13,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <map>
 #include <stdexcept>
@@ -80,9 +81,21 @@
     {
     }
 
+    /// Longest idle time that clients may take for valid.
+    [[nodiscard]] auto idle_timeout(time_point now) const -> duration
+    {
+        return now < former_until
+                   ? std::max(limits.idle_timeout, former_idle_timeout)
+                   : limits.idle_timeout;
+    }
+
     net::event_loop& loop;
     handler on_request;
     server_limits limits;
+    bool limited = false;
+    /// The longest one of limits that clients may still go by.
+    duration former_idle_timeout{};
+    time_point former_until{};
     evconnlistener* listener = nullptr;
     std::map<connection*, std::shared_ptr<connection>> connections;
     bool closing = false;
@@ -410,17 +423,17 @@
     }
 
     /// Longest time that the client may take for what it sends next.
-    [[nodiscard]] auto timeout() const -> duration
+    [[nodiscard]] auto timeout(time_point now) const -> duration
     {
         return parser_.started() && !parser_.head_complete()
                    ? owner_.limits.head_timeout
-                   : owner_.limits.idle_timeout;
+                   : owner_.idle_timeout(now);
     }
 
     void await_client()
     {
         waiting_since_ = net::event_loop::now();
-        arm(timeout());
+        arm(timeout(waiting_since_));
     }
 
     void arm(duration after)
@@ -431,12 +444,12 @@
     void timed_out()
     {
         auto const self = shared_from_this();
+        auto const now = net::event_loop::now();
         if (ending_)
         {
             lost(client_loss::not_reading);
         }
-        else if (auto const left =
-                     waiting_since_ + timeout() - net::event_loop::now();
+        else if (auto const left = waiting_since_ + timeout(now) - now;
                  left > 0s)
         {
             // A new configuration allows longer pauses.
@@ -588,6 +601,12 @@
 
 void server::set_limits(server_limits const& it)
 {
+    auto const now = net::event_loop::now();
+    if (std::exchange(state_->limited, true))
+    {
+        state_->former_idle_timeout = state_->idle_timeout(now);
+        state_->former_until = now + it.former_limits_known;
+    }
     state_->limits = it;
 }
 
--- a/src/http1/server.hpp
+++ b/src/http1/server.hpp
@@ -59,6 +59,8 @@
     duration head_timeout = 3s;
     /// Longest time between two requests, and without progress of a body.
     duration idle_timeout = 15s;
+    /// Time for which clients may still go by the limits before these.
+    duration former_limits_known = 4s;
     /// Connections held at once; further ones are closed at once.
     std::size_t max_connections = 3000;
 };
@@ -77,7 +79,9 @@
     /// Returns the port.
     auto listen(net::endpoint const& at) -> std::uint16_t;
 
-    /// In force for what clients send from now on.
+    /// Longer times hold at once. What is being sent keeps the times that it
+    /// began with, and connections may be idle for as long as the limits before
+    /// allow until `former_limits_known` has passed.
     void set_limits(server_limits const& it);
 
     /// From now on every answer ends its connection.
