Judge a request by the sizes in force as it began

A request whose head or body was half read as a configuration with smaller sizes came got 431 or 413 in its middle, though it was within the limits that its client knew when it began to send.

The parser took the present limits for each piece. Now the largest ones since the first piece hold, so larger ones still hold at once.

http1_test limits_in_time/refused_what_was_within_the_sizes_as_it_began, red before (two checks of "ends_with("whole")" failed), green after.

--- a/src/http1/connection_test.cpp
+++ b/src/http1/connection_test.cpp
@@ -686,6 +686,23 @@
     BOOST_TEST(client.receive_all(*this).empty());
 }
 
+BOOST_FIXTURE_TEST_CASE(refused_what_was_within_the_sizes_as_it_began,
+                        limited_server)
+{
+    auto const in_head = plain_client{port};
+    auto const in_body = plain_client{port};
+    in_head.send(part_of_head);
+    in_body.send(part_of_body);
+    wait(50ms);
+    limits.sizes = {20, 2};
+    it.set_limits(limits);
+    in_head.send(rest_of_head);
+    in_body.send(rest_of_body);
+    BOOST_TEST(in_head.receive_all(*this).ends_with("\r\n\r\nwhole"));
+    BOOST_TEST(in_body.receive_all(*this).ends_with("\r\n\r\nwhole"));
+    BOOST_TEST(talk(*this, port, part_of_body).starts_with("HTTP/1.1 431 "));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace primrosedeal::http1
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -272,13 +272,17 @@
             return;
         }
         auto const was_started = parser_.started();
+        auto const& sizes = owner_.limits.sizes;
+        sizes_ = was_started ? parse_limits{std::max(sizes_.head, sizes.head),
+                                            std::max(sizes_.body, sizes.body)}
+                             : sizes;
         while (!answering_ && evbuffer_get_length(in) > 0 &&
                parser_.error() == parse_error::none && !parser_.complete())
         {
             auto const n = evbuffer_get_contiguous_space(in);
             auto const* const data = reinterpret_cast<char const*>(
                 evbuffer_pullup(in, static_cast<ev_ssize_t>(n)));
-            auto const taken = parser_.feed({data, n}, owner_.limits.sizes);
+            auto const taken = parser_.feed({data, n}, sizes_);
             evbuffer_drain(in,
                            parser_.error() == parse_error::none ? taken : n);
         }
@@ -474,6 +478,8 @@
     server::state& owner_;
     bufferevent* bev_;
     request_parser parser_;
+    /// The largest ones that were in force for the request being read.
+    parse_limits sizes_;
     net::timer timer_;
     /// When a head began, or else the last progress.
     time_point waiting_since_{};
--- a/src/http1/server.hpp
+++ b/src/http1/server.hpp
@@ -79,7 +79,7 @@
     /// Returns the port.
     auto listen(net::endpoint const& at) -> std::uint16_t;
 
-    /// Longer times hold at once. What is being sent keeps the times that it
+    /// Larger ones hold at once. What is being sent keeps the limits that it
     /// began with, and connections may be idle for as long as the limits before
     /// allow until `former_limits_known` has passed.
     void set_limits(server_limits const& it);
