--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -46,6 +46,10 @@
 /// Period of the counts of calls to the store.
 constexpr auto store_calls_period = duration{5s};
 
+/// Time beside the bound on changes for which clients may go by the limits of
+/// the configuration before.
+constexpr auto change_bound_margin = duration{2s};
+
 constexpr auto ok = 200;
 constexpr auto unavailable = 503;
 constexpr auto not_found = 404;
@@ -465,6 +469,8 @@
             out.sizes = {limits.head_bytes, limits.body_bytes};
             out.head_timeout = limits.head_timeout;
             out.idle_timeout = limits.idle_timeout;
+            out.former_limits_known =
+                host_.settings.change_bound + change_bound_margin;
         }
         client_server_.set_limits(out);
     }
@@ -787,7 +793,11 @@
             // Listening addresses and the store's address change only with a
             // restart.
             host_.settings.seeds = it.seeds;
-            host_.settings.shutdown_grace = it.shutdown_grace;
+            if (!host_.shutdown_started_at)
+            {
+                // Open requests have been given the time of the grace before.
+                host_.settings.shutdown_grace = it.shutdown_grace;
+            }
             host_.settings.retry_ratio = it.retry_ratio;
             host_.settings.retry_slack = it.retry_slack;
             host_.settings.max_descriptors = it.max_descriptors;
--- a/src/http1/connection_test.cpp
+++ b/src/http1/connection_test.cpp
@@ -681,4 +681,181 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(limits_in_time)
+
+constexpr auto part_of_head = "GET /a HTTP/1.1\r\nHost";
+constexpr auto rest_of_head = ": h\r\nConnection: close\r\n\r\n";
+constexpr auto part_of_body =
+    "POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+    "Content-Length: 4\r\n\r\nbo";
+constexpr auto rest_of_body = "dy";
+
+struct limited_server : world
+{
+    limited_server()
+    {
+        limits.head_timeout = 10s;
+        limits.idle_timeout = 10s;
+        it.set_limits(limits);
+    }
+
+    void wait(duration time)
+    {
+        auto over = false;
+        auto const timer = loop.after(time, [&] { over = true; });
+        run_until([&] { return over; });
+    }
+
+    server it{loop, [](request const&, std::shared_ptr<exchange> const& client)
+              {
+                  client->reply({200, {}}, "whole", false);
+              }};
+    std::uint16_t port = it.listen(local);
+    server_limits limits;
+};
+
+BOOST_FIXTURE_TEST_CASE(gave_a_body_only_the_time_of_a_head, limited_server)
+{
+    limits.head_timeout = 50ms;
+    it.set_limits(limits);
+    auto const client = plain_client{port};
+    client.send(part_of_body);
+    wait(4 * limits.head_timeout);
+    client.send(rest_of_body);
+    BOOST_TEST(client.receive_all(*this).ends_with("\r\n\r\nwhole"));
+}
+
+BOOST_FIXTURE_TEST_CASE(timed_out_under_the_shorter_limit_before,
+                        limited_server)
+{
+    constexpr auto shorter = duration{1s};
+    auto changed = limits;
+    changed.head_timeout = shorter;
+    changed.idle_timeout = shorter;
+    it.set_limits(changed);
+    auto const in_head = plain_client{port};
+    auto const in_body = plain_client{port};
+    in_head.send(part_of_head);
+    in_body.send(part_of_body);
+    wait(shorter / 20);
+    it.set_limits(limits);
+    wait(shorter);
+    in_head.send(rest_of_head);
+    in_body.send(rest_of_body);
+    BOOST_TEST(in_head.receive_all(*this).ends_with("\r\n\r\nwhole"));
+    BOOST_TEST(in_body.receive_all(*this).ends_with("\r\n\r\nwhole"));
+}
+
+// The rest waits in the kernel as the timers of its connection are due.
+BOOST_FIXTURE_TEST_CASE(timed_out_what_had_come_while_the_loop_was_busy,
+                        limited_server)
+{
+    limits.head_timeout = 200ms;
+    limits.idle_timeout = 200ms;
+    it.set_limits(limits);
+    auto const in_head = plain_client{port};
+    auto const in_body = plain_client{port};
+    in_head.send(part_of_head);
+    in_body.send(part_of_body);
+    wait(limits.head_timeout / 4);
+    in_head.send(rest_of_head);
+    in_body.send(rest_of_body);
+    ::usleep(2 * limits.head_timeout.count());
+    BOOST_TEST(in_head.receive_all(*this).ends_with("\r\n\r\nwhole"));
+    BOOST_TEST(in_body.receive_all(*this).ends_with("\r\n\r\nwhole"));
+}
+
+BOOST_FIXTURE_TEST_CASE(gave_a_head_more_time_for_each_byte, limited_server)
+{
+    limits.head_timeout = 200ms;
+    limits.idle_timeout = 3 * patience;
+    it.set_limits(limits);
+    auto const client = plain_client{port};
+    client.send(part_of_head);
+    wait(limits.head_timeout / 4);
+    client.send(":");
+    ::usleep(2 * limits.head_timeout.count());
+    BOOST_TEST(client.receive_all(*this).starts_with("HTTP/1.1 408 "));
+}
+
+BOOST_FIXTURE_TEST_CASE(closed_sooner_than_clients_of_the_limits_before_expect,
+                        limited_server)
+{
+    limits.idle_timeout = 50ms;
+    it.set_limits(limits);
+    auto const client = plain_client{port};
+    wait(4 * limits.idle_timeout);
+    client.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    wait(4 * limits.idle_timeout);
+    client.send(part_of_body);
+    wait(4 * limits.idle_timeout);
+    client.send(rest_of_body);
+    auto const got = client.receive_all(*this);
+    BOOST_TEST(got.find("whole") != got.rfind("whole"));
+}
+
+BOOST_FIXTURE_TEST_CASE(kept_to_limits_that_no_client_takes_for_valid,
+                        limited_server)
+{
+    limits.idle_timeout = 3 * patience;
+    it.set_limits(limits);
+    limits.idle_timeout = 50ms;
+    limits.former_limits_known = 50ms;
+    it.set_limits(limits);
+    wait(2 * limits.former_limits_known);
+    auto const client = plain_client{port};
+    // It ends with a notice.
+    BOOST_TEST(client.receive_all(*this).starts_with("HTTP/1.1 408 "));
+}
+
+BOOST_FIXTURE_TEST_CASE(refused_what_was_within_the_sizes_as_it_began,
+                        limited_server)
+{
+    auto const in_head = plain_client{port};
+    auto const in_body = plain_client{port};
+    in_head.send(part_of_head);
+    in_body.send(part_of_body);
+    wait(50ms);
+    limits.sizes = {20, 2};
+    it.set_limits(limits);
+    in_head.send(rest_of_head);
+    in_body.send(rest_of_body);
+    BOOST_TEST(in_head.receive_all(*this).ends_with("\r\n\r\nwhole"));
+    BOOST_TEST(in_body.receive_all(*this).ends_with("\r\n\r\nwhole"));
+    BOOST_TEST(talk(*this, port, part_of_body).starts_with("HTTP/1.1 431 "));
+}
+
+BOOST_FIXTURE_TEST_CASE(closed_a_connection_too_many_without_an_answer,
+                        limited_server)
+{
+    limits.max_connections = 1;
+    it.set_limits(limits);
+    auto const within = plain_client{port};
+    run_until([&] { return it.connections() == 1; });
+    auto const refused =
+        talk(*this, port, std::string{part_of_body} + rest_of_body);
+    BOOST_TEST(refused.starts_with("HTTP/1.1 503 "));
+    BOOST_TEST(refused.find("Retry-After: ") != std::string::npos);
+    within.send(std::string{part_of_head} + rest_of_head);
+    BOOST_TEST(within.receive_all(*this).ends_with("\r\n\r\nwhole"));
+}
+
+BOOST_FIXTURE_TEST_CASE(held_connections_without_bound, limited_server)
+{
+    limits.max_connections = 1;
+    limits.head_timeout = 3 * patience;
+    limits.idle_timeout = 3 * patience;
+    it.set_limits(limits);
+    constexpr auto many = std::size_t{300};
+    auto clients = std::vector<std::unique_ptr<plain_client>>{};
+    while (clients.size() < many)
+    {
+        clients.push_back(std::make_unique<plain_client>(port));
+    }
+    BOOST_TEST(clients.back()->receive_all(*this).empty());
+    BOOST_TEST(it.connections() < many / 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace primrosedeal::http1
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -13,6 +13,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstdio>
 #include <map>
@@ -37,6 +38,11 @@
 constexpr auto max_unsent = std::size_t{8} << 20U;
 constexpr auto backlog = 1024;
 constexpr auto request_timeout = 408;
+constexpr auto unavailable = 503;
+/// In seconds.
+constexpr auto retry_after_full = std::string_view{"0.1"};
+/// Connections over the limit that get an answer, at once.
+constexpr auto max_surplus = std::size_t{64};
 
 auto serialise_head(response_head const& it, std::string_view framing,
                     bool close) -> std::string
@@ -99,10 +105,22 @@
     {
     }
 
+    /// Longest idle time that clients may take for valid.
+    [[nodiscard]] auto idle_timeout(time_point now) const -> duration
+    {
+        return now < former_until
+                   ? std::max(limits.idle_timeout, former_idle_timeout)
+                   : limits.idle_timeout;
+    }
+
     net::event_loop& loop;
     handler on_request;
     std::function<void(dropped_input const&)> on_dropped_input;
     server_limits limits;
+    bool limited = false;
+    /// The longest one of limits that clients may still go by.
+    duration former_idle_timeout{};
+    time_point former_until{};
     evconnlistener* listener = nullptr;
     std::map<connection*, std::shared_ptr<connection>> connections;
     bool closing = false;
@@ -120,10 +138,11 @@
 class connection : public std::enable_shared_from_this<connection>
 {
 public:
-    connection(server::state& owner, evutil_socket_t fd)
+    connection(server::state& owner, evutil_socket_t fd, bool surplus)
         : owner_(owner), bev_(bufferevent_socket_new(
                              owner.loop.base(), fd,
-                             BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS))
+                             BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)),
+          surplus_(surplus)
     {
         auto const on = 1;
         setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -131,8 +150,7 @@
         bufferevent_setwatermark(bev_, EV_READ, 0, max_read_ahead);
         bufferevent_enable(bev_, EV_READ | EV_WRITE);
         accepted_at_ = net::event_loop::now();
-        idle_since_ = accepted_at_;
-        arm(owner_.limits.idle_timeout);
+        await_client();
     }
 
     connection(connection const&) = delete;
@@ -146,7 +164,7 @@
     [[nodiscard]] auto idle(time_point now) const -> bool
     {
         return bev_ != nullptr && !answering_ && !ending_ &&
-               now >= idle_since_ + owner_.limits.min_idle_time &&
+               now >= waiting_since_ + owner_.limits.min_idle_time &&
                !parser_.started() && unread() == 0 && !has_pending_input();
     }
 
@@ -302,13 +320,17 @@
             return;
         }
         auto const was_started = parser_.started();
+        auto const& sizes = owner_.limits.sizes;
+        sizes_ = was_started ? parse_limits{std::max(sizes_.head, sizes.head),
+                                            std::max(sizes_.body, sizes.body)}
+                             : sizes;
         while (!answering_ && evbuffer_get_length(in) > 0 &&
                parser_.error() == parse_error::none && !parser_.complete())
         {
             auto const n = evbuffer_get_contiguous_space(in);
             auto const* const data = reinterpret_cast<char const*>(
                 evbuffer_pullup(in, static_cast<ev_ssize_t>(n)));
-            auto const taken = parser_.feed({data, n}, owner_.limits.sizes);
+            auto const taken = parser_.feed({data, n}, sizes_);
             evbuffer_drain(in,
                            parser_.error() == parse_error::none ? taken : n);
         }
@@ -342,13 +364,19 @@
     /// The head has one deadline as a whole; a body must not stop coming.
     void on_progress(bool was_started)
     {
-        if (!was_started)
+        if (parser_.head_complete())
         {
-            arm(owner_.limits.head_timeout);
+            head_overdue_ = false;
+            await_client();
         }
-        else if (parser_.head_complete())
+        else if (head_overdue_ && !has_pending_input())
         {
-            arm(owner_.limits.idle_timeout);
+            refuse_and_end(request_timeout);
+            return;
+        }
+        else if (!was_started)
+        {
+            await_client();
         }
         if (parser_.expects_continue() && !continued_)
         {
@@ -370,20 +398,28 @@
         refuse_and_end(status);
     }
 
-    void refuse_and_end(int status)
+    void refuse_and_end(int status, header_list headers = {})
     {
-        write(serialise_head({status, {}}, "Content-Length: 0", true));
+        write(serialise_head({status, std::move(headers)}, "Content-Length: 0",
+                             true));
         announced_ = true;
         end_gently(end_reason::rejected);
     }
 
     void hand_over()
     {
+        if (surplus_)
+        {
+            refuse_and_end(unavailable,
+                           {{"Retry-After", std::string{retry_after_full}}});
+            return;
+        }
         timer_.cancel();
         auto message = parser_.take();
         keep_alive_ = message.keep_alive;
         head_request_ = message.method == "HEAD";
         continued_ = false;
+        head_overdue_ = false;
         answering_ = true;
         started_ = false;
         ++requests_;
@@ -401,8 +437,7 @@
             end_gently(end_reason::last_answer);
             return;
         }
-        idle_since_ = net::event_loop::now();
-        arm(owner_.limits.idle_timeout);
+        await_client();
         // A request that came meanwhile is parsed from a fresh stack.
         auto const self = weak_from_this();
         owner_.loop.post(
@@ -462,6 +497,21 @@
         }
     }
 
+    /// Longest time that the client may take for what it sends next.
+    [[nodiscard]] auto timeout(time_point now) const -> duration
+    {
+        auto const in_head = parser_.started() && !parser_.head_complete();
+        auto const first_is_due = surplus_ && !parser_.started();
+        return in_head || first_is_due ? owner_.limits.head_timeout
+                                       : owner_.idle_timeout(now);
+    }
+
+    void await_client()
+    {
+        waiting_since_ = net::event_loop::now();
+        arm(timeout(waiting_since_));
+    }
+
     void arm(duration after)
     {
         timer_ = owner_.loop.after(after, [this] { timed_out(); });
@@ -470,16 +520,12 @@
     void timed_out()
     {
         auto const self = shared_from_this();
+        auto const now = net::event_loop::now();
         if (ending_)
         {
             lost(client_loss::not_reading);
         }
-        else if (parser_.started())
-        {
-            refuse_and_end(request_timeout);
-        }
-        else if (auto const left = idle_since_ + owner_.limits.idle_timeout -
-                                   net::event_loop::now();
+        else if (auto const left = waiting_since_ + timeout(now) - now;
                  left > 0s)
         {
             // A new configuration allows longer pauses.
@@ -487,9 +533,14 @@
         }
         else if (unread() > 0 || has_pending_input())
         {
-            // A request has come in this pass of the loop; it is parsed next.
+            // It came while the loop was busy, and is parsed next.
+            head_overdue_ = parser_.started() && !parser_.head_complete();
             arm(owner_.limits.idle_timeout);
         }
+        else if (parser_.started())
+        {
+            refuse_and_end(request_timeout);
+        }
         else
         {
             end_idle(end_reason::idle_timeout);
@@ -499,12 +550,17 @@
     server::state& owner_;
     bufferevent* bev_;
     request_parser parser_;
+    /// The largest ones that were in force for the request being read.
+    parse_limits sizes_;
     net::timer timer_;
     time_point accepted_at_{};
-    time_point idle_since_{};
+    /// When a head began, or else the last progress.
+    time_point waiting_since_{};
     time_point ended_at_{};
     std::uint64_t requests_ = 0;
     std::function<void(client_loss)> gone_;
+    /// Further than the server's limit of connections.
+    bool surplus_;
     bool answering_ = false;
     /// The head of the answer has been sent.
     bool started_ = false;
@@ -513,6 +569,8 @@
     bool continued_ = false;
     /// The last head that was sent said that it ends the connection.
     bool announced_ = false;
+    /// Bytes of a head waited to be read as its time ended.
+    bool head_overdue_ = false;
     bool ending_ = false;
     end_reason end_reason_ = end_reason::last_answer;
     bool drop_reported_ = false;
@@ -584,12 +642,14 @@
 
 void server::state::accepted(evutil_socket_t fd)
 {
-    if (connections.size() >= limits.max_connections)
+    auto const open = connections.size();
+    auto const most = limits.max_connections;
+    if (open >= most + max_surplus)
     {
         ::close(fd);
         return;
     }
-    auto it = std::make_shared<connection>(*this, fd);
+    auto it = std::make_shared<connection>(*this, fd, open >= most);
     connections.emplace(it.get(), it);
 }
 
@@ -634,6 +694,12 @@
 
 void server::set_limits(server_limits const& it)
 {
+    auto const now = net::event_loop::now();
+    if (std::exchange(state_->limited, true))
+    {
+        state_->former_idle_timeout = state_->idle_timeout(now);
+        state_->former_until = now + it.former_limits_known;
+    }
     state_->limits = it;
 }
 
--- a/src/http1/server.hpp
+++ b/src/http1/server.hpp
@@ -92,7 +92,10 @@
     /// Time for a request to come before a connection counts as idle for
     /// `close_idle`.
     duration min_idle_time = 500ms;
-    /// Connections held at once; further ones are closed at once.
+    /// Time for which clients may still go by the limits before these.
+    duration former_limits_known = 4s;
+    /// Connections held at once. The first request of a further one gets 503;
+    /// beyond a fixed number of those, connections are closed at once.
     std::size_t max_connections = 3000;
 };
 
@@ -110,7 +113,9 @@
     /// Returns the port.
     auto listen(net::endpoint const& at) -> std::uint16_t;
 
-    /// In force for what clients send from now on.
+    /// Larger ones hold at once. What is being sent keeps the limits that it
+    /// began with, and connections may be idle for as long as the limits before
+    /// allow until `former_limits_known` has passed.
     void set_limits(server_limits const& it);
 
     /// From now on every answer says that it ends its connection. An answer
