Test answers that break off at each byte of their head

Reported: clients got a 200 with an empty or short body, framed as whole, after a replica had stopped in the middle of its answer's head.

No fault here: every byte position of the head and of the body, closed and reset, directly and through a tunnel, for calls and streams, with a length, in chunks and without a length, after no, one or two interim answers. No client gets a success; a call that may run once is sent once and gets 502, a lookup and a resumable stream are served by the other target. Requests that their client breaks off are not handed over. An answer without a length is whole once its head is, if its connection is closed in good order; a stream also needs an event.

The tests are green on the code before.

--- a/src/gateway/attempt_test.cpp
+++ b/src/gateway/attempt_test.cpp
@@ -1,5 +1,6 @@
 #include "gateway/attempt.hpp"
 
+#include "gateway/tunnel_server.hpp"
 #include "platform/names.hpp"
 #include "platform/protocol.hpp"
 #include "standins/full_listener.hpp"
@@ -519,6 +520,157 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(whose_answer_breaks_off)
+
+/// Attempts at one target, directly and through a helper that connects to it.
+struct broken_answers : attempts
+{
+    /// What comes of the first `n` bytes of `bytes`.
+    auto cut(std::size_t n, answer_end how, http1::connection_path const& by,
+             bool streaming) -> outcome
+    {
+        answer = {bytes.substr(0, n), {}, 0, how};
+        auto const runs = target.runs();
+        auto out = run_by(by, target.port(), streaming);
+        BOOST_TEST(target.runs() == runs + 1);
+        return out;
+    }
+
+    template <class Check>
+    void each_way(Check const& check)
+    {
+        for (auto const how : {answer_end::closed, answer_end::reset})
+        {
+            for (auto const& by : paths)
+            {
+                BOOST_TEST_CONTEXT("closed: " << (how == answer_end::closed)
+                                              << " path: " << by.index())
+                {
+                    check(how, by);
+                }
+            }
+        }
+    }
+
+    std::string bytes;
+    raw_answer answer;
+    raw_target target{loop, [this](std::string const&)
+                      {
+                          return answer;
+                      }};
+    tunnel_server helper{
+        loop,
+        {},
+        {[this](target_id const&) {
+             return std::optional{net::endpoint{"127.0.0.1", target.port()}};
+         },
+         [] { return true; },
+         [] {},
+         {},
+         {},
+         {}}};
+    std::vector<http1::connection_path> paths = {
+        http1::direct_connection{},
+        http1::tunnel_route{{"127.0.0.1", helper.listen({"127.0.0.1", 0})},
+                            target_id{"t"}}};
+    /// Each with the bytes of a body in which two events come.
+    std::vector<std::pair<std::string, std::string>> answers = {
+        {"Content-Length: " +
+             std::to_string(event(1).size() + event(2).size()) + "\r\n\r\n",
+         event(1) + event(2)},
+        {"Transfer-Encoding: chunked\r\n\r\n",
+         chunked(event(1)) + chunked(event(2)) + "0\r\n\r\n"},
+        {"\r\n", event(1) + event(2)}};
+    std::vector<std::string> interims = {
+        "", "HTTP/1.1 100 Continue\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"};
+};
+
+BOOST_FIXTURE_TEST_CASE(in_its_head_is_broken_at_each_byte, broken_answers)
+{
+    for (auto const& interim : interims)
+    {
+        for (auto const& [last_lines, body] : answers)
+        {
+            bytes = interim;
+            bytes += signed_head + last_lines;
+            for (auto n = std::size_t{0}; n < bytes.size(); ++n)
+            {
+                BOOST_TEST_CONTEXT(bytes.substr(0, n))
+                each_way(
+                    [&](answer_end how, http1::connection_path const& by)
+                    {
+                        for (auto const streaming : {false, true})
+                        {
+                            auto const it = cut(n, how, by, streaming);
+                            BOOST_TEST((it.failure == attempt_failure::broken));
+                            BOOST_TEST(it.events.empty());
+                        }
+                    });
+            }
+        }
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(in_its_body_is_broken_at_each_byte, broken_answers)
+{
+    for (auto const& [last_lines, body] : answers)
+    {
+        auto const head = signed_head + last_lines;
+        bytes = head + body;
+        auto const until_close = last_lines == "\r\n";
+        for (auto n = head.size(); n < bytes.size(); ++n)
+        {
+            BOOST_TEST_CONTEXT(bytes.substr(0, n))
+            each_way(
+                [&](answer_end how, http1::connection_path const& by)
+                {
+                    auto const in_order =
+                        until_close && how == answer_end::closed;
+                    auto const call = cut(n, how, by, false);
+                    BOOST_TEST(call.response.has_value() == in_order);
+                    BOOST_TEST(
+                        (in_order || call.failure == attempt_failure::broken));
+                    auto const stream = cut(n, how, by, true);
+                    auto const one_event = n == head.size() + event(1).size();
+                    BOOST_TEST(stream.stream_ended == (in_order && one_event));
+                    BOOST_TEST((stream.stream_ended ||
+                                stream.failure == attempt_failure::broken));
+                    auto const whole_events = std::vector{event(1), event(2)};
+                    BOOST_TEST(std::equal(stream.events.begin(),
+                                          stream.events.end(),
+                                          whole_events.begin()));
+                });
+        }
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(in_its_helpers_answer_was_never_sent, attempts)
+{
+    auto const whole = http1::write_connect_answer(std::nullopt);
+    for (auto n = std::size_t{0}; n < whole.size(); ++n)
+    {
+        for (auto const how : {answer_end::closed, answer_end::reset})
+        {
+            auto helper = raw_target{
+                loop, [&](std::string const&)
+                {
+                    return raw_answer{whole.substr(0, n), {}, 0, how};
+                }};
+            auto const it =
+                run_by(http1::tunnel_route{{"127.0.0.1", helper.port()},
+                                           target_id{"t"}},
+                       helper.port(), false);
+            BOOST_TEST((it.failure == attempt_failure::not_connected), n);
+            BOOST_TEST((it.tunnel_refusal ==
+                        http1::tunnel_refusal::helper_unreachable));
+            BOOST_TEST(it.connections.empty());
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(whose_target_refuses)
 
 struct refusals : attempts
--- a/src/gateway/relay_test.cpp
+++ b/src/gateway/relay_test.cpp
@@ -520,6 +520,66 @@
     }
 }
 
+/// The first of two targets that is asked breaks off inside its head.
+struct broken_head
+{
+    broken_head(std::string const& path, std::size_t n, answer_end how)
+        : first{"HTTP/1.1 103 Early Hints\r\n\r\n" + whole.first.substr(0, n),
+                {},
+                0,
+                how}
+    {
+        it.list("t0", "a", one.port());
+        it.list("t1", "b", other.port());
+        it.send(path, client);
+        it.run_until([&] { return client.over(); });
+        runs = one.runs() + other.runs();
+    }
+
+    one_host it;
+    client_view client;
+    standins::raw_answer whole = answer_of(event(1), answer_end::closed);
+    standins::raw_answer first;
+    int asked = 0;
+    int runs = 0;
+    raw_target::script work = [this](std::string const&)
+    {
+        return asked++ == 0 ? first : whole;
+    };
+    raw_target one{it.loop, work};
+    raw_target other{it.loop, work};
+};
+
+BOOST_AUTO_TEST_CASE(is_no_success_whose_target_broke_off_in_its_head)
+{
+    auto const head = answer_of({}, answer_end::closed).first.size();
+    for (auto n = std::size_t{0}; n < head; ++n)
+    {
+        for (auto const how : {answer_end::closed, answer_end::reset})
+        {
+            BOOST_TEST_CONTEXT(n << (how == answer_end::reset ? " reset" : ""))
+            {
+                for (auto const* const path : {"/call/", "/fixed/"})
+                {
+                    auto const it = broken_head{path, n, how};
+                    BOOST_REQUIRE(it.client.reply);
+                    BOOST_TEST(it.client.reply->status == 502);
+                    BOOST_TEST(it.runs == 1);
+                }
+                auto const lookup = broken_head{"/look/", n, how};
+                BOOST_REQUIRE(lookup.client.reply);
+                BOOST_TEST(lookup.client.reply->status == 200);
+                BOOST_TEST(lookup.client.body == event(1));
+                BOOST_TEST(lookup.runs == 2);
+                auto const stream = broken_head{"/stream/", n, how};
+                BOOST_TEST(stream.client.finished);
+                BOOST_TEST(stream.client.body == event(1));
+                BOOST_TEST(stream.runs == 2);
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(a_host_that_reaches_nobody)
--- a/src/http1/connection_test.cpp
+++ b/src/http1/connection_test.cpp
@@ -22,6 +22,8 @@
 namespace
 {
 
+using standins::answer_end;
+
 auto const local = net::endpoint{"127.0.0.1", 0};
 
 /// Long enough to be a failure of the test and not of the machine.
@@ -98,9 +100,15 @@
 class plain_client
 {
 public:
-    explicit plain_client(std::uint16_t port)
+    explicit plain_client(std::uint16_t port,
+                          answer_end how = answer_end::closed)
         : fd_(::socket(AF_INET, SOCK_STREAM, 0))
     {
+        if (how == answer_end::reset)
+        {
+            auto const now = linger{1, 0};
+            ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+        }
         auto to = sockaddr_in{};
         to.sin_family = AF_INET;
         to.sin_port = htons(port);
@@ -197,6 +205,37 @@
     BOOST_TEST(handed == 0);
 }
 
+BOOST_FIXTURE_TEST_CASE(hands_over_no_request_that_its_client_broke_off, world)
+{
+    auto handed = 0;
+    auto it =
+        server{loop, [&](request const&, std::shared_ptr<exchange> const& c)
+               {
+                   ++handed;
+                   c->reply({200, {}}, {}, true);
+               }};
+    auto const port = it.listen(local);
+    auto const head = std::string{"POST /a HTTP/1.1\r\nHost: h\r\n"};
+    for (auto const& bytes :
+         {head + "Content-Length: 2\r\n\r\nok",
+          head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"})
+    {
+        for (auto n = std::size_t{0}; n < bytes.size(); ++n)
+        {
+            for (auto const how : {answer_end::closed, answer_end::reset})
+            {
+                {
+                    auto const client = plain_client{port, how};
+                    client.send(bytes.substr(0, n));
+                    run_until([&] { return it.connections() == 1; });
+                }
+                run_until([&] { return it.connections() == 0; });
+                BOOST_TEST(handed == 0, bytes.substr(0, n));
+            }
+        }
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(ends_a_head_that_comes_too_slowly, world)
 {
     auto it = server{loop, [](request const&, std::shared_ptr<exchange> const&)
@@ -475,6 +514,40 @@
     run_until([&] { return failed; });
 }
 
+BOOST_FIXTURE_TEST_CASE(reports_no_answer_that_broke_off_at_any_byte, world)
+{
+    auto const head = std::string{"HTTP/1.1 200 OK\r\nX-A: b\r\n"};
+    for (auto const& bytes :
+         {head + "Content-Length: 2\r\n\r\n{}",
+          head + "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n"})
+    {
+        for (auto n = std::size_t{0}; n < bytes.size(); ++n)
+        {
+            for (auto const how : {answer_end::closed, answer_end::reset})
+            {
+                auto from = standins::raw_target{
+                    loop, [&](std::string const&)
+                    {
+                        return standins::raw_answer{
+                            bytes.substr(0, n), {}, 0, how};
+                    }};
+                auto reports = 0;
+                auto const it =
+                    fetch{loop, net::endpoint{"127.0.0.1", from.port()},
+                          get("/"), patience,
+                          [&](std::optional<net::http_response> const& answer,
+                              bool sent)
+                          {
+                              ++reports;
+                              BOOST_TEST(!answer, bytes.substr(0, n));
+                              BOOST_TEST(sent);
+                          }};
+                run_until([&] { return reports == 1; });
+            }
+        }
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(ends_an_answer_beyond_its_bound, world)
 {
     constexpr auto endless = std::size_t{96} << 20U;
--- a/src/http1/message_test.cpp
+++ b/src/http1/message_test.cpp
@@ -39,6 +39,40 @@
     return out;
 }
 
+/// An answer in parts; its head ends with `last_lines`.
+struct framed_answer
+{
+    std::string first_lines;
+    std::string last_lines;
+    std::string body;
+    bool until_close = false;
+};
+
+/// What comes of `bytes` in pieces of `step`, closed in good order.
+auto read_answer(std::string const& bytes, std::size_t step = 1,
+                 bool head_request = false) -> response_progress
+{
+    auto parser = response_parser{head_request};
+    auto out = response_progress{};
+    auto const add = [&](response_progress it)
+    {
+        out.head = it.head ? std::move(it.head) : std::move(out.head);
+        out.body += it.body;
+        out.complete = out.complete || it.complete;
+        out.malformed = out.malformed || it.malformed;
+    };
+    for (auto at = std::size_t{0}; at < bytes.size() && !out.malformed;
+         at += step)
+    {
+        add(parser.feed(std::string_view{bytes}.substr(at, step)));
+    }
+    if (!out.complete && !out.malformed)
+    {
+        out.complete = parser.feed_end().complete;
+    }
+    return out;
+}
+
 auto with_head(std::string const& lines) -> std::string
 {
     return "POST /a/b?c HTTP/1.1\r\nHost: h\r\n" + lines + "\r\n";
@@ -86,6 +120,25 @@
     BOOST_TEST(it.message->body == "ab");
 }
 
+BOOST_AUTO_TEST_CASE(and_not_before_its_last_byte)
+{
+    for (auto const& bytes :
+         {with_head("Content-Length: 2\r\n") + "ok",
+          with_head("Transfer-Encoding: chunked\r\n") +
+              "2\r\nok\r\n0\r\nX-C: d\r\n\r\n",
+          std::string{"GET /a HTTP/1.0\r\nHost: h\r\n\r\n"}})
+    {
+        for (auto n = std::size_t{0}; n <= bytes.size(); ++n)
+        {
+            BOOST_TEST_CONTEXT(bytes.substr(0, n))
+            {
+                auto const it = parse(bytes.substr(0, n), n + 1);
+                BOOST_TEST(it.message.has_value() == (n == bytes.size()));
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(is_refused)
@@ -196,6 +249,45 @@
     BOOST_TEST(it.complete);
 }
 
+BOOST_AUTO_TEST_CASE(that_breaks_off_at_any_byte_is_not_complete)
+{
+    auto const status = std::string{"HTTP/1.1 200 OK\r\nX-A: b\r\n"};
+    auto const interim = std::string{"HTTP/1.1 103 Hints\r\nX-A: b\r\n\r\n"};
+    auto const answers = std::vector<framed_answer>{
+        {status, "Content-Length: 2\r\n\r\n", "ok"},
+        {status, "Content-Length: 0\r\n\r\n", ""},
+        {status, "Transfer-Encoding: chunked\r\n\r\n",
+         "2;a=b\r\nok\r\n0\r\nX-C: d\r\n\r\n"},
+        {status, "\r\n", "ok", true},
+        {interim + "HTTP/1.1 100 Continue\r\n\r\n" + status,
+         "Content-Length: 2\r\n\r\n", "ok"},
+        {interim + status, "\r\n", "ok", true},
+        {"HTTP/1.0 200 OK\r\n", "\r\n", "ok", true},
+        {"HTTP/1.1 204 No Content\r\n", "\r\n", ""},
+        {"HTTP/1.1 503 No\r\n", "Content-Length: 2\r\n\r\n", "no"},
+    };
+    for (auto const& it : answers)
+    {
+        auto const head = it.first_lines.size() + it.last_lines.size();
+        auto const bytes = it.first_lines + it.last_lines + it.body;
+        for (auto n = std::size_t{0}; n <= bytes.size(); ++n)
+        {
+            for (auto const step : {std::size_t{1}, std::size_t{7}, n + 1})
+            {
+                BOOST_TEST_CONTEXT(bytes.substr(0, n) << " by " << step)
+                {
+                    auto const got = read_answer(bytes.substr(0, n), step);
+                    auto const whole =
+                        n == bytes.size() || (it.until_close && n >= head);
+                    BOOST_TEST(got.complete == whole);
+                    BOOST_TEST(got.head.has_value() == (n >= head));
+                    BOOST_TEST((n >= head || got.body.empty()));
+                }
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(that_is_not_http_is_malformed)
 {
     auto parser = response_parser{false};
