Refuse an interim answer that announces a body

Callers could get a 200 whose body began with the bytes of an interim answer: `103` with `Content-Length: 5` and `hello`, then a 200 with `ok`, was handed over as `hellook`, complete. http_parser reads such a body although an interim answer ends at its empty line (RFC 9112, 6.3), and `on_body` appended it.

An interim answer with a length above zero or a transfer coding is malformed, so the attempt is damaged: it may have run and is no success.

--- a/src/http1/message.cpp
+++ b/src/http1/message.cpp
@@ -20,6 +20,8 @@
 constexpr auto max_framing = std::size_t{128} << 10U;
 constexpr auto max_framing_per_body_byte = std::size_t{16};
 
+constexpr auto first_final_status = 200U;
+
 auto has_control_character(std::string_view text) -> bool
 {
     return std::any_of(text.begin(), text.end(),
@@ -36,6 +38,14 @@
                       { return same_header_name(it.name, name); }));
 }
 
+/// Whether a head states that a body follows which is not empty.
+auto announces_body(http_parser const& it, header_list const& headers) -> bool
+{
+    auto const sized =
+        it.content_length > 0 && it.content_length != ~std::uint64_t{0};
+    return sized || count_headers(headers, "transfer-encoding") > 0;
+}
+
 auto lists_token(std::string_view list, std::string_view token) -> bool
 {
     while (!list.empty())
@@ -319,9 +329,12 @@
         {
             auto& it = self(p);
             auto headers = it.headers_.take();
-            constexpr auto first_final_status = 200U;
             it.interim_ = p->status_code < first_final_status;
             p->upgrade = 0;
+            if (!is_valid_head(*p, headers))
+            {
+                return -1;
+            }
             if (!it.interim_)
             {
                 it.progress_.until_close =
@@ -350,6 +363,15 @@
         return out;
     }
 
+    static auto is_valid_head(http_parser const& it, header_list const& headers)
+        -> bool
+    {
+        // http_parser would hand over an interim answer's body as bytes of the
+        // final one.
+        return it.status_code >= first_final_status ||
+               !announces_body(it, headers);
+    }
+
     /// Whether the body ends with the connection; http_parser keeps its own
     /// test private.
     static auto http_message_needs_eof(http_parser const* p) -> int
--- a/src/http1/message_test.cpp
+++ b/src/http1/message_test.cpp
@@ -288,6 +288,31 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(began_with_the_body_of_an_interim_answer)
+{
+    auto const last = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    for (auto const* const it :
+         {"Content-Length: 5\r\n\r\nhello",
+          "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+          "Transfer-Encoding: gzip\r\n\r\nhello"})
+    {
+        for (auto const head_request : {false, true})
+        {
+            BOOST_TEST_CONTEXT(it)
+            {
+                auto const interim = std::string{"HTTP/1.1 103 Hints\r\n"};
+                auto const got =
+                    read_answer(interim + it + last, 1, head_request);
+                BOOST_TEST(got.malformed);
+                BOOST_TEST(got.body.empty());
+            }
+        }
+    }
+    auto const empty = std::string{"HTTP/1.1 100 Continue\r\n"
+                                   "Content-Length: 0\r\n\r\n"};
+    BOOST_TEST(read_answer(empty + last).body == "ok");
+}
+
 BOOST_AUTO_TEST_CASE(that_is_not_http_is_malformed)
 {
     auto parser = response_parser{false};
