Refuse answers whose lines or chunks end in damaged bytes

Callers could get a success for an answer with a damaged frame: a chunk that was followed by any two bytes in place of CRLF, a head whose empty line was a lone LF or CR and any byte, a length that was folded into the header before it (the body then ended with the connection, or was empty). The library is built without its strict mode and accepts all of these; a head or chunk that lost a byte was taken for a whole one.

The parser is fed line by line in heads and chunk sizes, and by length in chunks. Each line ends with CRLF, none is folded, nothing lies between the end of a chunk and its CRLF. Requests are read as before.

--- a/src/http1/message.cpp
+++ b/src/http1/message.cpp
@@ -337,6 +337,8 @@
             }
             if (!it.interim_)
             {
+                it.part_ =
+                    (p->flags & F_CHUNKED) != 0 ? part::line : part::body;
                 it.progress_.until_close =
                     http_message_needs_eof(p) != 0 && !it.head_request_;
                 it.progress_.head = response_head{
@@ -349,6 +351,17 @@
             self(p).progress_.body.append(at, n);
             return 0;
         };
+        out.on_chunk_header = [](http_parser* p)
+        {
+            auto& it = self(p);
+            it.chunk_left_ = p->content_length;
+            if (it.chunk_left_ > 0)
+            {
+                it.part_ = part::chunk;
+                it.last_ = '\0';
+            }
+            return 0;
+        };
         out.on_message_complete = [](http_parser* p)
         {
             auto& it = self(p);
@@ -393,37 +406,96 @@
     parser_.data = this;
 }
 
-auto response_parser::execute(char const* data, std::size_t n)
-    -> response_progress
+auto response_parser::next_piece(std::string_view bytes) const
+    -> std::string_view
+{
+    if (part_ == part::body)
+    {
+        return bytes;
+    }
+    if (part_ == part::chunk)
+    {
+        return bytes.substr(0,
+                            std::min<std::uint64_t>(bytes.size(), chunk_left_));
+    }
+    auto const end = bytes.find('\n');
+    return end == std::string_view::npos ? bytes : bytes.substr(0, end + 1);
+}
+
+/// http_parser takes a lone LF for the end of a line, any byte for the LF after
+/// a CR, any two bytes for the end of a chunk, and a folded line for a part of
+/// the one before. Each lets a damaged answer pass for a whole one.
+auto response_parser::has_valid_line_end(std::string_view piece) -> bool
+{
+    for (auto const c : piece)
+    {
+        auto const after_cr = last_ == '\r';
+        auto const folded = last_ == '\n' && (c == ' ' || c == '\t');
+        auto const in_chunk_end = part_ == part::chunk_end && !after_cr;
+        if ((c == '\n') != after_cr || folded || (in_chunk_end && c != '\r'))
+        {
+            return false;
+        }
+        last_ = c;
+    }
+    return true;
+}
+
+void response_parser::execute(std::string_view bytes)
 {
     static auto const settings = callbacks::make();
     // The parser may have been copied with its owner since the last call.
     parser_.data = this;
-    progress_ = {};
-    if (!complete_)
-    {
-        http_parser_execute(&parser_, &settings, data, n);
-        auto const error = HTTP_PARSER_ERRNO(&parser_);
-        framing_bytes_ += n - std::min(n, progress_.body.size());
-        body_bytes_ += progress_.body.size();
-        progress_.malformed =
-            (error != HPE_OK && error != HPE_PAUSED) ||
-            (!complete_ &&
-             framing_bytes_ >
-                 max_framing + max_framing_per_body_byte * body_bytes_);
-    }
-    return std::move(progress_);
+    http_parser_execute(&parser_, &settings, bytes.data(), bytes.size());
+    auto const error = HTTP_PARSER_ERRNO(&parser_);
+    malformed_ = malformed_ || (error != HPE_OK && error != HPE_PAUSED);
 }
 
 auto response_parser::feed(std::string_view bytes) -> response_progress
 {
-    return bytes.empty() ? response_progress{}
-                         : execute(bytes.data(), bytes.size());
+    progress_ = {};
+    auto const n = complete_ ? 0 : bytes.size();
+    while (!bytes.empty() && !complete_ && !malformed_)
+    {
+        auto const piece = next_piece(bytes);
+        bytes.remove_prefix(piece.size());
+        if (part_ == part::chunk)
+        {
+            chunk_left_ -= piece.size();
+            execute(piece);
+            part_ = chunk_left_ == 0 ? part::chunk_end : part::chunk;
+            continue;
+        }
+        if (part_ != part::body && !has_valid_line_end(piece))
+        {
+            malformed_ = true;
+            break;
+        }
+        if (part_ == part::chunk_end && last_ == '\n')
+        {
+            part_ = part::line;
+        }
+        execute(piece);
+    }
+    framing_bytes_ += n - std::min(n, progress_.body.size());
+    body_bytes_ += progress_.body.size();
+    progress_.malformed =
+        malformed_ ||
+        (!complete_ &&
+         framing_bytes_ >
+             max_framing + max_framing_per_body_byte * body_bytes_);
+    return std::move(progress_);
 }
 
 auto response_parser::feed_end() -> response_progress
 {
-    return execute("", 0);
+    progress_ = {};
+    if (!complete_ && !malformed_)
+    {
+        execute({});
+        progress_.malformed = malformed_;
+    }
+    return std::move(progress_);
 }
 
 } // namespace primrosedeal::http1
--- a/src/http1/message.hpp
+++ b/src/http1/message.hpp
@@ -5,6 +5,7 @@
 #include <http_parser.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -149,16 +150,33 @@
 private:
     struct callbacks;
 
-    auto execute(char const* data, std::size_t n) -> response_progress;
+    /// What follows is read in lines, as heads and the sizes of chunks are, in
+    /// the bytes of a chunk, or in those of a body that has no chunks.
+    enum class part
+    {
+        line,
+        chunk,
+        chunk_end,
+        body,
+    };
+
+    [[nodiscard]] auto next_piece(std::string_view bytes) const
+        -> std::string_view;
+    auto has_valid_line_end(std::string_view piece) -> bool;
+    void execute(std::string_view bytes);
 
     http_parser parser_{};
     header_collector headers_;
     response_progress progress_;
+    part part_ = part::line;
+    char last_ = '\0';
+    std::uint64_t chunk_left_ = 0;
     std::size_t framing_bytes_ = 0;
     std::size_t body_bytes_ = 0;
     bool head_request_ = false;
     bool interim_ = false;
     bool complete_ = false;
+    bool malformed_ = false;
 };
 
 /// Value of the only header called `name`; nothing if absent or repeated.
--- a/src/http1/message_test.cpp
+++ b/src/http1/message_test.cpp
@@ -4,6 +4,8 @@
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
 
+#include <sstream>
+
 namespace primrosedeal::http1
 {
 
@@ -313,6 +315,70 @@
     BOOST_TEST(read_answer(empty + last).body == "ok");
 }
 
+BOOST_AUTO_TEST_CASE(was_whole_though_an_end_of_a_line_was_damaged)
+{
+    auto const check = [](std::string const& bytes)
+    {
+        for (auto const step : {std::size_t{1}, std::size_t{3}, bytes.size()})
+        {
+            BOOST_TEST_CONTEXT(bytes << " by " << step)
+            {
+                auto const got = read_answer(bytes, step);
+                BOOST_TEST(got.malformed);
+                BOOST_TEST(!got.complete);
+            }
+        }
+    };
+    auto const status = std::string{"HTTP/1.1 200 OK"};
+    for (auto const* const it :
+         {"\nContent-Length: 2\n\nok", "\n\n", "\r\nX-A: b\r\n\n",
+          "\r\nX-A: b\n\r\n", "\r\nContent-Length: 2\n\nok",
+          "\r\nContent-Length: 2\r\n\rXok", "\r\rContent-Length: 2\r\n\r\nok",
+          "\r\nContent-Length: 2\r\n\nok",
+          "\r\nX-A: b\r\n Content-Length: 2\r\n\r\n",
+          "\r\nContent-Length:\r\n 2\r\n\r\nok",
+          "\r\n\tContent-Length: 2\r\n\r\n"})
+    {
+        check(status + it);
+    }
+    check("\n" + status + "\r\n\r\n");
+    auto const chunks = status + "\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (auto const* const it :
+         {"2\r\nokXY0\r\n\r\n", "2\r\nok\rY0\r\n\r\n", "2\r\nokX\n0\r\n\r\n",
+          "2\rXok\r\n0\r\n\r\n", "2\r\nok\r\n0\rX\r\n", "2\r\nok\r\n0\r\n\rX",
+          "2\r\nok\r\n0\r\nX-C: d\n\r\n"})
+    {
+        check(chunks + it);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(has_the_same_body_whatever_chunks_and_pieces_it_comes_in)
+{
+    rc::check(
+        [](std::string const& body)
+        {
+            auto bytes = std::string{"HTTP/1.1 200 OK\r\n"
+                                     "Transfer-Encoding: chunked\r\n\r\n"};
+            for (auto at = std::size_t{0}; at < body.size();)
+            {
+                auto const n =
+                    *rc::gen::inRange<std::size_t>(1, body.size() - at + 1);
+                auto size = std::ostringstream{};
+                size << std::hex << n << "\r\n";
+                bytes += size.str() + body.substr(at, n) + "\r\n";
+                at += n;
+            }
+            bytes += "0\r\n\r\n";
+            auto const step =
+                *rc::gen::inRange<std::size_t>(1, bytes.size() + 1);
+            auto const got = read_answer(bytes, step);
+            RC_ASSERT(got.complete);
+            RC_ASSERT(got.body == body);
+            auto const cut = *rc::gen::inRange<std::size_t>(0, bytes.size());
+            RC_ASSERT(!read_answer(bytes.substr(0, cut), step).complete);
+        });
+}
+
 BOOST_AUTO_TEST_CASE(that_is_not_http_is_malformed)
 {
     auto parser = response_parser{false};
