Refuse an answer in a transfer coding that is not undone here

Callers could get the coded bytes as a plain body: with `Transfer-Encoding: gzip` the packed bytes, with `chunked, gzip` or `xchunked` the sizes of the chunks too, each with a 200 and a length of its own, since the header is not forwarded.

--- a/src/http1/message.cpp
+++ b/src/http1/message.cpp
@@ -46,21 +46,29 @@
     return sized || count_headers(headers, "transfer-encoding") > 0;
 }
 
+auto trim(std::string_view text) -> std::string_view
+{
+    auto const is_space = [](char c)
+    {
+        return c == ' ' || c == '\t';
+    };
+    while (!text.empty() && is_space(text.front()))
+    {
+        text.remove_prefix(1);
+    }
+    while (!text.empty() && is_space(text.back()))
+    {
+        text.remove_suffix(1);
+    }
+    return text;
+}
+
 auto lists_token(std::string_view list, std::string_view token) -> bool
 {
     while (!list.empty())
     {
         auto const comma = list.find(',');
-        auto part = list.substr(0, comma);
-        while (!part.empty() && (part.front() == ' ' || part.front() == '\t'))
-        {
-            part.remove_prefix(1);
-        }
-        while (!part.empty() && (part.back() == ' ' || part.back() == '\t'))
-        {
-            part.remove_suffix(1);
-        }
-        if (same_header_name(part, token))
+        if (same_header_name(trim(list.substr(0, comma)), token))
         {
             return true;
         }
@@ -379,10 +387,17 @@
     static auto is_valid_head(http_parser const& it, header_list const& headers)
         -> bool
     {
+        auto const codings = count_headers(headers, "transfer-encoding");
+        auto const coding =
+            net::find_header(headers, "transfer-encoding").value_or("");
+        // Any other coding would be handed over as if it were the plain body.
+        auto const chunked = codings == 1 && it.http_minor == 1 &&
+                             same_header_name(trim(coding), "chunked");
         // http_parser would hand over an interim answer's body as bytes of the
         // final one.
-        return it.status_code >= first_final_status ||
-               !announces_body(it, headers);
+        return (codings == 0 || chunked) &&
+               (it.status_code >= first_final_status ||
+                !announces_body(it, headers));
     }
 
     /// Whether the body ends with the connection; http_parser keeps its own
--- a/src/http1/message_test.cpp
+++ b/src/http1/message_test.cpp
@@ -379,6 +379,32 @@
         });
 }
 
+BOOST_AUTO_TEST_CASE(handed_over_a_coded_body_as_if_it_were_plain)
+{
+    auto const chunks = std::string{"2\r\nok\r\n0\r\n\r\n"};
+    for (auto const* const it :
+         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, gzip",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding:",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+          "Transfer-Encoding: chunked",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+          "Content-Length: 2",
+          "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked"})
+    {
+        BOOST_TEST_CONTEXT(it)
+        {
+            auto const got = read_answer(it + ("\r\n\r\n" + chunks));
+            BOOST_TEST(got.malformed);
+            BOOST_TEST(!got.head);
+        }
+    }
+    auto const plain = "HTTP/1.1 200 OK\r\ntransfer-encoding: \tChunked \r\n";
+    BOOST_TEST(read_answer(plain + ("\r\n" + chunks)).body == "ok");
+}
+
 BOOST_AUTO_TEST_CASE(that_is_not_http_is_malformed)
 {
     auto parser = response_parser{false};
