End a 204 and a 304 at their empty line

A 304 may state the length or the coding of the answer that it stands for and has no body. Callers got no answer to such a 304 until the target closed the connection, and then a 502; if bytes followed they came as its body. A 204 with a body was handed over with it.

Answers to HEAD, cut at each byte, are tested too; those were right before.

Both are complete with their head (RFC 9112, 6.3). A 204 that announces a body is malformed, since only its length or its status can be meant.

--- a/src/http1/message.cpp
+++ b/src/http1/message.cpp
@@ -21,6 +21,8 @@
 constexpr auto max_framing_per_body_byte = std::size_t{16};
 
 constexpr auto first_final_status = 200U;
+constexpr auto no_content = 204U;
+constexpr auto not_modified = 304U;
 
 auto has_control_character(std::string_view text) -> bool
 {
@@ -352,7 +354,7 @@
                 it.progress_.head = response_head{
                     static_cast<int>(p->status_code), std::move(headers)};
             }
-            return it.head_request_ && !it.interim_ ? 1 : 0;
+            return it.head_request_ || ends_with_head(*p) ? 1 : 0;
         };
         out.on_body = [](http_parser* p, char const* at, std::size_t n)
         {
@@ -393,24 +395,28 @@
         // Any other coding would be handed over as if it were the plain body.
         auto const chunked = codings == 1 && it.http_minor == 1 &&
                              same_header_name(trim(coding), "chunked");
-        // http_parser would hand over an interim answer's body as bytes of the
-        // final one.
-        return (codings == 0 || chunked) &&
-               (it.status_code >= first_final_status ||
-                !announces_body(it, headers));
+        // What follows would be taken for the body or for the next answer.
+        auto const has_misplaced_body = ends_with_head(it) &&
+                                        it.status_code != not_modified &&
+                                        announces_body(it, headers);
+        return (codings == 0 || chunked) && !has_misplaced_body;
+    }
+
+    /// Whether the status has no body, so that a length or coding, which a 304
+    /// may state, is that of another answer: RFC 9112, 6.3.
+    static auto ends_with_head(http_parser const& it) -> bool
+    {
+        return it.status_code < first_final_status ||
+               it.status_code == no_content || it.status_code == not_modified;
     }
 
     /// Whether the body ends with the connection; http_parser keeps its own
     /// test private.
     static auto http_message_needs_eof(http_parser const* p) -> int
     {
-        constexpr auto no_content = 204U;
-        constexpr auto not_modified = 304U;
         auto const chunked = (p->flags & F_CHUNKED) != 0;
         auto const sized = p->content_length != ~std::uint64_t{0};
-        auto const bodiless =
-            p->status_code == no_content || p->status_code == not_modified;
-        return !chunked && !sized && !bodiless ? 1 : 0;
+        return !chunked && !sized && !ends_with_head(*p) ? 1 : 0;
     }
 };
 
--- a/src/http1/message_test.cpp
+++ b/src/http1/message_test.cpp
@@ -405,6 +405,46 @@
     BOOST_TEST(read_answer(plain + ("\r\n" + chunks)).body == "ok");
 }
 
+BOOST_AUTO_TEST_CASE(waited_for_a_body_that_its_status_does_not_have)
+{
+    for (auto const* const it :
+         {"HTTP/1.1 304 Not Modified\r\nContent-Length: 2\r\n\r\n",
+          "HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: chunked\r\n\r\n",
+          "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n",
+          "HTTP/1.1 204 No Content\r\n\r\n"})
+    {
+        BOOST_TEST_CONTEXT(it)
+        {
+            auto const got =
+                response_parser{false}.feed(it + std::string{"ok"});
+            BOOST_TEST(got.complete);
+            BOOST_TEST(got.body.empty());
+        }
+    }
+    for (auto const* const it :
+         {"HTTP/1.1 204 No Content\r\nContent-Length: 2\r\n\r\nok",
+          "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n"})
+    {
+        BOOST_TEST(read_answer(it).malformed, it);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(to_a_head_request_has_no_body_whatever_it_states)
+{
+    for (auto const* const it :
+         {"Content-Length: 2\r\n", "Transfer-Encoding: chunked\r\n", ""})
+    {
+        auto const head = std::string{"HTTP/1.1 200 OK\r\n"} + it + "\r\n";
+        for (auto n = std::size_t{0}; n <= head.size(); ++n)
+        {
+            auto const got = read_answer(head.substr(0, n), n + 1, true);
+            BOOST_TEST(got.complete == (n == head.size()), head.substr(0, n));
+            BOOST_TEST(got.head.has_value() == got.complete);
+        }
+        BOOST_TEST(read_answer(head + "ok", 1, true).body.empty());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(that_is_not_http_is_malformed)
 {
     auto parser = response_parser{false};
