Refuse an answer whose version, status or headers are not HTTP/1.1

A target's answer of any version from 0.0 to 9.9 was taken for HTTP/1.1 and its 101 was skipped like a hint although no upgrade had been asked for. A header with a space before its colon was forwarded, where it hides from the tests of names (`X-A :`, `Content-Length :`), as were control characters.

The check of request headers is used for answers, beside version 1.0 or 1.1 and a final or interim status other than 101.

--- a/src/http1/message.cpp
+++ b/src/http1/message.cpp
@@ -20,6 +20,7 @@
 constexpr auto max_framing = std::size_t{128} << 10U;
 constexpr auto max_framing_per_body_byte = std::size_t{16};
 
+constexpr auto first_status = 100U;
 constexpr auto first_final_status = 200U;
 constexpr auto no_content = 204U;
 constexpr auto not_modified = 304U;
@@ -31,6 +32,17 @@
                        { return (c < ' ' && c != '\t') || c == 0x7F; });
 }
 
+auto has_malformed_header(header_list const& headers) -> bool
+{
+    return std::any_of(headers.begin(), headers.end(),
+                       [](net::http_header const& it)
+                       {
+                           return it.name.empty() ||
+                                  it.name.find(' ') != std::string::npos ||
+                                  has_control_character(it.value);
+                       });
+}
+
 auto count_headers(header_list const& headers, std::string_view name)
     -> std::size_t
 {
@@ -254,14 +266,6 @@
     message_.headers = std::move(trailing);
     head_complete_ = true;
     auto const& headers = message_.headers;
-    auto const bad_header =
-        std::any_of(headers.begin(), headers.end(),
-                    [](net::http_header const& it)
-                    {
-                        return it.name.empty() ||
-                               it.name.find(' ') != std::string::npos ||
-                               has_control_character(it.value);
-                    });
     auto const lengths = count_headers(headers, "content-length");
     auto const codings = count_headers(headers, "transfer-encoding");
     auto const coding = net::find_header(headers, "transfer-encoding");
@@ -270,8 +274,9 @@
                            (coding && !same_header_name(*coding, "chunked")) ||
                            count_headers(headers, "host") > 1;
     auto const one_dot_one = parser_.http_major == 1 && parser_.http_minor <= 1;
-    if (bad_header || ambiguous || !one_dot_one || message_.target.empty() ||
-        message_.target.front() != '/' || parser_.method == HTTP_CONNECT)
+    if (has_malformed_header(headers) || ambiguous || !one_dot_one ||
+        message_.target.empty() || message_.target.front() != '/' ||
+        parser_.method == HTTP_CONNECT)
     {
         error_ = parse_error::malformed;
         return false;
@@ -399,7 +404,13 @@
         auto const has_misplaced_body = ends_with_head(it) &&
                                         it.status_code != not_modified &&
                                         announces_body(it, headers);
-        return (codings == 0 || chunked) && !has_misplaced_body;
+        auto const is_http1 = it.http_major == 1 && it.http_minor <= 1;
+        // No upgrade is asked for.
+        constexpr auto switching_protocols = 101U;
+        auto const valid_status = it.status_code >= first_status &&
+                                  it.status_code != switching_protocols;
+        return is_http1 && valid_status && !has_malformed_header(headers) &&
+               (codings == 0 || chunked) && !has_misplaced_body;
     }
 
     /// Whether the status has no body, so that a length or coding, which a 304
--- a/src/http1/message_test.cpp
+++ b/src/http1/message_test.cpp
@@ -447,6 +447,36 @@
 
 BOOST_AUTO_TEST_CASE(that_is_not_http_is_malformed)
 {
+    auto const rest = std::string{"Content-Length: 2\r\n\r\nok"};
+    for (auto const* const it :
+         {"HTTP/0.9 200 OK\r\n",
+          "HTTP/2.0 200 OK\r\n",
+          "HTTP/1.2 200 OK\r\n",
+          "HTTP/1.1 20\r\n",
+          "HTTP/1.1 2 OK\r\n",
+          "HTTP/1.1 099 OK\r\n",
+          "HTTP/1.1 1000 OK\r\n",
+          "HTTP/1.1 OK\r\n",
+          "HTTP/1.1\r\n",
+          "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\n",
+          "HTTP/1.1 200 OK\r\nX A: b\r\n",
+          "HTTP/1.1 200 OK\r\nX-A : b\r\n",
+          "HTTP/1.1 200 OK\r\nX-A: \x01\r\n",
+          "HTTP/1.1 200 OK\r\nX-A\r\n",
+          "HTTP/1.1 200 OK\r\n: b\r\n",
+          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n",
+          "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n",
+          "HTTP/1.1 200 OK\r\nContent-Length : 3\r\n",
+          "<html>",
+          ""})
+    {
+        BOOST_TEST_CONTEXT(it)
+        {
+            auto const got = read_answer(it + rest);
+            BOOST_TEST(got.malformed);
+            BOOST_TEST(!got.head);
+        }
+    }
     auto parser = response_parser{false};
     BOOST_TEST(parser.feed("garbage").malformed);
 }
