Test answers that break off before their request was sent

A target that answers in part and closes with 4 MB of the request still on their way: every ninth byte, closed and reset, directly and through a tunnel. The attempt is broken each time.

--- a/src/gateway/attempt_test.cpp
+++ b/src/gateway/attempt_test.cpp
@@ -135,7 +135,7 @@
         plan.target.address = {"127.0.0.1", port};
         plan.path = path;
         plan.id = request_id{"r1"};
-        plan.message = {method, "/a", {{"Host", "h"}}, "prompt", true};
+        plan.message = {method, "/a", {{"Host", "h"}}, body, true};
         plan.connect_timeout = connect_timeout;
         plan.streaming = streaming;
         // No silence of a busy machine ends the attempt.
@@ -203,6 +203,7 @@
 
     bool initialised = (net::initialise_process(), true);
     std::string method = "POST";
+    std::string body = "prompt";
     net::event_loop loop;
     platform::wire_protocol wire;
     connect_prober prober{loop};
@@ -645,6 +646,24 @@
     }
 }
 
+// The target closes before it has read the request, which resets the
+// connection while the rest of the request is still being sent.
+BOOST_FIXTURE_TEST_CASE(before_its_request_was_sent_is_broken, broken_answers)
+{
+    body = std::string(4 * mebibyte, 'x');
+    bytes = signed_head + "Content-Length: 2\r\n\r\nok";
+    constexpr auto step = std::size_t{9};
+    for (auto n = std::size_t{0}; n < bytes.size(); n += step)
+    {
+        each_way(
+            [&](answer_end how, http1::connection_path const& by)
+            {
+                auto const it = cut(n, how, by, false);
+                BOOST_TEST((it.failure == attempt_failure::broken), n);
+            });
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(in_its_helpers_answer_was_never_sent, attempts)
 {
     auto const whole = http1::write_connect_answer(std::nullopt);
