Test that evhttp's client reports no answer that broke off

The own interface's client (`net::fetch`) at each byte of an answer with a length, in chunks, and of a head without a length, closed and reset.

--- a/src/net/http_test.cpp
+++ b/src/net/http_test.cpp
@@ -1,5 +1,6 @@
 #include "net/http_client.hpp"
 #include "net/http_server.hpp"
+#include "standins/raw_target.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -83,6 +84,41 @@
     BOOST_TEST(server.open_requests() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(is_not_reported_of_one_that_broke_off_at_any_byte)
+{
+    auto const head = std::string{"HTTP/1.1 200 OK\r\nX-A: b\r\n"};
+    for (auto const& bytes :
+         {head + "\r\n", head + "Content-Length: 2\r\n\r\nok",
+          head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"})
+    {
+        for (auto n = std::size_t{0}; n < bytes.size(); ++n)
+        {
+            for (auto const how :
+                 {standins::answer_end::closed, standins::answer_end::reset})
+            {
+                auto target = standins::raw_target{
+                    loop, [&](std::string const&)
+                    {
+                        return standins::raw_answer{
+                            bytes.substr(0, n), {}, 0, how};
+                    }};
+                auto failed = false;
+                auto const call = fetch(
+                    loop, {"127.0.0.1", target.port()},
+                    {http_method::post, "/", {}, "x"}, 5s,
+                    [&](http_response const&) { loop.stop(); },
+                    [&](call_error, bool may_have_sent)
+                    {
+                        failed = may_have_sent;
+                        loop.stop();
+                    });
+                run_for_at_most(10s);
+                BOOST_TEST(failed, bytes.substr(0, n));
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(times_out_and_says_that_it_was_sent)
 {
     handle = [&](server_request const&, std::shared_ptr<responder> const& to)
