--- a/src/gateway/attempt_test.cpp
+++ b/src/gateway/attempt_test.cpp
@@ -688,6 +688,35 @@
     }
 }
 
+// An answer without a length, so that only the last frame tells its end.
+BOOST_FIXTURE_TEST_CASE(in_a_frame_of_its_helper_is_broken, attempts)
+{
+    auto const open = http1::write_connect_answer(std::nullopt);
+    auto whole = open;
+    for (auto const& it : {signed_head + "\r\n", event(1), std::string{}})
+    {
+        whole += http1::write_frame_head(it.size()) + it;
+    }
+    for (auto n = open.size(); n < whole.size(); ++n)
+    {
+        for (auto const how : {answer_end::closed, answer_end::reset})
+        {
+            auto helper = raw_target{
+                loop, [&](std::string const&)
+                {
+                    return raw_answer{whole.substr(0, n), {}, 0, how};
+                }};
+            auto const route = http1::tunnel_route{{"127.0.0.1", helper.port()},
+                                                   target_id{"t"}};
+            for (auto const streaming : {false, true})
+            {
+                auto const it = run_by(route, helper.port(), streaming);
+                BOOST_TEST((it.failure == attempt_failure::broken), n);
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(whose_target_refuses)
