--- a/src/http1/message.cpp
+++ b/src/http1/message.cpp
@@ -20,6 +20,11 @@
 constexpr auto max_framing = std::size_t{128} << 10U;
 constexpr auto max_framing_per_body_byte = std::size_t{16};
 
+constexpr auto first_status = 100U;
+constexpr auto first_final_status = 200U;
+constexpr auto no_content = 204U;
+constexpr auto not_modified = 304U;
+
 auto has_control_character(std::string_view text) -> bool
 {
     return std::any_of(text.begin(), text.end(),
@@ -27,6 +32,17 @@
                        { return (c < ' ' && c != '\t') || c == 0x7F; });
 }
 
+auto has_malformed_header(header_list const& headers) -> bool
+{
+    return std::any_of(headers.begin(), headers.end(),
+                       [](net::http_header const& it)
+                       {
+                           return it.name.empty() ||
+                                  it.name.find(' ') != std::string::npos ||
+                                  has_control_character(it.value);
+                       });
+}
+
 auto count_headers(header_list const& headers, std::string_view name)
     -> std::size_t
 {
@@ -36,21 +52,37 @@
                       { return same_header_name(it.name, name); }));
 }
 
+/// Whether a head states that a body follows which is not empty.
+auto announces_body(http_parser const& it, header_list const& headers) -> bool
+{
+    auto const sized =
+        it.content_length > 0 && it.content_length != ~std::uint64_t{0};
+    return sized || count_headers(headers, "transfer-encoding") > 0;
+}
+
+auto trim(std::string_view text) -> std::string_view
+{
+    auto const is_space = [](char c)
+    {
+        return c == ' ' || c == '\t';
+    };
+    while (!text.empty() && is_space(text.front()))
+    {
+        text.remove_prefix(1);
+    }
+    while (!text.empty() && is_space(text.back()))
+    {
+        text.remove_suffix(1);
+    }
+    return text;
+}
+
 auto lists_token(std::string_view list, std::string_view token) -> bool
 {
     while (!list.empty())
     {
         auto const comma = list.find(',');
-        auto part = list.substr(0, comma);
-        while (!part.empty() && (part.front() == ' ' || part.front() == '\t'))
-        {
-            part.remove_prefix(1);
-        }
-        while (!part.empty() && (part.back() == ' ' || part.back() == '\t'))
-        {
-            part.remove_suffix(1);
-        }
-        if (same_header_name(part, token))
+        if (same_header_name(trim(list.substr(0, comma)), token))
         {
             return true;
         }
@@ -234,14 +266,6 @@
     message_.headers = std::move(trailing);
     head_complete_ = true;
     auto const& headers = message_.headers;
-    auto const bad_header =
-        std::any_of(headers.begin(), headers.end(),
-                    [](net::http_header const& it)
-                    {
-                        return it.name.empty() ||
-                               it.name.find(' ') != std::string::npos ||
-                               has_control_character(it.value);
-                    });
     auto const lengths = count_headers(headers, "content-length");
     auto const codings = count_headers(headers, "transfer-encoding");
     auto const coding = net::find_header(headers, "transfer-encoding");
@@ -250,8 +274,9 @@
                            (coding && !same_header_name(*coding, "chunked")) ||
                            count_headers(headers, "host") > 1;
     auto const one_dot_one = parser_.http_major == 1 && parser_.http_minor <= 1;
-    if (bad_header || ambiguous || !one_dot_one || message_.target.empty() ||
-        message_.target.front() != '/' || parser_.method == HTTP_CONNECT)
+    if (has_malformed_header(headers) || ambiguous || !one_dot_one ||
+        message_.target.empty() || message_.target.front() != '/' ||
+        parser_.method == HTTP_CONNECT)
     {
         error_ = parse_error::malformed;
         return false;
@@ -319,23 +344,39 @@
         {
             auto& it = self(p);
             auto headers = it.headers_.take();
-            constexpr auto first_final_status = 200U;
             it.interim_ = p->status_code < first_final_status;
             p->upgrade = 0;
+            if (!is_valid_head(*p, headers))
+            {
+                return -1;
+            }
             if (!it.interim_)
             {
+                it.part_ =
+                    (p->flags & F_CHUNKED) != 0 ? part::line : part::body;
                 it.progress_.until_close =
                     http_message_needs_eof(p) != 0 && !it.head_request_;
                 it.progress_.head = response_head{
                     static_cast<int>(p->status_code), std::move(headers)};
             }
-            return it.head_request_ && !it.interim_ ? 1 : 0;
+            return it.head_request_ || ends_with_head(*p) ? 1 : 0;
         };
         out.on_body = [](http_parser* p, char const* at, std::size_t n)
         {
             self(p).progress_.body.append(at, n);
             return 0;
         };
+        out.on_chunk_header = [](http_parser* p)
+        {
+            auto& it = self(p);
+            it.chunk_left_ = p->content_length;
+            if (it.chunk_left_ > 0)
+            {
+                it.part_ = part::chunk;
+                it.last_ = '\0';
+            }
+            return 0;
+        };
         out.on_message_complete = [](http_parser* p)
         {
             auto& it = self(p);
@@ -350,17 +391,43 @@
         return out;
     }
 
+    static auto is_valid_head(http_parser const& it, header_list const& headers)
+        -> bool
+    {
+        auto const codings = count_headers(headers, "transfer-encoding");
+        auto const coding =
+            net::find_header(headers, "transfer-encoding").value_or("");
+        // Any other coding would be handed over as if it were the plain body.
+        auto const chunked = codings == 1 && it.http_minor == 1 &&
+                             same_header_name(trim(coding), "chunked");
+        // What follows would be taken for the body or for the next answer.
+        auto const has_misplaced_body = ends_with_head(it) &&
+                                        it.status_code != not_modified &&
+                                        announces_body(it, headers);
+        auto const is_http1 = it.http_major == 1 && it.http_minor <= 1;
+        // No upgrade is asked for.
+        constexpr auto switching_protocols = 101U;
+        auto const valid_status = it.status_code >= first_status &&
+                                  it.status_code != switching_protocols;
+        return is_http1 && valid_status && !has_malformed_header(headers) &&
+               (codings == 0 || chunked) && !has_misplaced_body;
+    }
+
+    /// Whether the status has no body, so that a length or coding, which a 304
+    /// may state, is that of another answer: RFC 9112, 6.3.
+    static auto ends_with_head(http_parser const& it) -> bool
+    {
+        return it.status_code < first_final_status ||
+               it.status_code == no_content || it.status_code == not_modified;
+    }
+
     /// Whether the body ends with the connection; http_parser keeps its own
     /// test private.
     static auto http_message_needs_eof(http_parser const* p) -> int
     {
-        constexpr auto no_content = 204U;
-        constexpr auto not_modified = 304U;
         auto const chunked = (p->flags & F_CHUNKED) != 0;
         auto const sized = p->content_length != ~std::uint64_t{0};
-        auto const bodiless =
-            p->status_code == no_content || p->status_code == not_modified;
-        return !chunked && !sized && !bodiless ? 1 : 0;
+        return !chunked && !sized && !ends_with_head(*p) ? 1 : 0;
     }
 };
 
@@ -371,37 +438,96 @@
     parser_.data = this;
 }
 
-auto response_parser::execute(char const* data, std::size_t n)
-    -> response_progress
+auto response_parser::next_piece(std::string_view bytes) const
+    -> std::string_view
+{
+    if (part_ == part::body)
+    {
+        return bytes;
+    }
+    if (part_ == part::chunk)
+    {
+        return bytes.substr(0,
+                            std::min<std::uint64_t>(bytes.size(), chunk_left_));
+    }
+    auto const end = bytes.find('\n');
+    return end == std::string_view::npos ? bytes : bytes.substr(0, end + 1);
+}
+
+/// http_parser takes a lone LF for the end of a line, any byte for the LF after
+/// a CR, any two bytes for the end of a chunk, and a folded line for a part of
+/// the one before. Each lets a damaged answer pass for a whole one.
+auto response_parser::has_valid_line_end(std::string_view piece) -> bool
+{
+    for (auto const c : piece)
+    {
+        auto const after_cr = last_ == '\r';
+        auto const folded = last_ == '\n' && (c == ' ' || c == '\t');
+        auto const in_chunk_end = part_ == part::chunk_end && !after_cr;
+        if ((c == '\n') != after_cr || folded || (in_chunk_end && c != '\r'))
+        {
+            return false;
+        }
+        last_ = c;
+    }
+    return true;
+}
+
+void response_parser::execute(std::string_view bytes)
 {
     static auto const settings = callbacks::make();
     // The parser may have been copied with its owner since the last call.
     parser_.data = this;
-    progress_ = {};
-    if (!complete_)
-    {
-        http_parser_execute(&parser_, &settings, data, n);
-        auto const error = HTTP_PARSER_ERRNO(&parser_);
-        framing_bytes_ += n - std::min(n, progress_.body.size());
-        body_bytes_ += progress_.body.size();
-        progress_.malformed =
-            (error != HPE_OK && error != HPE_PAUSED) ||
-            (!complete_ &&
-             framing_bytes_ >
-                 max_framing + max_framing_per_body_byte * body_bytes_);
-    }
-    return std::move(progress_);
+    http_parser_execute(&parser_, &settings, bytes.data(), bytes.size());
+    auto const error = HTTP_PARSER_ERRNO(&parser_);
+    malformed_ = malformed_ || (error != HPE_OK && error != HPE_PAUSED);
 }
 
 auto response_parser::feed(std::string_view bytes) -> response_progress
 {
-    return bytes.empty() ? response_progress{}
-                         : execute(bytes.data(), bytes.size());
+    progress_ = {};
+    auto const n = complete_ ? 0 : bytes.size();
+    while (!bytes.empty() && !complete_ && !malformed_)
+    {
+        auto const piece = next_piece(bytes);
+        bytes.remove_prefix(piece.size());
+        if (part_ == part::chunk)
+        {
+            chunk_left_ -= piece.size();
+            execute(piece);
+            part_ = chunk_left_ == 0 ? part::chunk_end : part::chunk;
+            continue;
+        }
+        if (part_ != part::body && !has_valid_line_end(piece))
+        {
+            malformed_ = true;
+            break;
+        }
+        if (part_ == part::chunk_end && last_ == '\n')
+        {
+            part_ = part::line;
+        }
+        execute(piece);
+    }
+    framing_bytes_ += n - std::min(n, progress_.body.size());
+    body_bytes_ += progress_.body.size();
+    progress_.malformed =
+        malformed_ ||
+        (!complete_ &&
+         framing_bytes_ >
+             max_framing + max_framing_per_body_byte * body_bytes_);
+    return std::move(progress_);
 }
 
 auto response_parser::feed_end() -> response_progress
 {
-    return execute("", 0);
+    progress_ = {};
+    if (!complete_ && !malformed_)
+    {
+        execute({});
+        progress_.malformed = malformed_;
+    }
+    return std::move(progress_);
 }
 
 } // namespace primrosedeal::http1
--- a/src/http1/message_test.cpp
+++ b/src/http1/message_test.cpp
@@ -4,6 +4,8 @@
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
 
+#include <sstream>
+
 namespace primrosedeal::http1
 {
 
@@ -39,6 +41,40 @@
     return out;
 }
 
+/// An answer in parts; its head ends with `last_lines`.
+struct framed_answer
+{
+    std::string first_lines;
+    std::string last_lines;
+    std::string body;
+    bool until_close = false;
+};
+
+/// What comes of `bytes` in pieces of `step`, closed in good order.
+auto read_answer(std::string const& bytes, std::size_t step = 1,
+                 bool head_request = false) -> response_progress
+{
+    auto parser = response_parser{head_request};
+    auto out = response_progress{};
+    auto const add = [&](response_progress it)
+    {
+        out.head = it.head ? std::move(it.head) : std::move(out.head);
+        out.body += it.body;
+        out.complete = out.complete || it.complete;
+        out.malformed = out.malformed || it.malformed;
+    };
+    for (auto at = std::size_t{0}; at < bytes.size() && !out.malformed;
+         at += step)
+    {
+        add(parser.feed(std::string_view{bytes}.substr(at, step)));
+    }
+    if (!out.complete && !out.malformed)
+    {
+        out.complete = parser.feed_end().complete;
+    }
+    return out;
+}
+
 auto with_head(std::string const& lines) -> std::string
 {
     return "POST /a/b?c HTTP/1.1\r\nHost: h\r\n" + lines + "\r\n";
@@ -86,6 +122,25 @@
     BOOST_TEST(it.message->body == "ab");
 }
 
+BOOST_AUTO_TEST_CASE(and_not_before_its_last_byte)
+{
+    for (auto const& bytes :
+         {with_head("Content-Length: 2\r\n") + "ok",
+          with_head("Transfer-Encoding: chunked\r\n") +
+              "2\r\nok\r\n0\r\nX-C: d\r\n\r\n",
+          std::string{"GET /a HTTP/1.0\r\nHost: h\r\n\r\n"}})
+    {
+        for (auto n = std::size_t{0}; n <= bytes.size(); ++n)
+        {
+            BOOST_TEST_CONTEXT(bytes.substr(0, n))
+            {
+                auto const it = parse(bytes.substr(0, n), n + 1);
+                BOOST_TEST(it.message.has_value() == (n == bytes.size()));
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(is_refused)
@@ -196,8 +251,232 @@
     BOOST_TEST(it.complete);
 }
 
+BOOST_AUTO_TEST_CASE(that_breaks_off_at_any_byte_is_not_complete)
+{
+    auto const status = std::string{"HTTP/1.1 200 OK\r\nX-A: b\r\n"};
+    auto const interim = std::string{"HTTP/1.1 103 Hints\r\nX-A: b\r\n\r\n"};
+    auto const answers = std::vector<framed_answer>{
+        {status, "Content-Length: 2\r\n\r\n", "ok"},
+        {status, "Content-Length: 0\r\n\r\n", ""},
+        {status, "Transfer-Encoding: chunked\r\n\r\n",
+         "2;a=b\r\nok\r\n0\r\nX-C: d\r\n\r\n"},
+        {status, "\r\n", "ok", true},
+        {interim + "HTTP/1.1 100 Continue\r\n\r\n" + status,
+         "Content-Length: 2\r\n\r\n", "ok"},
+        {interim + status, "\r\n", "ok", true},
+        {"HTTP/1.0 200 OK\r\n", "\r\n", "ok", true},
+        {"HTTP/1.1 204 No Content\r\n", "\r\n", ""},
+        {"HTTP/1.1 503 No\r\n", "Content-Length: 2\r\n\r\n", "no"},
+    };
+    for (auto const& it : answers)
+    {
+        auto const head = it.first_lines.size() + it.last_lines.size();
+        auto const bytes = it.first_lines + it.last_lines + it.body;
+        for (auto n = std::size_t{0}; n <= bytes.size(); ++n)
+        {
+            for (auto const step : {std::size_t{1}, std::size_t{7}, n + 1})
+            {
+                BOOST_TEST_CONTEXT(bytes.substr(0, n) << " by " << step)
+                {
+                    auto const got = read_answer(bytes.substr(0, n), step);
+                    auto const whole =
+                        n == bytes.size() || (it.until_close && n >= head);
+                    BOOST_TEST(got.complete == whole);
+                    BOOST_TEST(got.head.has_value() == (n >= head));
+                    BOOST_TEST((n >= head || got.body.empty()));
+                }
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(began_with_the_body_of_an_interim_answer)
+{
+    auto const last = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    for (auto const* const it :
+         {"Content-Length: 5\r\n\r\nhello",
+          "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+          "Transfer-Encoding: gzip\r\n\r\nhello"})
+    {
+        for (auto const head_request : {false, true})
+        {
+            BOOST_TEST_CONTEXT(it)
+            {
+                auto const interim = std::string{"HTTP/1.1 103 Hints\r\n"};
+                auto const got =
+                    read_answer(interim + it + last, 1, head_request);
+                BOOST_TEST(got.malformed);
+                BOOST_TEST(got.body.empty());
+            }
+        }
+    }
+    auto const empty = std::string{"HTTP/1.1 100 Continue\r\n"
+                                   "Content-Length: 0\r\n\r\n"};
+    BOOST_TEST(read_answer(empty + last).body == "ok");
+}
+
+BOOST_AUTO_TEST_CASE(was_whole_though_an_end_of_a_line_was_damaged)
+{
+    auto const check = [](std::string const& bytes)
+    {
+        for (auto const step : {std::size_t{1}, std::size_t{3}, bytes.size()})
+        {
+            BOOST_TEST_CONTEXT(bytes << " by " << step)
+            {
+                auto const got = read_answer(bytes, step);
+                BOOST_TEST(got.malformed);
+                BOOST_TEST(!got.complete);
+            }
+        }
+    };
+    auto const status = std::string{"HTTP/1.1 200 OK"};
+    for (auto const* const it :
+         {"\nContent-Length: 2\n\nok", "\n\n", "\r\nX-A: b\r\n\n",
+          "\r\nX-A: b\n\r\n", "\r\nContent-Length: 2\n\nok",
+          "\r\nContent-Length: 2\r\n\rXok", "\r\rContent-Length: 2\r\n\r\nok",
+          "\r\nContent-Length: 2\r\n\nok",
+          "\r\nX-A: b\r\n Content-Length: 2\r\n\r\n",
+          "\r\nContent-Length:\r\n 2\r\n\r\nok",
+          "\r\n\tContent-Length: 2\r\n\r\n"})
+    {
+        check(status + it);
+    }
+    check("\n" + status + "\r\n\r\n");
+    auto const chunks = status + "\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (auto const* const it :
+         {"2\r\nokXY0\r\n\r\n", "2\r\nok\rY0\r\n\r\n", "2\r\nokX\n0\r\n\r\n",
+          "2\rXok\r\n0\r\n\r\n", "2\r\nok\r\n0\rX\r\n", "2\r\nok\r\n0\r\n\rX",
+          "2\r\nok\r\n0\r\nX-C: d\n\r\n"})
+    {
+        check(chunks + it);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(has_the_same_body_whatever_chunks_and_pieces_it_comes_in)
+{
+    rc::check(
+        [](std::string const& body)
+        {
+            auto bytes = std::string{"HTTP/1.1 200 OK\r\n"
+                                     "Transfer-Encoding: chunked\r\n\r\n"};
+            for (auto at = std::size_t{0}; at < body.size();)
+            {
+                auto const n =
+                    *rc::gen::inRange<std::size_t>(1, body.size() - at + 1);
+                auto size = std::ostringstream{};
+                size << std::hex << n << "\r\n";
+                bytes += size.str() + body.substr(at, n) + "\r\n";
+                at += n;
+            }
+            bytes += "0\r\n\r\n";
+            auto const step =
+                *rc::gen::inRange<std::size_t>(1, bytes.size() + 1);
+            auto const got = read_answer(bytes, step);
+            RC_ASSERT(got.complete);
+            RC_ASSERT(got.body == body);
+            auto const cut = *rc::gen::inRange<std::size_t>(0, bytes.size());
+            RC_ASSERT(!read_answer(bytes.substr(0, cut), step).complete);
+        });
+}
+
+BOOST_AUTO_TEST_CASE(handed_over_a_coded_body_as_if_it_were_plain)
+{
+    auto const chunks = std::string{"2\r\nok\r\n0\r\n\r\n"};
+    for (auto const* const it :
+         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, gzip",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding:",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+          "Transfer-Encoding: chunked",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+          "Content-Length: 2",
+          "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked"})
+    {
+        BOOST_TEST_CONTEXT(it)
+        {
+            auto const got = read_answer(it + ("\r\n\r\n" + chunks));
+            BOOST_TEST(got.malformed);
+            BOOST_TEST(!got.head);
+        }
+    }
+    auto const plain = "HTTP/1.1 200 OK\r\ntransfer-encoding: \tChunked \r\n";
+    BOOST_TEST(read_answer(plain + ("\r\n" + chunks)).body == "ok");
+}
+
+BOOST_AUTO_TEST_CASE(waited_for_a_body_that_its_status_does_not_have)
+{
+    for (auto const* const it :
+         {"HTTP/1.1 304 Not Modified\r\nContent-Length: 2\r\n\r\n",
+          "HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: chunked\r\n\r\n",
+          "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n",
+          "HTTP/1.1 204 No Content\r\n\r\n"})
+    {
+        BOOST_TEST_CONTEXT(it)
+        {
+            auto const got =
+                response_parser{false}.feed(it + std::string{"ok"});
+            BOOST_TEST(got.complete);
+            BOOST_TEST(got.body.empty());
+        }
+    }
+    for (auto const* const it :
+         {"HTTP/1.1 204 No Content\r\nContent-Length: 2\r\n\r\nok",
+          "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n"})
+    {
+        BOOST_TEST(read_answer(it).malformed, it);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(to_a_head_request_has_no_body_whatever_it_states)
+{
+    for (auto const* const it :
+         {"Content-Length: 2\r\n", "Transfer-Encoding: chunked\r\n", ""})
+    {
+        auto const head = std::string{"HTTP/1.1 200 OK\r\n"} + it + "\r\n";
+        for (auto n = std::size_t{0}; n <= head.size(); ++n)
+        {
+            auto const got = read_answer(head.substr(0, n), n + 1, true);
+            BOOST_TEST(got.complete == (n == head.size()), head.substr(0, n));
+            BOOST_TEST(got.head.has_value() == got.complete);
+        }
+        BOOST_TEST(read_answer(head + "ok", 1, true).body.empty());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(that_is_not_http_is_malformed)
 {
+    auto const rest = std::string{"Content-Length: 2\r\n\r\nok"};
+    for (auto const* const it :
+         {"HTTP/0.9 200 OK\r\n",
+          "HTTP/2.0 200 OK\r\n",
+          "HTTP/1.2 200 OK\r\n",
+          "HTTP/1.1 20\r\n",
+          "HTTP/1.1 2 OK\r\n",
+          "HTTP/1.1 099 OK\r\n",
+          "HTTP/1.1 1000 OK\r\n",
+          "HTTP/1.1 OK\r\n",
+          "HTTP/1.1\r\n",
+          "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\n",
+          "HTTP/1.1 200 OK\r\nX A: b\r\n",
+          "HTTP/1.1 200 OK\r\nX-A : b\r\n",
+          "HTTP/1.1 200 OK\r\nX-A: \x01\r\n",
+          "HTTP/1.1 200 OK\r\nX-A\r\n",
+          "HTTP/1.1 200 OK\r\n: b\r\n",
+          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n",
+          "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n",
+          "HTTP/1.1 200 OK\r\nContent-Length : 3\r\n",
+          "<html>",
+          ""})
+    {
+        BOOST_TEST_CONTEXT(it)
+        {
+            auto const got = read_answer(it + rest);
+            BOOST_TEST(got.malformed);
+            BOOST_TEST(!got.head);
+        }
+    }
     auto parser = response_parser{false};
     BOOST_TEST(parser.feed("garbage").malformed);
 }
