Refuse what a leaving host may have to cut

What callers saw: requests that came late in the grace of a planned stop were taken and passed on, and ended without an answer at the end of the grace, calls that may not be repeated among them.

Cause: after SIGTERM a call was accepted while the route's objective fitted before the grace less 0.5 s. Open requests are ended 0.2 s before that, and the objective is what callers wish for, not what the route takes. Streams were judged by those that ended; those that were cut or given up did not count.

Change: `dispatch/shutdown_admission` judges a request by the times of its kind and service on this host in the last 30 to 60 s, from arrival to the end of the answer; those that were still open at their end count as at least that long. Calls that may run once and streams that are not resumable need four times the slow end, or their deadline before 16 answers; idempotent calls need the slow end; resumable streams mean and four deviations. Never below the objective, never beyond the deadline. All has to be over before the final answers.

Changed tests: accepts_requests_that_complete_before_it_exits asserted that a request of 100 ms is accepted 7.3 s after SIGTERM with a grace of 8 s, the moment at which it is ended. It now asserts the bound at 7.3 s to the millisecond from both sides, and that nothing is accepted from then on.

--- a/src/dispatch/dispatch_test.cpp
+++ b/src/dispatch/dispatch_test.cpp
@@ -503,9 +503,13 @@
 
 BOOST_AUTO_TEST_CASE(accepts_requests_that_complete_before_it_exits)
 {
-    BOOST_TEST(can_finish_before_exit(at(0), 8s, 6s, at(1400)));
-    BOOST_TEST(!can_finish_before_exit(at(0), 8s, 6s, at(1600)));
-    BOOST_TEST(can_finish_before_exit(at(0), 8s, 100ms, at(7300)));
+    BOOST_TEST(can_finish_before_exit(at(0), 8s, 6s, at(1300)));
+    BOOST_TEST(!can_finish_before_exit(at(0), 8s, 6s, at(1301)));
+    BOOST_TEST(can_finish_before_exit(at(0), 8s, 100ms, at(7200)));
+    BOOST_TEST(!can_finish_before_exit(at(0), 8s, 100ms, at(7201)));
+    BOOST_TEST(!can_finish_before_exit(at(0), 8s, 0s, at(7300)));
+    // A grace that is shorter than the time for final answers.
+    BOOST_TEST(!can_finish_before_exit(at(0), 500ms, 0s, at(0)));
 }
 
 // Streams of 5 to 9 s arrive at a host that shuts down with a grace of 8 s.
@@ -517,7 +521,7 @@
     {
         return duration{5s} + std::chrono::milliseconds{random.below(4000)};
     };
-    auto estimate = stream_time_estimate{6s};
+    auto estimate = completion_time_estimate{6s};
     auto cut_by_mean = 0;
     auto cut_by_bound = 0;
     constexpr auto streams = 2000;
@@ -545,7 +549,7 @@
 
 BOOST_AUTO_TEST_CASE(learns_average_times_from_observations)
 {
-    auto stream = stream_time_estimate{6s};
+    auto stream = completion_time_estimate{6s};
     auto prefill = prefill_estimate{};
     for (auto i = 0; i < 200; ++i)
     {
--- a/src/dispatch/shutdown.hpp
+++ b/src/dispatch/shutdown.hpp
@@ -2,12 +2,7 @@
 
 #include "core/units.hpp"
 
-/// Decides which requests a host still accepts while it shuts down.
-///
-/// Load pattern: hosts are restarted one after the other while clients keep
-/// using open connections. A stream that cannot complete before the process is
-/// killed would break in the middle. Refusing it before it runs lets its client
-/// use another host immediately.
+/// The times of a host's shutdown.
 namespace primrosedeal::dispatch
 {
 
@@ -24,12 +19,13 @@
     return since + grace - grace_margin - answer_margin;
 }
 
-/// Whether a request that takes `expected` can complete on a host that began
-/// to shut down at `since`.
+/// Whether a request that takes `expected` is over when a host that began to
+/// shut down at `since` ends its open requests.
 constexpr auto can_finish_before_exit(time_point since, duration grace,
                                       duration expected, time_point now) -> bool
 {
-    return now + expected <= since + grace - grace_margin;
+    auto const last = final_answer_time(since, grace);
+    return now < last && now + expected <= last;
 }
 
 } // namespace primrosedeal::dispatch
--- a/src/dispatch/time_estimates.hpp
+++ b/src/dispatch/time_estimates.hpp
@@ -9,11 +9,15 @@
 namespace primrosedeal::dispatch
 {
 
-/// Estimates the time of a complete stream and an upper bound for most streams.
-class stream_time_estimate
+/// Estimates the time of complete requests and an upper bound for most of them,
+/// as RFC 6298 computes the retransmission timeout from round-trip times.
+class completion_time_estimate
 {
 public:
-    explicit stream_time_estimate(duration initial) : mean_(initial) {}
+    explicit completion_time_estimate(duration first)
+        : mean_(first), deviation_(first / 2)
+    {
+    }
 
     void observe(duration took)
     {
@@ -29,8 +33,7 @@
         return mean_;
     }
 
-    /// Upper bound that very few streams exceed, computed as RFC 6298 computes
-    /// the retransmission timeout from round-trip times.
+    /// Upper bound that very few requests exceed.
     [[nodiscard]] auto upper() const -> duration
     {
         constexpr auto deviations = 4;
@@ -39,7 +42,7 @@
 
 private:
     duration mean_;
-    duration deviation_{};
+    duration deviation_;
 };
 
 /// Estimates the time to the first event from the size of the prompt.
--- a/src/gateway/host_state.hpp
+++ b/src/gateway/host_state.hpp
@@ -7,6 +7,7 @@
 #include "dispatch/load_tracker.hpp"
 #include "dispatch/own_link.hpp"
 #include "dispatch/shutdown.hpp"
+#include "dispatch/shutdown_admission.hpp"
 #include "dispatch/time_estimates.hpp"
 #include "fleet/fleet_view.hpp"
 #include "gateway/background_calls.hpp"
@@ -42,10 +43,6 @@
 /// Number of hosts assumed until the store's host list has been read.
 constexpr auto assumed_host_count = std::size_t{8};
 
-/// Stream duration assumed before the first stream has ended here: several
-/// hundred tokens at the engines' rate under load.
-constexpr auto initial_stream_time = duration{6s};
-
 /// Targets state rejection limits in every response.
 constexpr auto rejection_limit_report_period = duration{5s};
 
@@ -176,7 +173,7 @@
     class background_calls background_calls;
     metrics::gateway_metrics metrics;
     std::map<relay*, std::shared_ptr<relay>> relays;
-    dispatch::stream_time_estimate stream_time_estimator{initial_stream_time};
+    dispatch::completion_time_table completion_times;
     dispatch::prefill_estimate prefill_estimator;
     dispatch::stream_estimate stream_estimator;
     /// Time of SIGTERM; empty before it.
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -143,13 +143,9 @@
         return;
     }
     admitted_ = std::get<admitted>(verdict);
+    client_deadline_at_ = admitted_.deadline_at;
     auto const& route = *admitted_.route;
-    auto const expected =
-        streaming() ? host_.stream_time_estimator.upper() : route.objective;
-    if (host_.shutdown_started_at &&
-        !dispatch::can_finish_before_exit(*host_.shutdown_started_at,
-                                          host_.settings.shutdown_grace,
-                                          expected, now))
+    if (!fits_before_exit(now))
     {
         constexpr auto unavailable = 503;
         refuse({unavailable, refusal_reason::leaving, retry_after_elsewhere},
@@ -574,7 +570,7 @@
                           observation::answered, now);
     on_run_proven(now);
     release_target();
-    host_.stream_time_estimator.observe(now - arrived_at_);
+    completion_times().observe(now - arrived_at_, now);
     if (!metadata_.resume_after && last_event_)
     {
         host_.stream_estimator.observe(*last_event_, now - arrived_at_ -
@@ -594,6 +590,7 @@
     host_.detector.report(current_->target.id, current_->target.domain,
                           observation::answered, now);
     on_request_answered(now);
+    completion_times().observe(now - arrived_at_, now);
     release_target();
     client_->reply(forwarded(it.head), it.body, false);
     finish("complete", it.head.status, now);
@@ -790,6 +787,10 @@
 void relay::end_with_failure(refusal_reason reason, int status, time_point now)
 {
     host_.metrics.refused(to_string(reason));
+    if (attempts_ > 0)
+    {
+        completion_times().observe_unanswered(now - arrived_at_, now);
+    }
     release_target();
     if (state_.answer_started)
     {
@@ -839,6 +840,7 @@
                {{"request", metadata_.id.value()},
                 {"how", std::string{to_string(how)}},
                 {"answer_started", state_.answer_started ? "true" : "false"}});
+    completion_times().observe_unanswered(now - arrived_at_, now);
     release_target();
     finish("client_gone", 0, now);
 }
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -194,6 +194,11 @@
         -> std::string;
     void finish(std::string_view outcome, int status, time_point now);
     [[nodiscard]] auto streaming() const -> bool;
+    /// Whether a new attempt is over before this host, if it shuts down, ends
+    /// its open requests.
+    [[nodiscard]] auto fits_before_exit(time_point now) const -> bool;
+    /// Times of this request's kind and service.
+    [[nodiscard]] auto completion_times() const -> dispatch::completion_times&;
     /// Whether the stream cannot end before its deadline even if an attempt
     /// starts now.
     [[nodiscard]] auto cannot_meet_deadline(time_point now) const -> bool;
@@ -218,6 +223,8 @@
     /// Keeps the route alive while a newer configuration is in force.
     std::shared_ptr<routes::route_table const> table_;
     admitted admitted_;
+    /// The deadline that does not depend on this host's shutdown.
+    time_point client_deadline_at_{};
     dispatch::request_state state_;
     time_point arrived_at_{};
     std::optional<running_attempt> current_;
--- a/src/gateway/relay_fixture.hpp
+++ b/src/gateway/relay_fixture.hpp
@@ -112,7 +112,10 @@
         auto fixed = streams;
         fixed.path_prefix = "/fixed/";
         fixed.resumable = false;
-        it.routes = {streams, calls, fixed};
+        auto look_ups = calls;
+        look_ups.path_prefix = "/look/";
+        look_ups.kind = routes::request_kind::idempotent;
+        it.routes = {streams, calls, fixed, look_ups};
         it.services = {{service, "/health/", 100, {}}};
         host.table = std::make_shared<routes::route_table>(std::move(it));
         host.list_is_current = true;
--- /dev/null
+++ b/src/gateway/relay_shutdown_test.cpp
@@ -0,0 +1,103 @@
+#include "gateway/relay_fixture.hpp"
+
+#include <map>
+
+// Requests of a host that shuts down.
+namespace primrosedeal::gateway
+{
+
+namespace
+{
+
+using standins::answer_end;
+using standins::raw_answer;
+using standins::raw_target;
+
+constexpr auto unavailable = 503;
+
+auto const silence = raw_answer{};
+
+struct leaving_host : one_host
+{
+    /// The host was told to stop so long ago that `left` is left until it ends
+    /// its open requests.
+    void stop(duration left)
+    {
+        auto const now = net::event_loop::now();
+        auto const grace = host.settings.shutdown_grace;
+        auto const last = now + left;
+        host.shutdown_started_at =
+            last - (dispatch::final_answer_time(now, grace) - now);
+        for (auto const& [key, it] : std::map{host.relays})
+        {
+            it->limit_deadline(last, now);
+        }
+    }
+
+    /// Replies with this status and, if it is true that the request has not
+    /// run, sends the client elsewhere at once.
+    void check_reply(int status)
+    {
+        BOOST_REQUIRE(client.reply);
+        BOOST_TEST(client.reply->status == status);
+        auto const retry_after =
+            net::find_header(client.reply->headers, "Retry-After");
+        BOOST_TEST(retry_after.value_or("none") ==
+                   (status == unavailable ? "0.010000" : "none"));
+        BOOST_TEST(!client.started);
+        BOOST_TEST(host.relays.empty());
+    }
+
+    client_view client;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(a_host_that_shuts_down, leaving_host)
+
+BOOST_AUTO_TEST_CASE(refuses_all_after_the_final_answers)
+{
+    auto target = raw_target{loop, [](std::string const&)
+                             {
+                                 return silence;
+                             }};
+    list("t0", "a", target.port());
+    stop(-1ms);
+    for (auto const* const path : {"/look/", "/call/", "/stream/", "/fixed/"})
+    {
+        client = {};
+        send(path, client, {{std::string{platform::names::deadline}, "1"}});
+        check_reply(unavailable);
+        BOOST_TEST(client.body == R"({"error":"leaving"})");
+    }
+    BOOST_TEST(target.runs() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(knows_the_time_that_its_requests_take)
+{
+    auto answers = true;
+    auto target = raw_target{loop, [&](std::string const&)
+                             {
+                                 return answers
+                                            ? answer_of({}, answer_end::closed)
+                                            : silence;
+                             }};
+    list("t0", "a", target.port());
+    send("/call/", client);
+    run_until([&] { return client.over(); });
+    answers = false;
+    client = {};
+    send("/call/", client, {{std::string{platform::names::deadline}, "300"}});
+    run_until([&] { return client.over(); });
+    auto const it =
+        host.completion_times.of(routes::request_kind::non_idempotent, service)
+            .recent(net::event_loop::now());
+    BOOST_REQUIRE(it.has_value());
+    BOOST_TEST(it->answered == 1);
+    // Timers may fire slightly early.
+    BOOST_TEST((it->slowest >= 280ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace primrosedeal::gateway
