Begin no attempt that a leaving host has no time for

What callers saw: after SIGTERM a request that was accepted was tried again at targets although the host had no time for another answer; it was ended there instead of going elsewhere. A request whose deadline was over got an attempt with no time left, which the next turn of the loop ended.

Cause: only the arrival of a request was judged by the time that is left.

`--run_test=a_request_whose_time_is_over`: no reply before the loop ran.

Change: every attempt of a request whose answer has not begun follows the rule for new ones, judged by the client's own deadline; none begins at or after the deadline. The request gets 503 `leaving` with a short Retry-After if it has not run, else 502 at once. A begun answer goes on as before.

--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -253,6 +253,10 @@
 
 void relay::start_next_attempt(time_point now)
 {
+    if (end_without_time(now))
+    {
+        return;
+    }
     if (refuse_if_quarantined(now))
     {
         return;
@@ -808,7 +812,8 @@
     constexpr auto not_run = 503;
     auto const retryable =
         status == not_run && reason != refusal_reason::hopeless;
-    auto const elsewhere = reason == refusal_reason::own_link_down ||
+    auto const elsewhere = reason == refusal_reason::leaving ||
+                           reason == refusal_reason::own_link_down ||
                            reason == refusal_reason::no_path;
     auto const delay = elsewhere ? retry_after_elsewhere
                        : reason == refusal_reason::target_limits
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -197,6 +197,9 @@
     /// Whether a new attempt is over before this host, if it shuts down, ends
     /// its open requests.
     [[nodiscard]] auto fits_before_exit(time_point now) const -> bool;
+    /// Ends the request if its deadline is over or, as long as its answer has
+    /// not begun, another attempt does not fit; returns whether it has ended.
+    [[nodiscard]] auto end_without_time(time_point now) -> bool;
     /// Times of this request's kind and service.
     [[nodiscard]] auto completion_times() const -> dispatch::completion_times&;
     /// Whether the stream cannot end before its deadline even if an attempt
--- a/src/gateway/relay_shutdown.cpp
+++ b/src/gateway/relay_shutdown.cpp
@@ -2,7 +2,7 @@
 #include "gateway/relay.hpp"
 #include "log/log.hpp"
 
-#include <string>
+#include <utility>
 
 // Keeps a host that shuts down from starting what it would have to cut.
 namespace primrosedeal::gateway
@@ -45,4 +45,21 @@
     return false;
 }
 
+auto relay::end_without_time(time_point now) -> bool
+{
+    auto const expired = now >= admitted_.deadline_at;
+    if (!expired && (state_.answer_started || fits_before_exit(now)))
+    {
+        return false;
+    }
+    if (std::exchange(attempt_counted_, false))
+    {
+        host_.request_counts.refund_attempt(admitted_.service->id, now);
+    }
+    end_with_failure(expired ? refusal_reason::deadline
+                             : refusal_reason::leaving,
+                     dispatch::final_status(state_, now), now);
+    return true;
+}
+
 } // namespace primrosedeal::gateway
--- a/src/gateway/relay_shutdown_test.cpp
+++ b/src/gateway/relay_shutdown_test.cpp
@@ -1,5 +1,6 @@
 #include "gateway/relay_fixture.hpp"
 
+#include <array>
 #include <map>
 
 // Requests of a host that shuts down.
@@ -13,6 +14,7 @@
 using standins::raw_answer;
 using standins::raw_target;
 
+constexpr auto bad_gateway = 502;
 constexpr auto unavailable = 503;
 
 auto const silence = raw_answer{};
@@ -73,6 +75,58 @@
     BOOST_TEST(target.runs() == 0);
 }
 
+/// Two targets that answer with `it` and tell the host to stop first.
+struct two_targets
+{
+    two_targets(leaving_host& at, raw_answer const& it)
+    {
+        for (auto i = std::size_t{0}; i < targets.size(); ++i)
+        {
+            targets.at(i) =
+                std::make_unique<raw_target>(at.loop,
+                                             [&at, it](std::string const&)
+                                             {
+                                                 at.stop(1s);
+                                                 return it;
+                                             });
+            at.list("t" + std::to_string(i), "a", targets.at(i)->port());
+        }
+    }
+
+    [[nodiscard]] auto runs() const -> int
+    {
+        return targets[0]->runs() + targets[1]->runs();
+    }
+
+    std::array<std::unique_ptr<raw_target>, 2> targets;
+};
+
+BOOST_AUTO_TEST_CASE(retried_what_it_could_not_complete)
+{
+    auto const rejecting =
+        raw_answer{"HTTP/1.1 503 Service Unavailable\r\n" +
+                       std::string{platform::names::not_executed} +
+                       ": 1\r\nContent-Length: 0\r\n\r\n",
+                   {},
+                   0,
+                   answer_end::stays_open};
+    auto const targets = two_targets{*this, rejecting};
+    send("/call/", client);
+    run_until([&] { return client.over(); });
+    check_reply(unavailable);
+    BOOST_TEST(client.body == R"({"error":"leaving"})");
+    BOOST_TEST(targets.runs() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(ran_again_what_it_could_not_complete)
+{
+    auto const targets = two_targets{*this, {{}, {}, 0, answer_end::reset}};
+    send("/look/", client);
+    run_until([&] { return client.over(); });
+    check_reply(bad_gateway);
+    BOOST_TEST(targets.runs() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(knows_the_time_that_its_requests_take)
 {
     auto answers = true;
@@ -100,4 +154,24 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_request_whose_time_is_over)
+
+BOOST_FIXTURE_TEST_CASE(was_sent_with_no_time_left, leaving_host)
+{
+    auto target = raw_target{loop, [](std::string const&)
+                             {
+                                 return silence;
+                             }};
+    list("t0", "a", target.port());
+    send("/call/", client, {{std::string{platform::names::deadline}, "0"}});
+    BOOST_REQUIRE(client.reply);
+    BOOST_TEST(client.reply->status == unavailable);
+    BOOST_TEST(metric("gateway_refusals_total{reason=\"deadline\"}") == 1);
+    auto const settled = net::event_loop::now() + 50ms;
+    run_until([&] { return net::event_loop::now() >= settled; });
+    BOOST_TEST(target.runs() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace primrosedeal::gateway
