Send requests that have not run elsewhere at once as a host leaves

What callers saw: a request that was open at the end of a leaving host's grace and had not been sent got 503 with Retry-After 0.1, as from a busy host, though any other host would have served it at once.

Cause: the end of the grace was told like the request's own deadline.

Change: a deadline that the shutdown has brought forward gives the Retry-After for other hosts.

--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -812,8 +812,10 @@
     constexpr auto not_run = 503;
     auto const retryable =
         status == not_run && reason != refusal_reason::hopeless;
-    auto const elsewhere = reason == refusal_reason::leaving ||
-                           reason == refusal_reason::own_link_down ||
+    auto const leaving = reason == refusal_reason::leaving ||
+                         (reason == refusal_reason::deadline &&
+                          admitted_.deadline_at < client_deadline_at_);
+    auto const elsewhere = leaving || reason == refusal_reason::own_link_down ||
                            reason == refusal_reason::no_path;
     auto const delay = elsewhere ? retry_after_elsewhere
                        : reason == refusal_reason::target_limits
--- a/src/gateway/relay_shutdown_test.cpp
+++ b/src/gateway/relay_shutdown_test.cpp
@@ -1,4 +1,5 @@
 #include "gateway/relay_fixture.hpp"
+#include "standins/full_listener.hpp"
 
 #include <array>
 #include <map>
@@ -16,6 +17,7 @@
 
 constexpr auto bad_gateway = 502;
 constexpr auto unavailable = 503;
+constexpr auto gateway_timeout = 504;
 
 auto const silence = raw_answer{};
 
@@ -55,6 +57,73 @@
 
 } // namespace
 
+BOOST_FIXTURE_TEST_SUITE(a_host_that_ends_its_open_requests, leaving_host)
+
+BOOST_AUTO_TEST_CASE(tells_that_a_sent_one_may_have_run)
+{
+    auto target = raw_target{loop, [&](std::string const&)
+                             {
+                                 stop(50ms);
+                                 return silence;
+                             }};
+    list("t0", "a", target.port());
+    for (auto const* const path : {"/look/", "/call/", "/stream/", "/fixed/"})
+    {
+        BOOST_TEST_CONTEXT(path)
+        {
+            client = {};
+            host.shutdown_started_at.reset();
+            send(path, client);
+            run_until([&] { return client.over(); });
+            check_reply(gateway_timeout);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(sends_one_that_has_not_run_elsewhere)
+{
+    auto const target = standins::full_listener{};
+    for (auto const* const path : {"/look/", "/call/", "/stream/", "/fixed/"})
+    {
+        BOOST_TEST_CONTEXT(path)
+        {
+            client = {};
+            host.shutdown_started_at.reset();
+            host.targets.handle(directory::entry_removed{target_id{path}},
+                                net::event_loop::now());
+            list(path, "a", target.port());
+            send(path, client);
+            stop(20ms);
+            run_until([&] { return client.over(); });
+            check_reply(unavailable);
+            BOOST_TEST(client.body == R"({"error":"deadline"})");
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(shows_that_a_stream_is_not_complete)
+{
+    auto target =
+        raw_target{loop, [](std::string const&)
+                   {
+                       return answer_of(event(1), answer_end::stays_open);
+                   }};
+    list("t0", "a", target.port());
+    for (auto const* const path : {"/stream/", "/fixed/"})
+    {
+        client = {};
+        host.shutdown_started_at.reset();
+        send(path, client);
+        run_until([&] { return client.started; });
+        stop(20ms);
+        run_until([&] { return client.over(); });
+        BOOST_TEST(client.aborted);
+        BOOST_TEST(!client.finished);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(a_host_that_shuts_down, leaving_host)
 
 BOOST_AUTO_TEST_CASE(refuses_all_after_the_final_answers)
