Let a client that is reading have the whole last answer

A connection that ends after its answer was closed 2 s after the answer had been queued, with what was unsent of it. A client on a slow path that went on reading got an answer cut in its middle, as each answer of a leaving host is the last one.

The time now begins anew while the client takes bytes. A client that takes none for 2 s is closed as before.

In the test, plain_client reads all that waits in one pass; what it returns is the same.

--- a/src/http1/connection_test.cpp
+++ b/src/http1/connection_test.cpp
@@ -123,21 +123,24 @@
                       static_cast<ssize_t>(bytes.size()));
     }
 
+    /// Appends the bytes that wait. Returns whether the peer has ended.
+    auto read(std::string& to) const -> bool
+    {
+        char buf[4096];
+        auto n = ssize_t{1};
+        while (n > 0)
+        {
+            n = ::recv(fd_, buf, sizeof buf, MSG_DONTWAIT);
+            to.append(buf, n > 0 ? static_cast<std::size_t>(n) : 0);
+        }
+        return n == 0;
+    }
+
     /// Bytes received until the peer's end.
     auto receive_all(world& it) const -> std::string
     {
         auto out = std::string{};
-        it.run_until(
-            [&]
-            {
-                char buf[4096];
-                auto const n = ::recv(fd_, buf, sizeof buf, MSG_DONTWAIT);
-                if (n > 0)
-                {
-                    out.append(buf, static_cast<std::size_t>(n));
-                }
-                return n == 0;
-            });
+        it.run_until([&] { return read(out); });
         return out;
     }
 
@@ -585,9 +588,11 @@
         run_until([&] { return over; });
     }
 
-    server it{loop, [](request const&, std::shared_ptr<exchange> const& client)
+    std::string answer = "whole";
+    server it{loop,
+              [this](request const&, std::shared_ptr<exchange> const& client)
               {
-                  client->reply({200, {}}, "whole", false);
+                  client->reply({200, {}}, answer, false);
               }};
     std::uint16_t port = it.listen(local);
     server_limits limits;
@@ -734,6 +739,20 @@
     BOOST_TEST(it.connections() < many / 2);
 }
 
+BOOST_FIXTURE_TEST_CASE(cut_a_last_answer_that_its_client_was_reading,
+                        limited_server)
+{
+    answer.assign(std::size_t{24} << 20U, 'x');
+    auto const client = plain_client{port};
+    client.send(std::string{part_of_head} + rest_of_head);
+    auto got = std::string{};
+    wait(1200ms);
+    client.read(got);
+    wait(1200ms);
+    got += client.receive_all(*this);
+    BOOST_TEST(got.size() > answer.size());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace primrosedeal::http1
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -31,7 +31,7 @@
 
 /// Bytes of a following request kept while an answer is owed.
 constexpr auto max_read_ahead = std::size_t{64} << 10U;
-/// Time for a client to take the last answer of a connection.
+/// Time for a client to take something of the last answer of a connection.
 constexpr auto linger = duration{2s};
 /// Unsent bytes of an answer at which its client counts as gone.
 constexpr auto max_unsent = std::size_t{8} << 20U;
@@ -419,6 +419,7 @@
         if (bev_ != nullptr)
         {
             bufferevent_write(bev_, bytes.data(), bytes.size());
+            unsent_left_ = unsent();
         }
     }
 
@@ -463,7 +464,12 @@
     {
         auto const self = shared_from_this();
         auto const now = net::event_loop::now();
-        if (ending_)
+        if (ending_ && unsent() > 0 && unsent() < unsent_left_)
+        {
+            unsent_left_ = unsent();
+            arm(linger);
+        }
+        else if (ending_)
         {
             lost(client_loss::not_reading);
         }
@@ -498,6 +504,8 @@
     /// When a head began, or else the last progress.
     time_point waiting_since_{};
     std::function<void(client_loss)> gone_;
+    /// After the last write, or as the client was last seen to take some.
+    std::size_t unsent_left_ = 0;
     /// Further than the server's limit of connections.
     bool surplus_;
     bool answering_ = false;
