Count a connection as idle only from when its answer has been taken

The idle time began as an answer was queued. A client on a slow path, which counts from the end of the answer, sent its next request within the limit that it knew and met a closed connection; one that was still reading as the time ended had 2 s left for all the rest.

Now the idle time begins when the answer has left, and a client that takes bytes is not idle. What the kernel holds unsent still counts as taken.

--- a/src/http1/connection_test.cpp
+++ b/src/http1/connection_test.cpp
@@ -753,6 +753,31 @@
     BOOST_TEST(got.size() > answer.size());
 }
 
+BOOST_FIXTURE_TEST_CASE(counted_the_time_of_a_long_answer_as_idle,
+                        limited_server)
+{
+    limits.idle_timeout = 2s;
+    limits.former_limits_known = 0s;
+    it.set_limits(limits);
+    answer.assign(std::size_t{24} << 20U, 'x');
+    auto const client = plain_client{port};
+    client.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    auto got = std::string{};
+    wait(1400ms);
+    client.read(got);
+    wait(1400ms);
+    run_until(
+        [&]
+        {
+            client.read(got);
+            return got.size() > answer.size();
+        });
+    answer = "whole";
+    wait(1200ms);
+    client.send(std::string{part_of_head} + rest_of_head);
+    BOOST_TEST(client.receive_all(*this).ends_with("\r\n\r\nwhole"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace primrosedeal::http1
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -232,10 +232,18 @@
     {
         auto const self = static_cast<connection*>(arg)->shared_from_this();
         // The call may date from before the last answer was queued.
-        if (self->ending_ && self->unsent() == 0)
+        if (self->bev_ == nullptr || self->unsent() > 0)
+        {
+            return;
+        }
+        if (self->ending_)
         {
             self->half_close();
         }
+        else if (!self->answering_ && !self->parser_.started())
+        {
+            self->await_client();
+        }
     }
 
     /// Bytes that have been received and not been parsed yet.
@@ -464,10 +472,11 @@
     {
         auto const self = shared_from_this();
         auto const now = net::event_loop::now();
-        if (ending_ && unsent() > 0 && unsent() < unsent_left_)
+        auto const reading = unsent() > 0 && unsent() < unsent_left_;
+        if (reading && (ending_ || !parser_.started()))
         {
             unsent_left_ = unsent();
-            arm(linger);
+            arm(ending_ ? linger : timeout(now));
         }
         else if (ending_)
         {
