--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -32,7 +32,7 @@
 
 /// Bytes of a following request kept while an answer is owed.
 constexpr auto max_read_ahead = std::size_t{64} << 10U;
-/// Time for a client to take the last answer of a connection.
+/// Time for a client to take something of the last answer of a connection.
 constexpr auto linger = duration{2s};
 /// Unsent bytes of an answer at which its client counts as gone.
 constexpr auto max_unsent = std::size_t{8} << 20U;
@@ -274,10 +274,18 @@
     {
         auto const self = static_cast<connection*>(arg)->shared_from_this();
         // The call may date from before the last answer was queued.
-        if (self->ending_ && self->unsent() == 0)
+        if (self->bev_ == nullptr || self->unsent() > 0)
+        {
+            return;
+        }
+        if (self->ending_)
         {
             self->half_close();
         }
+        else if (!self->answering_ && !self->parser_.started())
+        {
+            self->await_client();
+        }
     }
 
     /// Bytes that have been received and not been parsed yet.
@@ -477,6 +485,7 @@
         if (bev_ != nullptr)
         {
             bufferevent_write(bev_, bytes.data(), bytes.size());
+            unsent_left_ = unsent();
         }
     }
 
@@ -521,7 +530,13 @@
     {
         auto const self = shared_from_this();
         auto const now = net::event_loop::now();
-        if (ending_)
+        auto const reading = unsent() > 0 && unsent() < unsent_left_;
+        if (reading && (ending_ || !parser_.started()))
+        {
+            unsent_left_ = unsent();
+            arm(ending_ ? linger : timeout(now));
+        }
+        else if (ending_)
         {
             lost(client_loss::not_reading);
         }
@@ -559,6 +574,8 @@
     time_point ended_at_{};
     std::uint64_t requests_ = 0;
     std::function<void(client_loss)> gone_;
+    /// After the last write, or as the client was last seen to take some.
+    std::size_t unsent_left_ = 0;
     /// Further than the server's limit of connections.
     bool surplus_;
     bool answering_ = false;
