Read the record of versions before a stream of unknown origin goes on

Callers saw streams whose first part was of the new software version and whose rest was of the old one, after a release during which one host had been stopped or cut off for some seconds: streams that had begun at the new targets through other hosts broke, and were taken up at that host.

Cause: a stream of unknown origin goes on where the host knows of one version and its list of targets is current. Both can be older than the request: the list counts as current until a watch has waited in vain (up to 1.5 s after a cut), and a host that was stopped finds all that it knew before in order as it wakes.

Change: such a stream goes on only if the store has the same single version recorded, by a linearizable read that began after the request arrived; streams begin only at recorded versions. stream_origin/record_reads decides when to read: one read of a service at a time, 100 ms between their beginnings, each for the requests that arrived before it; without an answer within 300 ms all that wait are refused, with a Retry-After. An origin that another host reports in the meantime is used. The reads are counted (version_reads), and stream_without_version says what they gave. Streams of known origin read nothing.

--- a/src/external/call_budget.cpp
+++ b/src/external/call_budget.cpp
@@ -30,6 +30,8 @@
         return "registration";
     case call_purpose::version_write:
         return "version_write";
+    case call_purpose::version_read:
+        return "version_read";
     }
     return "unknown";
 }
--- a/src/external/call_budget.hpp
+++ b/src/external/call_budget.hpp
@@ -28,9 +28,11 @@
     registration,
     /// Versions of streams and services (`stream_origin`).
     version_write,
+    /// The versions of a service, for a stream of unknown origin.
+    version_read,
 };
 
-constexpr auto call_purpose_count = std::size_t{9};
+constexpr auto call_purpose_count = std::size_t{10};
 
 using calls_by_purpose = std::array<std::uint64_t, call_purpose_count>;
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -12,6 +12,7 @@
 #include "gateway/peer_exchange.hpp"
 #include "gateway/relay.hpp"
 #include "gateway/tunnel_server.hpp"
+#include "gateway/version_reader.hpp"
 #include "http1/server.hpp"
 #include "log/log.hpp"
 #include "reachability/tunnel_limit.hpp"
@@ -85,7 +86,7 @@
               { return make_state_for_peer(held); },
               [this](peer_state const& it) { on_peer_state(it); }),
           digests_(host_, peers_, make_digest_events()),
-          origins_(host_, peers_, store),
+          origins_(host_, peers_, store), versions_(host_, store),
           tunnel_limit_(settings.link_bytes_per_second),
           tunnels_(loop, tunnel_limits{}, make_tunnel_events()),
           source_(loop, store, host_.random, peers_, host_.other_hosts,
@@ -96,6 +97,11 @@
         {
             return tunnel_address(id);
         };
+        host_.read_versions = [this](service_id const& service,
+                                     stream_origin::record_handler done)
+        {
+            versions_.read(service, std::move(done), net::event_loop::now());
+        };
         host_.prober.on_answered = [this]
         {
             on_connection_answered(host_, net::event_loop::now());
@@ -614,7 +620,8 @@
                     {"large_reads", count(call_purpose::large_value_read)},
                     {"watches", count(call_purpose::configuration_watch)},
                     {"registrations", count(call_purpose::registration)},
-                    {"version_writes", count(call_purpose::version_write)}});
+                    {"version_writes", count(call_purpose::version_write)},
+                    {"version_reads", count(call_purpose::version_read)}});
     }
 
     /// Logs how much of the link and of the processor other hosts take.
@@ -791,6 +798,7 @@
     peer_exchange peers_;
     digest_task digests_;
     origin_task origins_;
+    version_reader versions_;
     reachability::tunnel_limit tunnel_limit_;
     tunnel_server tunnels_;
     entry_source source_;
--- a/src/gateway/host_state.hpp
+++ b/src/gateway/host_state.hpp
@@ -24,6 +24,7 @@
 #include "request_limit/limiter.hpp"
 #include "routes/route_table.hpp"
 #include "stream_origin/origin_table.hpp"
+#include "stream_origin/record_reads.hpp"
 #include "stream_origin/served_versions.hpp"
 
 #include <functional>
@@ -148,6 +149,13 @@
     /// fetched, or no other host knows them.
     bool origins_complete = false;
     stream_origin::served_versions served_versions;
+    /// Reads the record of a service from the store (`version_reader`).
+    std::function<void(service_id const&, stream_origin::record_handler)>
+        read_versions =
+            [](service_id const&, stream_origin::record_handler const& done)
+    {
+        done({});
+    };
     /// `targets` is what the store lists now (`fleet::list_is_current`).
     bool list_is_current = false;
     quarantine::part_quarantine quarantine;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -261,7 +261,7 @@
     {
         return;
     }
-    if (end_without_version(now))
+    if (!set_versions(now))
     {
         return;
     }
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -175,9 +175,10 @@
     [[nodiscard]] auto refuse_if_quarantined(time_point now) -> bool;
     /// Whether the client has events of the stream, which may be resumed.
     [[nodiscard]] auto begun() const -> bool;
-    /// Sets the versions at which the next attempt may run. Ends the request if
-    /// there is none; returns whether it has ended.
-    [[nodiscard]] auto end_without_version(time_point now) -> bool;
+    /// Sets the versions at which the next attempt may run, and returns whether
+    /// it may begin. If not, the request has ended, or goes on after a read.
+    [[nodiscard]] auto set_versions(time_point now) -> bool;
+    void read_versions();
     /// The target of the next attempt. Before its first event a stream stays at
     /// the version of its last attempt if an untried target has it.
     [[nodiscard]] auto place_attempt(time_point now)
@@ -213,6 +214,8 @@
     std::optional<software_version> origin_;
     /// The versions at which the next attempt may run; empty: any.
     stream_origin::version_set versions_;
+    /// `stream_origin::service_versions::stored`.
+    std::optional<stream_origin::version_set> stored_versions_;
     /// The version of the last attempt.
     std::optional<software_version> sent_version_;
     /// Keeps the route alive while a newer configuration is in force.
--- a/src/gateway/relay_fixture.hpp
+++ b/src/gateway/relay_fixture.hpp
@@ -116,6 +116,13 @@
         it.services = {{service, "/health/", 100, {}}};
         host.table = std::make_shared<routes::route_table>(std::move(it));
         host.list_is_current = true;
+        host.read_versions =
+            [this](service_id const& of, stream_origin::record_handler done)
+        {
+            loop.post(
+                [this, of, done = std::move(done)]
+                { done(stored.value_or(host.served_versions.recorded(of))); });
+        };
     }
 
     void list(std::string const& id, std::string const& domain,
@@ -177,6 +184,8 @@
         return metric("gateway_attempt_failures_total{how=\"not_connected\"}");
     }
 
+    /// What the store has recorded, if the host does not know it.
+    std::optional<stream_origin::version_set> stored;
     bool initialised = (net::initialise_process(), true);
     net::event_loop loop;
     platform::wire_protocol wire;
--- a/src/gateway/relay_versions.cpp
+++ b/src/gateway/relay_versions.cpp
@@ -26,19 +26,19 @@
            (state_.answer_started || last_event_.has_value());
 }
 
-auto relay::end_without_version(time_point now) -> bool
+auto relay::set_versions(time_point now) -> bool
 {
     auto const& service = admitted_.service->id;
     if (!streaming() || !state_.resumable)
     {
-        return false;
+        return true;
     }
     auto const& recorded = host_.served_versions.recorded(service);
     auto const choice = stream_origin::choose_version(
         {begun(), origin_}, {host_.targets.usable(service), recorded,
                              host_.targets.has_one_version(
                                  service, now - stream_origin::origin_lifetime),
-                             host_.list_is_current});
+                             host_.list_is_current, stored_versions_});
     auto const end =
         [&](refusal_reason reason, std::optional<duration> retry_after)
     {
@@ -51,6 +51,9 @@
              {"origins_known", std::to_string(host_.origins.size())},
              {"origins_complete", host_.origins_complete ? "true" : "false"},
              {"versions_recorded", std::to_string(recorded.size())},
+             {"versions_stored", stored_versions_
+                                     ? std::to_string(stored_versions_->size())
+                                     : "not_read"},
              {"list_is_current", host_.list_is_current ? "true" : "false"}});
         if (std::exchange(attempt_counted_, false))
         {
@@ -64,38 +67,62 @@
         {
             refuse({unavailable, reason, retry_after}, now);
         }
-        return true;
+        return false;
     };
     return std::visit(
         overloaded{[&](stream_origin::any_version)
                    {
                        versions_.clear();
-                       return false;
+                       return true;
                    },
                    [&](stream_origin::recorded_versions const& it)
                    {
                        versions_ = it.versions;
-                       return false;
+                       return true;
                    },
                    [&](stream_origin::only_version const& it)
                    {
+                       origin_ = it.version;
                        versions_ = {it.version};
-                       return false;
+                       return true;
                    },
                    [&](stream_origin::version_gone const&)
                    { return end(refusal_reason::version_gone, {}); },
                    [&](stream_origin::version_unknown)
                    {
-                       auto const may_learn = !host_.origins_complete ||
-                                              !host_.list_is_current ||
-                                              recorded.empty();
+                       auto const may_learn =
+                           !host_.origins_complete || !host_.list_is_current ||
+                           stored_versions_ || recorded.empty();
                        return end(refusal_reason::version_unknown,
                                   may_learn ? std::optional{retry_after_start}
                                             : std::nullopt);
+                   },
+                   [&](stream_origin::record_needed)
+                   {
+                       read_versions();
+                       return false;
                    }},
         choice);
 }
 
+void relay::read_versions()
+{
+    host_.read_versions(
+        admitted_.service->id,
+        [self = weak_from_this()](stream_origin::version_set const& versions)
+        {
+            auto const it = self.lock();
+            if (!it || !it->host_.relays.contains(it.get()))
+            {
+                return;
+            }
+            it->stored_versions_ = versions;
+            // Others may have reported it in the meantime.
+            it->origin_ = it->host_.origins.find(it->stream_);
+            it->start_next_attempt(net::event_loop::now());
+        });
+}
+
 auto relay::place_attempt(time_point now)
     -> std::optional<directory::listed_target>
 {
--- a/src/gateway/relay_versions_test.cpp
+++ b/src/gateway/relay_versions_test.cpp
@@ -225,6 +225,36 @@
     BOOST_TEST(sound.runs() == 0);
 }
 
+BOOST_FIXTURE_TEST_CASE(
+    of_unknown_origin_is_refused_where_another_version_has_not_been_heard_of,
+    two_versions)
+{
+    list("new", "b", sound.port(), v2);
+    for (auto const& it : {stream_origin::version_set{v1, v2},
+                           {v1},
+                           stream_origin::version_set{}})
+    {
+        stored = it;
+        client = {};
+        BOOST_TEST(ask(taking_up(1)) == unavailable);
+        BOOST_TEST(client.body == R"({"error":"version_unknown"})");
+        BOOST_TEST(
+            net::find_header(client.reply->headers, "Retry-After").has_value());
+    }
+    BOOST_TEST(sound.runs() == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(goes_on_at_its_version_that_is_reported_meanwhile,
+                        two_versions)
+{
+    list("new", "b", sound.port(), v2);
+    stored = stream_origin::version_set{v1, v2};
+    send("/stream/", client, taking_up(1));
+    record(v2);
+    run_until([&] { return client.over(); });
+    BOOST_TEST(client.body == event(2) + event(3));
+}
+
 BOOST_FIXTURE_TEST_CASE(may_come_again_while_its_host_learns_of_streams,
                         two_versions)
 {
--- /dev/null
+++ b/src/gateway/version_reader.cpp
@@ -0,0 +1,117 @@
+#include "gateway/version_reader.hpp"
+
+#include "log/log.hpp"
+
+#include <utility>
+#include <variant>
+
+namespace primrosedeal::gateway
+{
+
+version_reader::version_reader(host_state& host,
+                               external::key_value_service& store)
+    : host_(host), store_(store)
+{
+}
+
+void version_reader::read(service_id const& service,
+                          stream_origin::record_handler done, time_point now)
+{
+    if (auto const at = reads_.add(service, std::move(done), now))
+    {
+        begin_at(*at, service, now);
+    }
+}
+
+void version_reader::begin_at(time_point at, service_id const& service,
+                              time_point now)
+{
+    if (at <= now)
+    {
+        begin(service, now);
+        return;
+    }
+    due_[service] = host_.loop.after(at - now,
+                                     [this, service]
+                                     {
+                                         // Holds the timer, which holds this
+                                         // handler.
+                                         auto const node =
+                                             due_.extract(service);
+                                         begin(service, net::event_loop::now());
+                                     });
+}
+
+void version_reader::begin(service_id const& service, time_point now)
+{
+    reads_.begin(service, now);
+    auto const number = next_number_++;
+    auto& it = running_[service];
+    it.number = number;
+    it.timeout = host_.loop.after_input(
+        stream_origin::record_read_timeout, [this, service]
+        { end(service, {}, "no answer", net::event_loop::now()); });
+    store_.range(external::call_purpose::version_read,
+                 {host_.wire.versions_key(service), {}},
+                 [this, service, number, alive = std::weak_ptr{alive_}](
+                     external::answer<external::range_result> const& answer)
+                 {
+                     if (alive.expired())
+                     {
+                         return;
+                     }
+                     auto const found = running_.find(service);
+                     // An earlier read may be answered after its timeout.
+                     if (found != running_.end() &&
+                         found->second.number == number)
+                     {
+                         on_answer(service, answer, net::event_loop::now());
+                     }
+                 });
+}
+
+void version_reader::on_answer(
+    service_id const& service,
+    external::answer<external::range_result> const& it, time_point now)
+{
+    if (auto const* const why = std::get_if<external::call_failure>(&it))
+    {
+        end(service, {}, why->text, now);
+        return;
+    }
+    auto const& values = std::get<external::range_result>(it).values;
+    if (values.empty())
+    {
+        end(service, stream_origin::version_set{}, {}, now);
+        return;
+    }
+    end(service, stream_origin::decode_versions(values.front().value),
+        "unreadable", now);
+}
+
+void version_reader::end(
+    service_id const& service,
+    std::optional<stream_origin::version_set> const& versions,
+    std::string const& why, time_point now)
+{
+    // `service` may belong to the timer.
+    auto const node = running_.extract(service);
+    auto const ended = reads_.end(service, versions.has_value(), now);
+    if (!versions)
+    {
+        log::write(log::level::warning, "record_not_read",
+                   {{"service", service.value()},
+                    {"why", why},
+                    {"waiting", std::to_string(ended.waiting.size())}});
+    }
+    if (ended.next_at)
+    {
+        begin_at(*ended.next_at, service, now);
+    }
+    for (auto const& done : ended.waiting)
+    {
+        done(versions.value_or(stream_origin::version_set{}));
+    }
+}
+
+} // namespace primrosedeal::gateway
--- a/src/stream_origin/stream_origin_test.cpp
+++ b/src/stream_origin/stream_origin_test.cpp
@@ -45,7 +45,8 @@
 {
     known_service(std::vector<software_version> const& listed,
                   version_set served)
-        : usable(targets_of(listed)), recorded(std::move(served))
+        : usable(targets_of(listed)), recorded(std::move(served)),
+          stored(recorded)
     {
     }
 
@@ -53,12 +54,13 @@
     choose(bool begun, std::optional<software_version> const& origin) const
         -> version_choice
     {
-        return choose_version({begun, origin},
-                              {usable, recorded, one_listed, list_is_current});
+        return choose_version({begun, origin}, {usable, recorded, one_listed,
+                                                list_is_current, stored});
     }
 
     std::vector<directory::listed_target> usable;
     version_set recorded;
+    std::optional<version_set> stored;
     bool one_listed = true;
     bool list_is_current = true;
 };
@@ -140,6 +142,19 @@
     BOOST_TEST(unknown({{v2}, {}}));
 }
 
+BOOST_AUTO_TEST_CASE(is_not_the_only_one_known_before_the_request_arrived)
+{
+    auto it = known_service{{v1}, {v1}};
+    it.stored.reset();
+    BOOST_TEST(std::holds_alternative<record_needed>(it.choose(true, {})));
+    for (auto const& versions : {version_set{v1, v2}, {v2}, version_set{}})
+    {
+        it.stored = versions;
+        BOOST_TEST(
+            std::holds_alternative<version_unknown>(it.choose(true, {})));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(is_not_the_only_one_of_a_list_that_may_be_old)
 {
     auto it = known_service{{v1}, {v1}};
--- a/src/stream_origin/version_choice.cpp
+++ b/src/stream_origin/version_choice.cpp
@@ -17,7 +17,8 @@
                        [&](auto const& it) { return it.version == version; });
 }
 
-/// The version of every stream of the service, if there is but one.
+/// The version of every stream of the service, if there is but one for all that
+/// this host knows.
 auto single_version(service_versions const& it)
     -> std::optional<software_version>
 {
@@ -27,6 +28,21 @@
     return certain ? std::optional{*it.recorded.begin()} : std::nullopt;
 }
 
+auto choose_for_unknown_origin(service_versions const& it) -> version_choice
+{
+    auto const one = single_version(it);
+    if (!one)
+    {
+        return version_unknown{};
+    }
+    if (!it.stored)
+    {
+        return record_needed{};
+    }
+    return *it.stored == it.recorded ? version_choice{only_version{*one}}
+                                     : version_choice{version_unknown{}};
+}
+
 auto choose_first_version(service_versions const& it) -> version_choice
 {
     auto out = recorded_versions{};
@@ -52,14 +68,13 @@
     {
         return choose_first_version(service);
     }
-    auto const origin = stream.origin ? stream.origin : single_version(service);
-    if (!origin)
+    if (!stream.origin)
     {
-        return version_unknown{};
+        return choose_for_unknown_origin(service);
     }
-    return serves(service.usable, *origin)
-               ? version_choice{only_version{*origin}}
-               : version_choice{version_gone{*origin}};
+    return serves(service.usable, *stream.origin)
+               ? version_choice{only_version{*stream.origin}}
+               : version_choice{version_gone{*stream.origin}};
 }
 
 } // namespace primrosedeal::stream_origin
--- a/src/stream_origin/version_choice.hpp
+++ b/src/stream_origin/version_choice.hpp
@@ -40,9 +40,15 @@
 {
 };
 
+/// The stream has events and this host knows of one version, but its knowledge
+/// may be older than the request: `service_versions::stored` decides.
+struct record_needed
+{
+};
+
 using version_choice =
     std::variant<any_version, recorded_versions, only_version, version_gone,
-                 version_unknown>;
+                 version_unknown, record_needed>;
 
 struct stream_view
 {
@@ -63,6 +69,9 @@
     bool one_listed = false;
     /// The list of targets is current.
     bool list_is_current = false;
+    /// The record by a read that began after the request had arrived: empty if
+    /// there was none or no answer; no value if it was not read.
+    std::optional<version_set> stored = {};
 };
 
 auto choose_version(stream_view const& stream, service_versions const& service)
