Let a stream come again where its version may not have been heard of

Callers were told to begin anew (503 version_gone without Retry-After) by a host that had heard of the origin of a stream but not of the targets of its version: it was cut off from the store, or had just been stopped. Other hosts could have gone on with it.

Cause: version_gone took the host's list of targets for current.

--- a/src/gateway/relay_versions.cpp
+++ b/src/gateway/relay_versions.cpp
@@ -86,8 +86,16 @@
                        versions_ = {it.version};
                        return true;
                    },
-                   [&](stream_origin::version_gone const&)
-                   { return end(refusal_reason::version_gone, {}); },
+                   [&](stream_origin::version_gone const& it)
+                   {
+                       // Versions stay recorded for a while after their last
+                       // target, so others may list targets of this one.
+                       auto const unheard = !host_.list_is_current ||
+                                            !recorded.contains(it.version);
+                       return end(refusal_reason::version_gone,
+                                  unheard ? std::optional{retry_after_start}
+                                          : std::nullopt);
+                   },
                    [&](stream_origin::version_unknown)
                    {
                        auto const may_learn =
