Cut no stream that came after the balancer had left the host

Callers: a resumable stream that came late in the grace was taken by the usual upper bound and cut at its end, though other hosts were ready.

From 2.5 s after SIGTERM on a resumable stream needs what one needs that must not be cut. What is left of a resumed stream does not count as the time of a stream.

Red with the condition taken out: dispatch_test as_of_one_that_must_not_be_cut_once_the_balancer_has_left. The second part has no test of its own.

--- a/src/dispatch/shutdown_admission.cpp
+++ b/src/dispatch/shutdown_admission.cpp
@@ -18,7 +18,8 @@
     {
         return slow_end;
     }
-    if (it.kind == routes::request_kind::streaming && it.resumable)
+    if (it.kind == routes::request_kind::streaming && it.resumable &&
+        it.since_shutdown < resumable_cut_time)
     {
         return recent.upper;
     }
--- a/src/dispatch/shutdown_admission.hpp
+++ b/src/dispatch/shutdown_admission.hpp
@@ -93,12 +93,18 @@
     duration objective{};
     /// Until the earlier of the client's deadline and the route's timeout.
     duration time_left{};
+    /// Since the host began to shut down.
+    duration since_shutdown{};
 };
 
 /// For a request that must not be cut, its time counts as this many times the
 /// slow end of the recent ones.
 constexpr auto slow_end_multiple = 4;
 
+/// Time in which requests still come because the load balancer has not left the
+/// host. Later ones have other hosts to go to, so none of them may be cut.
+constexpr auto resumable_cut_time = duration{2500ms};
+
 /// Requests that show what the slow end is.
 constexpr auto min_slow_end_sample = std::uint32_t{16};
 
@@ -107,9 +113,10 @@
 ///
 /// Calls that may run once and streams that no other target can resume must not
 /// be cut: they need `slow_end_multiple` of the slow end. Other calls need the
-/// slow end. Resumable streams need the usual upper bound: their clients resume
-/// them elsewhere. No request needs more than it has until its deadline, and
-/// all need that before any was observed.
+/// slow end. Resumable streams need the usual upper bound for
+/// `resumable_cut_time`: their clients resume them elsewhere. No request needs
+/// more than it has until its deadline, and all need that before any was
+/// observed.
 auto time_needed(shutdown_request const& it,
                  std::optional<recent_times> const& recent) -> duration;
 
--- a/src/dispatch/shutdown_admission_test.cpp
+++ b/src/dispatch/shutdown_admission_test.cpp
@@ -212,6 +212,19 @@
     BOOST_TEST((needed(request_kind::streaming, true) == 600ms));
 }
 
+BOOST_AUTO_TEST_CASE(as_of_one_that_must_not_be_cut_once_the_balancer_has_left)
+{
+    auto it = shutdown_request{};
+    it.kind = routes::request_kind::streaming;
+    it.resumable = true;
+    it.objective = 100ms;
+    it.time_left = 25s;
+    auto const recent = recent_times{600ms, 700ms, min_slow_end_sample};
+    BOOST_TEST((time_needed(it, recent) == 600ms));
+    it.since_shutdown = resumable_cut_time;
+    BOOST_TEST((time_needed(it, recent) == slow_end_multiple * 700ms));
+}
+
 BOOST_AUTO_TEST_CASE(between_the_objective_and_the_deadline)
 {
     auto const kind = request_kind::non_idempotent;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -574,7 +574,11 @@
                           observation::answered, now);
     on_run_proven(now);
     release_target();
-    completion_times().observe(now - arrived_at_, now);
+    if (!metadata_.resume_after)
+    {
+        // What is left of a resumed stream is shorter than a stream.
+        completion_times().observe(now - arrived_at_, now);
+    }
     if (!metadata_.resume_after && last_event_)
     {
         host_.stream_estimator.observe(*last_event_, now - arrived_at_ -
--- a/src/gateway/relay_shutdown.cpp
+++ b/src/gateway/relay_shutdown.cpp
@@ -22,11 +22,11 @@
     }
     auto const& route = *admitted_.route;
     auto const recent = completion_times().recent(now);
+    auto const since = *host_.shutdown_started_at;
     auto const needed =
         dispatch::time_needed({route.kind, route.resumable, route.objective,
-                               client_deadline_at_ - now},
+                               client_deadline_at_ - now, now - since},
                               recent);
-    auto const since = *host_.shutdown_started_at;
     auto const grace = host_.settings.shutdown_grace;
     if (dispatch::can_finish_before_exit(since, grace, needed, now))
     {
