Refuse a request that has come in part as the host ends

Callers: a request of which a part had arrived at the end of the grace got no answer.

From 0.5 s before the end of the grace on, every connection that owes no answer ends: with the notice, or with 503 in the middle of a request, which never runs. An answer that is still being sent is no idle connection, and the listener's queue is taken in one turn of its length at most; neither has a test of its own.

Red with the refusal taken out: http1_test of_which_a_part_had_come_at_the_end.

--- a/src/dispatch/shutdown_steps.cpp
+++ b/src/dispatch/shutdown_steps.cpp
@@ -23,7 +23,11 @@
     {
         return exit_process{};
     }
-    if (drained || now >= view.started_at + view.grace - grace_margin)
+    if (now >= view.started_at + view.grace - grace_margin)
+    {
+        return end_connections{};
+    }
+    if (drained)
     {
         return end_idle_connections{};
     }
--- a/src/dispatch/shutdown_steps.hpp
+++ b/src/dispatch/shutdown_steps.hpp
@@ -50,12 +50,18 @@
 {
 };
 
+/// End all connections that owe no answer, also in the middle of a request.
+struct end_connections
+{
+};
+
 struct exit_process
 {
 };
 
-using shutdown_step = std::variant<keep_connections, stop_accepting,
-                                   end_idle_connections, exit_process>;
+using shutdown_step =
+    std::variant<keep_connections, stop_accepting, end_idle_connections,
+                 end_connections, exit_process>;
 
 /// Call often during the shutdown: each step is due once or repeatedly.
 auto next_shutdown_step(shutdown_view const& view, time_point now)
--- a/src/dispatch/shutdown_steps_test.cpp
+++ b/src/dispatch/shutdown_steps_test.cpp
@@ -48,7 +48,9 @@
     it.open_requests = 1;
     BOOST_TEST(due<stop_accepting>(it, 7300ms));
     it.accepting = false;
-    BOOST_TEST(due<end_idle_connections>(it, 7800ms));
+    BOOST_TEST(due<end_idle_connections>(it, 7400ms));
+    BOOST_TEST(due<end_connections>(it, 7500ms));
+    BOOST_TEST(due<end_connections>(it, 7800ms));
     BOOST_TEST(due<exit_process>(it, 7850ms));
 }
 
@@ -89,7 +91,7 @@
     BOOST_TEST(due<keep_connections>(it, 200ms));
     BOOST_TEST(due<stop_accepting>(it, 400ms));
     it.accepting = false;
-    BOOST_TEST(due<end_idle_connections>(it, 500ms));
+    BOOST_TEST(due<end_connections>(it, 500ms));
     BOOST_TEST(due<exit_process>(it, 900ms));
 }
 
--- a/src/http1/connection_test.cpp
+++ b/src/http1/connection_test.cpp
@@ -379,6 +379,15 @@
     BOOST_TEST(dropped.empty());
 }
 
+BOOST_FIXTURE_TEST_CASE(of_which_a_part_had_come_at_the_end, kept_connection)
+{
+    client.send("GET /a HTTP/1.1\r\nHo");
+    auto const close = loop.after(50ms, [&] { it.close_unanswered(); });
+    auto const got = client.receive_all(*this);
+    BOOST_TEST(got.starts_with("HTTP/1.1 503 "));
+    BOOST_TEST(got.find("Retry-After: 0") != std::string::npos);
+}
+
 BOOST_FIXTURE_TEST_CASE(that_crossed_the_end_of_the_idle_time, kept_connection)
 {
     constexpr auto idle = duration{100ms};
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -165,7 +165,29 @@
     {
         return bev_ != nullptr && !answering_ && !ending_ &&
                now >= waiting_since_ + owner_.limits.min_idle_time &&
-               !parser_.started() && unread() == 0 && !has_pending_input();
+               unsent() == 0 && has_no_request();
+    }
+
+    /// Nothing of a request has arrived that is not answered.
+    [[nodiscard]] auto has_no_request() const -> bool
+    {
+        return !parser_.started() && unread() == 0 && !has_pending_input();
+    }
+
+    void end_unanswered()
+    {
+        if (bev_ == nullptr || answering_ || ending_)
+        {
+            return;
+        }
+        if (has_no_request())
+        {
+            end_idle(end_reason::closed_idle);
+        }
+        else if (parser_.started())
+        {
+            refuse_and_end(unavailable, {{"Retry-After", "0"}});
+        }
     }
 
     /// The notice answers a request that is on its way.
@@ -737,6 +759,15 @@
     }
 }
 
+void server::close_unanswered()
+{
+    auto const all = state_->connections;
+    for (auto const& [key, it] : all)
+    {
+        it->end_unanswered();
+    }
+}
+
 void server::on_dropped_input(std::function<void(dropped_input const&)> report)
 {
     state_->on_dropped_input = std::move(report);
@@ -751,7 +782,9 @@
     // Closing the listener resets the connections that still wait in it.
     auto const from = evconnlistener_get_fd(state_->listener);
     auto fd = 0;
-    while (fd >= 0 || errno == EINTR || errno == ECONNABORTED)
+    for (auto i = 0;
+         i < backlog && (fd >= 0 || errno == EINTR || errno == ECONNABORTED);
+         ++i)
     {
         fd = ::accept4(from, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (fd >= 0)
--- a/src/http1/server.hpp
+++ b/src/http1/server.hpp
@@ -128,6 +128,10 @@
     /// (RFC 9110, 15.5.9).
     void close_idle(time_point now);
 
+    /// Ends all connections but those that owe an answer. A request that has
+    /// not arrived as a whole gets status 503.
+    void close_unanswered();
+
     /// Accepts the connections that wait to be accepted, and none after them.
     void stop_listening();
 
