Watch for SIGTERM before a host listens

Callers of an operator: a host that was told to stop just after its start ended with signal 15, not in order.

The handlers of signals are set before the host listens. What is left is the time from the start of the program to there. The soak alone can show it; no test of its own.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -115,6 +115,19 @@
 
     auto run() -> bool
     {
+        // Before anything that a signal could cut: its default is to end the
+        // process.
+        auto const terminate =
+            net::signal_watch{loop_, SIGTERM,
+                              [this]
+                              {
+                                  begin_shutdown(net::event_loop::now());
+                              }};
+        auto const reload = net::signal_watch{loop_, SIGHUP,
+                                              [this]
+                                              {
+                                                  reload_settings();
+                                              }};
         auto const& at = host_.settings;
         client_server_.listen(at.clients);
         readiness_server_.listen(at.readiness);
@@ -130,17 +143,6 @@
                     {"domain", at.domain.value()},
                     {"clients", net::to_string(at.clients)},
                     {"store", net::to_string(at.store)}});
-        auto const terminate =
-            net::signal_watch{loop_, SIGTERM,
-                              [this]
-                              {
-                                  begin_shutdown(net::event_loop::now());
-                              }};
-        auto const reload = net::signal_watch{loop_, SIGHUP,
-                                              [this]
-                                              {
-                                                  reload_settings();
-                                              }};
         source_.start(net::event_loop::now());
         tick();
         poll_peers();
@@ -781,6 +783,8 @@
                               { client_server_.stop_listening(); },
                               [&](dispatch::end_idle_connections)
                               { client_server_.close_idle(now); },
+                              [&](dispatch::end_connections)
+                              { client_server_.close_unanswered(); },
                               [&](dispatch::exit_process)
                               {
                                   loop_.stop();
