--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the cases into build-review/. Each case's program holds
+# its clients, its replicas and its store; no other stand-in is started.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p build-review
+for source in review/[1-9]/case.cpp; do
+  n=$(basename "$(dirname "$source")")
+  g++ -std=c++20 -O1 -pthread -o "build-review/case$n" "$source" &
+done
+wait
+for source in review/[1-9]/case.cpp; do
+  [ -x "build-review/case$(basename "$(dirname "$source")")" ]
+done
