--- a/review/standins/world.hpp
+++ b/review/standins/world.hpp
@@ -443,26 +443,40 @@
 };
 
 /// A sound replica of a plain service. It registers itself, runs what it is
-/// sent under its id, and answers with its signature.
+/// sent under its id, and answers with its signature. A request whose body it
+/// names as poison crashes it as it begins to run; a process of the same id is
+/// back some seconds later.
 class replica
 {
 public:
-    replica(store& to, record& book, run_book& runs, std::string const& ip,
+    replica(store& to, record& book, run_book& runs, std::string ip,
             std::string id, std::string service, std::string zone)
-        : store_(to), record_(book), runs_(runs), id_(std::move(id)),
-          service_(std::move(service)), zone_(std::move(zone)),
-          server_(ip, [this](int fd, message const& it) { serve(fd, it); })
+        : store_(to), record_(book), runs_(runs), ip_(std::move(ip)),
+          id_(std::move(id)), service_(std::move(service)),
+          zone_(std::move(zone))
     {
-        write("ready");
+        start();
+        keeper_ = std::thread{[this] { keep(); }};
+    }
+
+    ~replica()
+    {
+        over_ = true;
+        keeper_.join();
+        if (server_)
+        {
+            server_->stop();
+        }
     }
 
     auto id() const -> std::string { return id_; }
+    auto crashes() const -> int { return crashes_; }
 
     void write(std::string const& state, int cold_left_ms = 0)
     {
         store_.put("servers/" + id_,
                    json{{"service", service_},
-                        {"address", server_.endpoint()},
+                        {"address", server_->endpoint()},
                         {"zone", zone_},
                         {"version", "v1"},
                         {"slots", 6},
@@ -473,22 +487,66 @@
                        .dump());
     }
 
-    /// Its process ends: what it still works on is lost.
-    void end() { server_.stop(); }
+    /// Its process ends for good: what it still works on is lost.
+    void end()
+    {
+        ended_ = true;
+        server_->stop();
+        record_.line("replica  " + id_ + " has ended");
+    }
 
     std::atomic<int> work_ms{20};
     /// It says in all its answers that it leaves.
     std::atomic<bool> says_leaving{false};
-    std::atomic<bool> ended{false};
+    /// The body that crashes it, and the time until it is back. Set before it
+    /// gets requests.
+    std::string poison;
+    int back_after_ms = 2000;
+    /// Each start has another id.
+    bool new_ids = false;
 
 private:
+    void start()
+    {
+        born_ = unix_ms();
+        crashing_ = false;
+        server_ = std::make_unique<server>(
+            ip_, [this](int fd, message const& it) { serve(fd, it); });
+        write("ready");
+    }
+
+    /// Ends the process after a crash and starts it again.
+    void keep()
+    {
+        while (!over_)
+        {
+            pause_ms(2);
+            if (!crashing_ || ended_)
+            {
+                continue;
+            }
+            pause_ms(10);
+            ++crashes_;
+            record_.line("CRASH    of " + id_);
+            server_.reset();
+            pause_ms(back_after_ms);
+            if (new_ids)
+            {
+                store_.remove("servers/" + id_);
+                id_ += "'";
+            }
+            start();
+            record_.line("replica  " + id_ + " is back");
+        }
+    }
+
     void serve(int fd, message const& it)
     {
         auto const id = it.header("x-attempt-id");
         auto const leaving =
             says_leaving ? std::string{"Server-Leaving: 1\r\n"} : std::string{};
-        if (it.header("x-expect-replica") != id_ &&
-            !it.header("x-expect-replica").empty())
+        auto const expected = it.header("x-expect-replica");
+        if (!expected.empty() && expected != id_)
         {
             send_all(fd, "HTTP/1.1 421 x\r\nX-Not-Executed: 1\r\nX-Attempt-Id: " +
                              id + "\r\nX-Replica-Id: " + id_ +
@@ -503,9 +561,26 @@
         }
         runs_.add({id, id_, service_, it.second, it.header("x-tenant"),
                    record_.seconds()});
-        record_.line("run      " + id + " " + it.second + " at " + id_ +
-                     " of " + service_ + " tenant " + it.header("x-tenant"));
-        pause_ms(work_ms);
+        record_.line("run      " + id + " " + it.second + " at " + id_ + " of " +
+                     service_ + " tenant " + it.header("x-tenant"));
+        if (!poison.empty() && it.body == poison)
+        {
+            crashing_ = true;
+            while (!peer_gone(fd))
+            {
+                pause_ms(1);
+            }
+            return;
+        }
+        auto const until = steady::now() + milliseconds{work_ms};
+        while (steady::now() < until)
+        {
+            pause_ms(1);
+            if (peer_gone(fd))
+            {
+                return;
+            }
+        }
         auto const body = "done " + id + " by " + id_;
         send_all(fd, "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id +
                          "\r\nX-Replica-Signature: s." + id + "." + id_ +
@@ -516,10 +591,13 @@
     store& store_;
     record& record_;
     run_book& runs_;
-    std::string id_, service_, zone_;
-    std::int64_t born_ = unix_ms();
+    std::string ip_, id_, service_, zone_;
+    std::int64_t born_ = 0;
     int sequence_ = 0;
-    server server_;
+    std::atomic<int> crashes_{0};
+    std::atomic<bool> crashing_{false}, ended_{false}, over_{false};
+    std::unique_ptr<server> server_;
+    std::thread keeper_;
 };
 
 /// Loopback addresses of this process of its own.
