Review case 4: a stream that is taken up is sent to another service of its route

The service of a split route is drawn anew for a request that takes up a stream, and the version that began it is looked for there only.

--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,5 +1,7 @@
-// A gateway is killed while it relays long streams. Their clients take them up
-// again at other gateways, with time enough left. How many go on?
+// A route's traffic is moved from one service to another one by weights. A
+// gateway is killed while it relays streams that the first service began, which
+// goes on serving. Their clients take them up again at other gateways. How many
+// go on?
 #include "../standins/engine.hpp"
 
 using namespace review;
@@ -9,37 +11,46 @@
 
 auto const host = std::string{"h.example"};
 constexpr auto deadline_ms = 25000;
-constexpr auto long_output = 2800; // 560 events of 5 tokens, 30 ms each
-constexpr auto long_events = 560;
+constexpr auto long_output = 2000; // 400 events of 5 tokens, 30 ms each
+constexpr auto long_events = 400;
 
-auto route(std::string const& name, std::string const& prefix) -> json
+auto service(std::string const& name) -> json
 {
-    return {{"name", name},         {"host", host},
-            {"pathPrefix", prefix}, {"routeKind", "streaming"},
-            {"timeoutMs", 25000},   {"sloMs", 4500},
-            {"priority", 1},        {"service", "brief-llm"},
-            {"maxAttempts", 5},     {"public", false},
-            {"sticky", true},       {"resumable", true},
-            {"gapSloMs", 700}};
+    return {{"name", name},
+            {"healthPath", "/healthz"},
+            {"maxConns", 360},
+            {"engine",
+             {{"slots", 64},
+              {"kvCapacity", 55000},
+              {"kvBytes", 163840},
+              {"linkMbps", 280000.0},
+              {"moves", false},
+              {"backups", false},
+              {"stride", 5},
+              {"handleS", 4.0},
+              {"models", {{{"name", "m"}}}}}}};
 }
 
-auto configuration() -> std::string
+/// The shares of the two services in the route, in percent.
+auto configuration(int version, int blue, int green) -> std::string
 {
-    auto out = json{{"version", 3}};
-    out["routes"] = {route("r-brief", "/brief/"), route("r-ask", "/ask/")};
-    out["services"] = {{{"name", "brief-llm"},
-                        {"healthPath", "/healthz"},
-                        {"maxConns", 360},
-                        {"engine",
-                         {{"slots", 64},
-                          {"kvCapacity", 55000},
-                          {"kvBytes", 163840},
-                          {"linkMbps", 280000.0},
-                          {"moves", false},
-                          {"backups", false},
-                          {"stride", 5},
-                          {"handleS", 4.0},
-                          {"models", {{{"name", "m"}}}}}}}};
+    auto out = json{{"version", version}};
+    out["routes"] = {{{"name", "r-brief"},
+                      {"host", host},
+                      {"pathPrefix", "/brief/"},
+                      {"routeKind", "streaming"},
+                      {"timeoutMs", 25000},
+                      {"sloMs", 4500},
+                      {"priority", 1},
+                      {"split",
+                       {{{"service", "llm-blue"}, {"weight", blue}},
+                        {{"service", "llm-green"}, {"weight", green}}}},
+                      {"maxAttempts", 5},
+                      {"public", false},
+                      {"sticky", true},
+                      {"resumable", true},
+                      {"gapSloMs", 700}}};
+    out["services"] = {service("llm-blue"), service("llm-green")};
     out["limits"] = {{"maxHeaderBytes", 16384},
                      {"maxBodyBytes", 4194304},
                      {"headerTimeoutMs", 3000},
@@ -102,17 +113,19 @@
     auto const folder = option(n, words, "--folder");
     auto const program = option(n, words, "--program");
     auto const trouble = troubled();
-    auto const short_prompts = std::getenv("NO_SHORT") == nullptr;
+    // For comparison only: the weights stay.
+    auto const moved = std::getenv("NO_MOVE") == nullptr;
     auto log = engine_book{};
     auto platform = store{own_ip(1)};
-    platform.put("op/config", configuration());
+    platform.put("op/config", configuration(3, 95, 5));
     auto const zones = std::vector<std::string>{"z-a", "z-b", "z-c"};
     auto engines = std::vector<std::unique_ptr<engine>>{};
     for (auto i = std::size_t{0}; i < 24; ++i)
     {
         engines.push_back(std::make_unique<engine>(
             platform, book, log, own_ip(10), "i-llm" + std::to_string(i),
-            "brief-llm", zones[i % 3]));
+            i % 2 == 0 ? "llm-blue" : "llm-green", zones[i % 3],
+            i % 2 == 0 ? "v1" : "v2"));
     }
     auto const ports = choose_ports(own_ip(2));
     auto gateways = std::vector<std::unique_ptr<gateway>>{};
@@ -138,31 +151,10 @@
     }
     pause_ms(8000);
 
-    // Streams on short prompts at all gateways, all the time.
-    auto over = std::atomic<bool>{false};
-    auto next = std::atomic<int>{0};
     auto threads = std::vector<std::thread>{};
-    for (auto i = 0; i < 12 && short_prompts; ++i)
-    {
-        threads.emplace_back(
-            [&, i]
-            {
-                while (!over)
-                {
-                    auto const& at = *gateways.at(static_cast<std::size_t>(i) % 6);
-                    ask_once(at.ip(), at.front(),
-                             request({"/ask/s", "a" + std::to_string(next++), 2, 4,
-                                      50}),
-                             9000);
-                    pause_ms(100);
-                }
-            });
-    }
-    pause_ms(15000);
-
     // Long streams at the gateway that will be killed.
     constexpr auto streams = 16;
-    constexpr auto killed_at_ms = 15500;
+    constexpr auto killed_at_ms = 8000;
     auto broken_off = std::atomic<int>{0};
     auto taken_up = std::atomic<int>{0};
     auto went_on = std::atomic<int>{0};
@@ -188,34 +180,56 @@
                     return;
                 }
                 ++broken_off;
-                // One retry, on a new connection, at another gateway.
+                // It is taken up on a new connection at another gateway, and
+                // after a refusal once more, when that says.
                 it.resumes = it.id;
-                it.id += "r";
                 it.last_event = events;
-                it.left_ms =
-                    deadline_ms -
-                    static_cast<int>(
-                        std::chrono::duration_cast<milliseconds>(steady::now() -
-                                                                 begun)
-                            .count());
-                auto const& other =
-                    *gateways.at(1 + static_cast<std::size_t>(i) % 5);
                 ++taken_up;
-                out = ask_once(other.ip(), other.front(), request(it), 26000);
-                auto const more = whole_events(out.body, it.path, events + 1);
-                auto const all = out.complete && events + more == long_events;
-                went_on += out.status == 200 && more > 0 ? 1 : 0;
-                whole += all ? 1 : 0;
-                book.line("client   " + it.id + " takes it up behind event " +
-                          std::to_string(events) + " of " +
-                          std::to_string(long_events) + " at " + other.name() +
-                          " with " + std::to_string(it.left_ms) +
-                          " ms left: " + std::to_string(out.status) + " " +
-                          (out.status == 200 ? "" : out.body) + ", " +
-                          std::to_string(more) + " more events, " +
-                          (all ? "whole" : "not whole"));
+                for (auto k = std::size_t{0}; k < 2; ++k)
+                {
+                    it.id = it.resumes + "r" + std::to_string(k);
+                    it.left_ms =
+                        deadline_ms -
+                        static_cast<int>(
+                            std::chrono::duration_cast<milliseconds>(
+                                steady::now() - begun)
+                                .count());
+                    auto const& other =
+                        *gateways.at(1 + (static_cast<std::size_t>(i) + k) % 5);
+                    out = ask_once(other.ip(), other.front(), request(it), 26000);
+                    auto const more = whole_events(out.body, it.path, events + 1);
+                    auto const all =
+                        out.complete && events + more == long_events;
+                    went_on += out.status == 200 && more > 0 ? 1 : 0;
+                    whole += all ? 1 : 0;
+                    book.line(
+                        "client   " + it.id + " takes it up behind event " +
+                        std::to_string(events) + " of " +
+                        std::to_string(long_events) + " at " + other.name() +
+                        ": " + std::to_string(out.status) + " " +
+                        (out.status == 200 ? "" : out.body) + ", " +
+                        std::to_string(more) + " more events, " +
+                        (all ? "whole" : "not whole"));
+                    if (out.status != 503)
+                    {
+                        break;
+                    }
+                    auto const wait = out.headers.find("retry-after");
+                    pause_ms(wait == out.headers.end()
+                                 ? 20
+                                 : static_cast<int>(
+                                       std::atof(wait->second.c_str()) * 1000));
+                }
             });
     }
+    if (moved)
+    {
+        pause_ms(2000);
+        auto const at = platform.put("op/config", configuration(5, 5, 95));
+        book.line("operator writes version 5: weights 5 and 95, acknowledged at "
+                  "revision " +
+                  std::to_string(at));
+    }
     pause_ms(killed_at_ms);
     if (trouble)
     {
@@ -248,7 +262,6 @@
         gateways[0]->restart();
     }
     pause_ms(10000);
-    over = true;
     for (auto& it : threads)
     {
         it.join();
--- a/review/standins/engine.hpp
+++ b/review/standins/engine.hpp
@@ -66,10 +66,11 @@
 {
 public:
     engine(store& to, record& book, engine_book& log, std::string ip,
-           std::string name, std::string service, std::string zone)
+           std::string name, std::string service, std::string zone,
+           std::string version = "v1")
         : store_(to), record_(book), log_(log), ip_(std::move(ip)),
           name_(std::move(name)), service_(std::move(service)),
-          zone_(std::move(zone))
+          zone_(std::move(zone)), version_(std::move(version))
     {
         start();
         keeper_ = std::thread{[this] { keep(); }};
@@ -100,7 +101,7 @@
         store_.put("servers/" + id_, json{{"service", service_},
                                           {"address", server_->endpoint()},
                                           {"zone", zone_},
-                                          {"version", "v1"},
+                                          {"version", version_},
                                           {"slots", 64},
                                           {"state", "ready"},
                                           {"coldLeftMs", 0},
@@ -235,7 +236,7 @@
     store& store_;
     record& record_;
     engine_book& log_;
-    std::string ip_, name_, service_, zone_, id_;
+    std::string ip_, name_, service_, zone_, version_, id_;
     engine_times times_;
     int starts_ = 0;
     std::atomic<bool> crashing_{false}, over_{false};
--- a/review/standins/world.hpp
+++ b/review/standins/world.hpp
@@ -479,7 +479,7 @@
                         {"address", server_->endpoint()},
                         {"zone", zone_},
                         {"version", "v1"},
-                        {"slots", 6},
+                        {"slots", slots},
                         {"state", state},
                         {"coldLeftMs", cold_left_ms},
                         {"born", born_},
@@ -496,6 +496,7 @@
     }
 
     std::atomic<int> work_ms{20};
+    int slots = 6;
     /// It says in all its answers that it leaves.
     std::atomic<bool> says_leaving{false};
     /// The body that crashes it, and the time until it is back. Set before it
@@ -814,6 +815,21 @@
                    .status == 200;
     }
 
+    /// Memory that it uses now.
+    auto memory_kb() const -> long
+    {
+        auto in = std::ifstream{"/proc/" + std::to_string(pid_) + "/status"};
+        auto line = std::string{};
+        while (std::getline(in, line))
+        {
+            if (line.rfind("VmRSS:", 0) == 0)
+            {
+                return std::atol(line.c_str() + 6);
+            }
+        }
+        return 0;
+    }
+
     auto name() const -> std::string const& { return name_; }
     auto ip() const -> std::string const& { return ip_; }
     auto front() const -> int { return ports_.front; }
