--- a/review/build.sh
+++ b/review/build.sh
@@ -4,6 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p build-review
+rm -f build-review/case*
 for source in review/[1-9]/case.cpp; do
   n=$(basename "$(dirname "$source")")
   g++ -std=c++20 -O1 -pthread -o "build-review/case$n" "$source" &
