--- a/review/standins/http.hpp
+++ b/review/standins/http.hpp
@@ -198,9 +198,11 @@
 public:
     using handler = std::function<void(int fd, message const&)>;
 
-    server(std::string ip, handler work) : ip_(std::move(ip)), work_(std::move(work))
+    /// `port` 0: a free one.
+    server(std::string ip, handler work, int port = 0)
+        : ip_(std::move(ip)), work_(std::move(work))
     {
-        listen_on(0);
+        listen_on(port);
     }
 
     ~server()
--- a/review/standins/world.hpp
+++ b/review/standins/world.hpp
@@ -202,6 +202,15 @@
         changed_.notify_all();
     }
 
+    /// Cuts all watches that wait, as PROTOCOL.md allows at any time. Nothing
+    /// else happens: calls before and after are answered.
+    void cut_watches()
+    {
+        auto const lock = std::lock_guard{mutex_};
+        ++cuts_;
+        changed_.notify_all();
+    }
+
     void keep_copy()
     {
         auto const lock = std::lock_guard{mutex_};
@@ -329,9 +338,10 @@
         auto const wait = std::atoll(query_of(it.second, "waitMs").c_str());
         auto const until = steady::now() + milliseconds{wait};
         auto const era = era_;
+        auto const cuts = cuts_;
         for (;;)
         {
-            if (away_ || era != era_)
+            if (away_ || era != era_ || cuts != cuts_)
             {
                 // A watch that waits may be cut.
                 reset(fd);
@@ -410,6 +420,7 @@
     std::int64_t history_starts_ = 0;
     std::int64_t revision_ = 0;
     int era_ = 1;
+    int cuts_ = 0;
     bool away_ = false;
     std::atomic<long> calls_{0};
     // Last: its threads use what stands above.
