--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,6 +1,5 @@
-// All watches at the store are cut once, as they may be at any time, and a
-// replica that never reports `draining` leaves. Requests go on to it later than
-// drainMs after that, and are lost as it exits. Rule DRAIN.
+// A route with long prompts is added to a deployment whose prompts are short.
+// No request of it is ever served. Rule CONFIG.
 #include "../standins/stream_engine.hpp"
 
 #include <iostream>
@@ -10,125 +9,130 @@
 namespace
 {
 
-constexpr auto drain_s = 2.0;
-/// It goes on for drainMs and a little longer, and exits.
-constexpr auto exits_after_ms = 2250;
+/// What the rule counts on the routes that were added later.
+constexpr auto least_requests = 20;
+
+struct tally
+{
+    std::atomic<int> sent{0}, served{0};
+};
 
 auto play(std::string const& program, std::string const& folder,
           std::string const& file) -> int
 {
     auto book = record{file};
     auto platform = store{own_ip(1)};
-    auto route = stream_route("r1", "/order/", "desk", false, 2000);
-    route["routeKind"] = "non_idempotent";
-    route["maxAttempts"] = 1;
-    route["sloMs"] = 300;
-    route.erase("resumable");
-    route.erase("gapSloMs");
-    route.erase("sticky");
-    auto service = engine_service("desk");
-    service.erase("engine");
+    auto const first = stream_route("r-first", "/chat/", "llm", true);
+    auto const later = stream_route("r-later", "/last-fit/", "llm", true);
+    auto const both =
+        configuration(2, json::array({first, later}),
+                      json::array({engine_service("llm")}));
+    // Without the disruption both routes are there from the first version on.
     platform.put("op/config",
-                 configuration(1, json::array({route}), json::array({service})));
-    auto runs = run_book{};
-    auto replicas = std::vector<std::unique_ptr<replica>>{};
-    for (auto i = 0; i < 3; ++i)
+                 troubled() ? configuration(1, json::array({first}),
+                                            json::array({engine_service("llm")}))
+                            : both);
+    auto times = stream_times{};
+    // Other requests' prompts are read between the tokens.
+    times.wait_ms = 25;
+    auto runs = stream_book{};
+    auto engines = std::vector<std::unique_ptr<stream_engine>>{};
+    for (auto i = 0; i < 6; ++i)
     {
-        replicas.push_back(std::make_unique<replica>(
+        engines.push_back(std::make_unique<stream_engine>(
             platform, book, runs, own_ip(10 + i), "i-" + std::to_string(i + 1),
-            "desk", std::string{"z-"} + char('a' + i)));
-        replicas.back()->work_ms = 60;
+            "llm", std::string{"z-"} + char('a' + i % 3), "v1", times));
     }
-    auto const gateways = start_gateways(program, folder, platform.endpoint(), 3);
+    auto const gateways = start_gateways(program, folder, platform.endpoint(), 2);
     if (!wait_until_ready(gateways))
     {
         book.line("the gateways are not ready");
         return could_not_run;
     }
-    pause_ms(4000);
-    auto stop = std::atomic<bool>{false};
-    auto lost = std::atomic<int>{0};
-    auto served = std::atomic<int>{0};
-    auto number = std::atomic<int>{0};
-    auto sent_at = std::map<std::string, double>{};
-    auto sent_mutex = std::mutex{};
-    auto clients = std::vector<std::thread>{};
-    for (auto c = 0; c < 12; ++c)
+    pause_ms(1500);
+    auto chat = tally{};
+    auto early = tally{};
+    auto steady = tally{};
+    auto added = tally{};
+    auto all = std::vector<std::thread>{};
+    auto const ask = [&](tally& to, std::string const& path, std::string id,
+                         int prompt, int output)
     {
-        clients.emplace_back(
-            [&, c]
+        all.emplace_back(
+            [&, path, id = std::move(id), prompt, output]
             {
-                while (!stop)
-                {
-                    auto const id = "o" + std::to_string(++number);
-                    auto const& host = *gateways.at(c % gateways.size());
-                    {
-                        auto const lock = std::lock_guard{sent_mutex};
-                        sent_at[id] = book.seconds();
-                    }
-                    auto const it = ask_once(
-                        host.ip(), host.front(),
-                        "POST /order/new HTTP/1.1\r\nHost: desk.example\r\n"
-                        "X-Attempt-Id: " +
-                            id +
-                            "\r\nX-Deadline-Ms: 2000\r\nAuthorization: Bearer "
-                            "key-one\r\nContent-Length: 0\r\n\r\n",
-                        3000);
-                    served += it.status == 200 ? 1 : 0;
-                    if (it.status != 200)
-                    {
-                        book.line("answer   " + id + ' ' +
-                                  std::to_string(it.status) + " from " +
-                                  host.name() + ' ' + it.body);
-                        lost += it.status == 502 || it.status == 504 ||
-                                        it.status == -1
-                                    ? 1
-                                    : 0;
-                    }
-                    pause_ms(40);
-                }
+                auto const& host =
+                    *gateways.at(std::hash<std::string>{}(id) % gateways.size());
+                ++to.sent;
+                book.line("send     " + id + ' ' + path + " to " + host.name() +
+                          ", " + std::to_string(prompt) + " tokens in");
+                auto const it =
+                    ask_once(host.ip(), host.front(),
+                             stream_request(path, id, prompt, output, 25000), 26000);
+                auto const served = it.status == 200 && it.complete;
+                to.served += served ? 1 : 0;
+                book.line("answer   " + id + ' ' + std::to_string(it.status) +
+                          (it.complete ? " complete " : " NOT COMPLETE ") +
+                          (served ? "" : it.body));
             });
+    };
+    // Each second 4 requests with prompts of 6 tokens and, where the route is
+    // there, 12 of the sheet's size: 5,200 tokens.
+    auto n = 0;
+    auto const play_second = [&](tally& to, tally* long_ones)
+    {
+        for (auto i = 0; i < 12; ++i)
+        {
+            ++n;
+            if (i % 3 == 0)
+            {
+                ask(to, "/chat/q", "c" + std::to_string(n), 6, 50);
+            }
+            if (long_ones != nullptr)
+            {
+                ask(*long_ones, "/last-fit/q", "f" + std::to_string(n), 5200, 100);
+            }
+            pause_ms(83);
+        }
+    };
+    for (auto s = 0; s < 20; ++s)
+    {
+        play_second(chat, troubled() ? nullptr : &early);
     }
-    pause_ms(3000);
     if (troubled())
     {
-        platform.cut_watches();
-        book.line("the store cuts all watches once");
-        pause_ms(20);
+        auto const at = platform.put("op/config", both);
+        book.line("version 2 adds /last-fit/, acknowledged at revision " +
+                  std::to_string(at));
     }
-    platform.remove("servers/i-1");
-    auto const acknowledged = book.seconds();
-    book.line("the entry of i-1 is removed; acknowledged");
-    pause_ms(exits_after_ms);
-    replicas.front()->end();
-    pause_ms(2500);
-    stop = true;
-    for (auto& it : clients)
+    for (auto s = 0; s < 6; ++s)
     {
-        it.join();
+        play_second(chat, troubled() ? nullptr : &early);
     }
-    auto late = 0;
-    auto latest = 0.0;
-    for (auto const& it : runs.all())
+    // Steady state: configApplyMs and contactMs are over.
+    for (auto s = 0; s < 15; ++s)
     {
-        // Taken from the client later than drainMs after the acknowledgement.
-        if (it.replica == "i-1" && it.at > acknowledged + drain_s &&
-            sent_at.at(it.id) > acknowledged)
-        {
-            ++late;
-            latest = it.at - acknowledged;
-            book.line("LATE     " + it.id + " reached i-1 " +
-                      std::to_string(it.at - acknowledged) +
-                      " s after the acknowledgement");
-        }
+        play_second(steady, &added);
+    }
+    for (auto& it : all)
+    {
+        it.join();
     }
-    auto const text = "requests that reached i-1 later than drainMs: " +
-                      std::to_string(late) + ", the last after " +
-                      std::to_string(latest) + " s; orders lost: " +
-                      std::to_string(lost) + "; served: " + std::to_string(served);
-    book.line(text);
+    auto const share = [](tally const& it)
+    {
+        return it.sent == 0 ? 0.0 : double(it.served) / it.sent;
+    };
+    auto text = "first route " + std::to_string(steady.served) + " of " +
+                std::to_string(steady.sent) + ", later route " +
+                std::to_string(added.served) + " of " + std::to_string(added.sent);
+    book.line("steady state, served: " + text);
     std::cout << text << '\n';
-    return late > 0 ? broken : held;
+    if (share(steady) < 0.9 || added.sent < least_requests)
+    {
+        book.line("the first route is not served: the case could not run");
+        return could_not_run;
+    }
+    return share(added) < share(steady) / 4 ? broken : held;
 }
 
 } // namespace
