Order the store's revisions by the era in which they were given out

Callers: after the store had been restored from a copy some seconds old, all hosts went on by an older configuration, though a newer one was acknowledged 8 s later: 404 on a new route, the old service, a key that was taken away.

Cause: a revision was compared without the history it belongs to. A read of the restored store has a lower one, counted as outdated and was dropped; the watch from the old revision was refused and led to the next read at once. Feeds and peers' states compared revisions in the same way. Nothing read Store-Era.

Change: external::store_revision has an era and is ordered by it first. A watch that finds a later era ends as if its history were lost, and the read after it may go back. Missing entries have lapsed, whatever other hosts say of the store; hosts write again what they wrote, and their messages name the era.

Without the era entry_source_test drops_what_a_restored_store_has_lost can't be built.

--- a/src/external/key_value.hpp
+++ b/src/external/key_value.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <ostream>
 #include <string>
 #include <variant>
 #include <vector>
@@ -46,8 +47,59 @@
     return it == call_fault::lost ? verdict::may_have_run : verdict::not_run;
 }
 
-/// The service's own counter of writes.
-using store_revision = strong<struct store_revision_tag, std::int64_t>;
+/// Number of times that the service has been restored from an older copy of
+/// itself; 0 where it does not tell.
+using store_era = strong<struct store_era_tag, std::int64_t>;
+
+/// The service's own counter of writes. A restored service gives out revisions
+/// again, so they are ordered by era first.
+class store_revision
+{
+public:
+    constexpr store_revision() = default;
+
+    constexpr explicit store_revision(std::int64_t value, store_era era = {})
+        : era_(era), value_(value)
+    {
+    }
+
+    [[nodiscard]] constexpr auto value() const -> std::int64_t
+    {
+        return value_;
+    }
+
+    [[nodiscard]] constexpr auto era() const -> store_era
+    {
+        return era_;
+    }
+
+    friend constexpr auto operator==(store_revision const&,
+                                     store_revision const&) -> bool = default;
+    // clang-tidy 14 mistakes the defaulted comparison with 0 for a null
+    // pointer.
+    // NOLINTBEGIN(modernize-use-nullptr)
+    friend constexpr auto operator<=>(store_revision const&,
+                                      store_revision const&) = default;
+    // NOLINTEND(modernize-use-nullptr)
+
+    friend auto operator<<(std::ostream& os, store_revision const& it)
+        -> std::ostream&
+    {
+        return os << to_string(it);
+    }
+
+    /// `ERA/REVISION`
+    friend auto to_string(store_revision const& it) -> std::string
+    {
+        return std::to_string(it.era_.value()) + '/' +
+               std::to_string(it.value_);
+    }
+
+private:
+    store_era era_;
+    std::int64_t value_ = 0;
+};
+
 using lease_id = strong<struct lease_id_tag, std::int64_t>;
 
 struct stored_value
@@ -188,7 +240,9 @@
     virtual void keep_alive(lease_id id, answer_handler<lease_grant> done) = 0;
     virtual void revoke_lease(lease_id id,
                               answer_handler<lease_grant> done) = 0;
-    /// Events of `key`, or of the range, from `from` on.
+    /// Events of `key`, or of the range, from `from` on. Ends with
+    /// `call_fault::refused` if the service has no such history, since it has
+    /// compacted it or has been restored after `from`.
     virtual auto watch_range(call_purpose purpose, range_request const& request,
                              store_revision from, watch_handlers handlers)
         -> std::unique_ptr<watch> = 0;
--- a/src/fleet/feed_message.cpp
+++ b/src/fleet/feed_message.cpp
@@ -34,26 +34,40 @@
     }
     auto buf = msgpack::sbuffer{};
     msgpack::pack(buf, out);
+    // A second object, which earlier versions of this program skip.
+    msgpack::pack(buf, it.at.era().value());
     return {buf.data(), buf.size()};
 }
 
-auto decode_feed_message(std::string_view bytes) -> std::optional<feed_message>
+auto decode_feed_message(std::string_view bytes, external::store_era otherwise)
+    -> std::optional<feed_message>
 {
     try
     {
-        auto const handle = msgpack::unpack(
-            bytes.data(), bytes.size(), nullptr, nullptr,
-            msgpack::unpack_limit(max_rows, 0, max_text, 0, 0, max_depth));
+        auto const limit =
+            msgpack::unpack_limit(max_rows, 0, max_text, 0, 0, max_depth);
+        auto n = std::size_t{0};
+        auto const handle = msgpack::unpack(bytes.data(), bytes.size(), n,
+                                            nullptr, nullptr, limit);
         auto const it = handle.get().as<fields>();
+        auto era = otherwise;
+        if (n < bytes.size())
+        {
+            era =
+                external::store_era{msgpack::unpack(bytes.data(), bytes.size(),
+                                                    n, nullptr, nullptr, limit)
+                                        .get()
+                                        .as<std::int64_t>()};
+        }
         auto out = feed_message{};
         out.in_contact = std::get<0>(it);
-        out.at = external::store_revision{std::get<1>(it)};
+        out.at = external::store_revision{std::get<1>(it), era};
         for (auto const& [key, has_value, value, too_large, at] :
              std::get<2>(it))
         {
             out.entries.push_back(
                 {key, has_value ? std::optional{value} : std::nullopt,
-                 too_large, external::store_revision{at}});
+                 too_large, external::store_revision{at, era}});
         }
         return out;
     }
--- a/src/fleet/feed_message.hpp
+++ b/src/fleet/feed_message.hpp
@@ -29,7 +29,7 @@
     bool in_contact = false;
     /// Revision of the store that the sender has received, including `entries`.
     external::store_revision at;
-    /// Changes since the previous message, in order.
+    /// Changes since the previous message, in order, and of the era of `at`.
     std::vector<feed_entry> entries;
 };
 
@@ -40,7 +40,10 @@
 
 auto encode(feed_message const& it) -> std::string;
 
-/// Returns nothing if `bytes` is not a valid message.
-auto decode_feed_message(std::string_view bytes) -> std::optional<feed_message>;
+/// Returns nothing if `bytes` is not a valid message. `otherwise` is the era of
+/// a message that names none, as earlier versions of this program send it.
+auto decode_feed_message(std::string_view bytes,
+                         external::store_era otherwise = {})
+    -> std::optional<feed_message>;
 
 } // namespace primrosedeal::fleet
--- a/src/gateway/entry_source.cpp
+++ b/src/gateway/entry_source.cpp
@@ -50,6 +50,10 @@
 auto entry_source::make_watcher_events() -> store_watcher_events
 {
     auto out = store_watcher_events{};
+    out.on_restored = [this]
+    {
+        events_.on_restored();
+    };
     out.on_snapshot = [this](std::vector<external::stored_value> const& it)
     {
         events_.on_snapshot(it);
@@ -168,12 +172,20 @@
 
 void entry_source::on_message(std::string_view bytes, time_point now)
 {
-    auto const it = fleet::decode_feed_message(bytes);
+    auto const it =
+        fleet::decode_feed_message(bytes, watcher_.delivered_revision().era());
     if (!it || !it->in_contact)
     {
         stop_following(it ? "the peer lost the store" : "unreadable", now);
         return;
     }
+    // The feed does not continue what this host has, nor what came before.
+    if (it->at.era() < watcher_.delivered_revision().era() ||
+        (feed_->starts_after && it->at.era() != feed_->starts_after->era()))
+    {
+        stop_following("of another era of the store", now);
+        return;
+    }
     feed_->last_message_at = now;
     if (!feed_->starts_after)
     {
@@ -226,10 +238,9 @@
     feed_->base_revision = watcher_.delivered_revision();
     watcher_.pause();
     peers_.drop_followers();
-    log::write(
-        log::level::info, "store_followed_through",
-        {{"peer", feed_->id.value()},
-         {"revision", std::to_string(watcher_.delivered_revision().value())}});
+    log::write(log::level::info, "store_followed_through",
+               {{"peer", feed_->id.value()},
+                {"revision", to_string(watcher_.delivered_revision())}});
     if (loss_reported_)
     {
         contact_regained(watcher_.last_answer());
@@ -352,12 +363,11 @@
     }
     // This may run inside a callback of the link, so destroy it later.
     loop_.post([held = left.link] {});
-    log::write(
-        log::level::info, "feed_left",
-        {{"peer", left.id.value()},
-         {"why", why},
-         {"in_use", left.in_use ? "true" : "false"},
-         {"revision", std::to_string(watcher_.delivered_revision().value())}});
+    log::write(log::level::info, "feed_left",
+               {{"peer", left.id.value()},
+                {"why", why},
+                {"in_use", left.in_use ? "true" : "false"},
+                {"revision", to_string(watcher_.delivered_revision())}});
     // This host's own watch delivers the missing changes.
     watcher_.rewind_to(delivered_revision());
     large_reads_.clear();
@@ -453,7 +463,8 @@
     auto out = watcher_.delivered_revision();
     for (auto const& [key, it] : large_reads_)
     {
-        out = std::min(out, external::store_revision{it.first.value() - 1});
+        out = std::min(out, external::store_revision{it.first.value() - 1,
+                                                     it.first.era()});
     }
     return out;
 }
--- a/src/gateway/entry_source_test.cpp
+++ b/src/gateway/entry_source_test.cpp
@@ -33,7 +33,7 @@
     void put(std::string const& key, std::optional<std::string> const& value)
     {
         auto event = external::watch_event{
-            key, {}, external::store_revision{++revision}};
+            key, {}, external::store_revision{++revision, era}};
         if (value)
         {
             event.value = external::stored_value{
@@ -47,6 +47,23 @@
         history.push_back(event);
     }
 
+    /// Returns to the state after the first `changes` changes.
+    void restore(std::size_t changes)
+    {
+        era = external::store_era{era.value() + 1};
+        revision = 0;
+        items.clear();
+        for (auto const& it : std::exchange(history, {}))
+        {
+            if (history.size() < changes)
+            {
+                put(it.key,
+                    it.value ? std::optional{it.value->value} : std::nullopt);
+            }
+        }
+    }
+
+    external::store_era era{1};
     std::int64_t revision = 0;
     text_map items;
     std::vector<external::watch_event> history;
@@ -102,7 +119,7 @@
                 }
                 ++reads;
                 auto out = external::range_result{};
-                out.at = external::store_revision{store_.revision};
+                out.at = external::store_revision{store_.revision, store_.era};
                 for (auto const& [key, value] : store_.items)
                 {
                     if (!request.range_end.empty() || key == request.key)
@@ -184,6 +201,13 @@
                 on_end({external::call_fault::lost, "cut off"});
                 return;
             }
+            if (connection_.store_.era > at_.era())
+            {
+                connection_.open_.erase(this);
+                auto const on_end = handlers_.on_end;
+                on_end({external::call_fault::refused, "restored"});
+                return;
+            }
             for (auto const& it : connection_.store_.history)
             {
                 if (it.at > at_)
@@ -260,6 +284,10 @@
                 entries[value.key] = value.value;
             }
         };
+        out.on_restored = [this]
+        {
+            ++restorations;
+        };
         out.on_entry = [this](external::watch_event const& it)
         {
             if (it.value)
@@ -299,6 +327,7 @@
     fleet::fleet_view other_hosts;
     text_map entries;
     int losses = 0;
+    int restorations = 0;
     /// What each `on_regained` was called with.
     std::vector<time_point> last_answers;
     std::uint64_t last_sequence = 0;
@@ -351,15 +380,27 @@
         second.connection.deliver();
     }
 
+    /// Restores the store to the state after its first `changes` changes.
+    void restore(std::size_t changes)
+    {
+        store.restore(changes);
+        first.connection.deliver();
+        second.connection.deliver();
+    }
+
     [[nodiscard]] auto second_follows() const -> bool
     {
         return second.connection.watches() == 0 && second.source.in_contact();
     }
 
     /// Whether the entries of `it` contain every change up to the revision that
-    /// it reports to peers.
+    /// it reports to peers, if that is one of the store as it is now.
     [[nodiscard]] auto entries_match_revision(test_host const& it) const -> bool
     {
+        if (it.source.delivered_revision().era() != store.era)
+        {
+            return true;
+        }
         auto allowed = std::map<std::string, std::set<std::string>>{};
         for (auto const& event : store.history)
         {
@@ -466,6 +507,9 @@
     case 2:
         hosts.first.peers.drop_followers();
         break;
+    case 3:
+        hosts.restore(random.below(hosts.store.history.size() + 1));
+        break;
     default:
         break;
     }
@@ -594,6 +638,30 @@
     BOOST_TEST(run());
 }
 
+// Hosts kept the revision from before a restoration, and their entries with it.
+BOOST_FIXTURE_TEST_CASE(drops_what_a_restored_store_has_lost, two_hosts)
+{
+    store.put("k", "1");
+    when([&] { return second_follows(); },
+         [&]
+         {
+             put("k", "2");
+             put("l", "1");
+             put("l", "2");
+         });
+    when([&] { return settled(); },
+         [&]
+         {
+             restore(1);
+             put("k", "3");
+         });
+    when([&] { return settled() && second_follows(); }, [&] { put("l", "3"); });
+    when([&] { return settled(); }, [] {});
+    BOOST_TEST(run());
+    BOOST_TEST(first.restorations == 1);
+    BOOST_TEST(second.restorations == 1);
+}
+
 BOOST_AUTO_TEST_CASE(never_misses_a_change_whatever_fails)
 {
     constexpr auto seeds = std::uint64_t{40};
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -275,6 +275,10 @@
     auto make_source_events() -> store_watcher_events
     {
         auto out = store_watcher_events{};
+        out.on_restored = [this]
+        {
+            on_store_restored(net::event_loop::now());
+        };
         out.on_snapshot = [this](std::vector<external::stored_value> const& it)
         {
             on_snapshot(it, net::event_loop::now());
@@ -296,10 +300,22 @@
         return out;
     }
 
+    /// Entries that live targets have yet to write again are missing, as after
+    /// an outage, though the store may have served others in the meantime.
+    void on_store_restored(time_point now)
+    {
+        restored_at_ = now;
+        apply_target_event(directory::store_lost{}, now);
+        apply_target_event(directory::store_regained{false}, now);
+        origins_.on_store_restored(now);
+    }
+
     void on_store_regained(time_point last_answer, time_point now)
     {
+        auto const rewritten =
+            !restored_at_ || now - *restored_at_ >= directory::lapse_grace;
         auto const served_others =
-            host_.other_hosts.store_served_since(last_answer);
+            rewritten && host_.other_hosts.store_served_since(last_answer);
         log::write(log::level::info, "store_regained",
                    {{"away_ms", milliseconds(now - last_answer)},
                     {"served_others", served_others ? "true" : "false"}});
@@ -360,7 +376,7 @@
         {
             auto const old = before.find(key);
             auto const changed = old == before.end() ||
-                                 old->second.mod_revision < held.mod_revision;
+                                 old->second.mod_revision != held.mod_revision;
             if (!changed && !host_.wire.is_target_key(key))
             {
                 continue;
@@ -376,9 +392,28 @@
                 out.push_back(std::move(*target->it));
             }
         }
+        remove_lost_records(before);
         return out;
     }
 
+    /// A record of versions is never removed, but a restored store may lack it.
+    /// It is written again once it counts as missing.
+    void remove_lost_records(entry_map const& before)
+    {
+        for (auto const& [key, old] : before)
+        {
+            if (entries_.contains(key))
+            {
+                continue;
+            }
+            auto const it = host_.wire.read_entry(key, std::nullopt);
+            if (auto const* const record = std::get_if<versions_entry>(&it))
+            {
+                adopt_versions(*record);
+            }
+        }
+    }
+
     void on_entry(external::watch_event const& it, time_point now)
     {
         auto const value =
@@ -545,9 +580,13 @@
             return;
         }
         auto const now = net::event_loop::now();
+        if (it.as_of.era() > source_.delivered_revision().era())
+        {
+            origins_.on_store_restored(now);
+        }
         auto targets = replace_entries(std::move(*merged), now);
         log::write(log::level::info, "peer_entries_taken",
-                   {{"revision", std::to_string(it.as_of.value())},
+                   {{"revision", to_string(it.as_of)},
                     {"fresh", it.fresh ? "true" : "false"},
                     {"targets", std::to_string(targets.size())}});
         if (it.fresh)
@@ -845,6 +884,8 @@
     time_point next_registration_at_{};
     external::calls_by_purpose store_calls_{};
     time_point store_calls_due_at_{};
+    /// When this host learned that the store was restored from a copy.
+    std::optional<time_point> restored_at_;
     /// When the entries of a peer that was in contact were last taken.
     std::optional<time_point> peer_copy_taken_at_;
 };
--- a/src/gateway/origin_task.cpp
+++ b/src/gateway/origin_task.cpp
@@ -25,6 +25,12 @@
 /// of them writes.
 constexpr auto time_to_hear_others = duration{1500ms};
 
+auto write_period(std::size_t hosts) -> duration
+{
+    return std::max(min_write_period,
+                    static_cast<duration::rep>(hosts) * write_slot);
+}
+
 } // namespace
 
 origin_task::origin_task(host_state& host, peer_exchange& peers,
@@ -76,6 +82,15 @@
     return known->complete;
 }
 
+void origin_task::on_store_restored(time_point now)
+{
+    written_at_ = {};
+    // All hosts learn of it at about the same time.
+    next_write_at_ =
+        now + std::chrono::duration_cast<duration>(
+                  write_period(host_.known_host_count) * host_.random.unit());
+}
+
 void origin_task::fetch(time_point now)
 {
     wanted_since_ = wanted_since_.value_or(now);
@@ -122,8 +137,7 @@
     {
         return;
     }
-    auto const hosts = static_cast<duration::rep>(host_.known_host_count);
-    next_write_at_ = now + std::max(min_write_period, hosts * write_slot);
+    next_write_at_ = now + write_period(host_.known_host_count);
     written_at_ = now;
     auto it = external::transaction{};
     it.then.emplace_back(
--- a/src/gateway/origin_task.hpp
+++ b/src/gateway/origin_task.hpp
@@ -42,6 +42,9 @@
     /// one. Returns whether they are all that a host may know.
     auto merge(std::string const& bytes, time_point now) -> bool;
 
+    /// What this host has written may be lost; it is written again.
+    void on_store_restored(time_point now);
+
 private:
     void fetch(time_point now);
     void on_fetched(host_id const& from,
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -27,8 +27,42 @@
 {
 
 constexpr auto origins_body = std::string_view{"origins"};
-/// Followed by the requester's revision.
+/// Followed by the requester's revision and, unless the store does not tell, by
+/// its era.
 constexpr auto state_body_prefix = std::string_view{"state/"};
+constexpr auto era_separator = '/';
+
+auto state_body_name(external::store_revision held, bool with_era)
+    -> std::string
+{
+    auto out = std::string{state_body_prefix} + std::to_string(held.value());
+    if (with_era && held.era() != external::store_era{})
+    {
+        out += era_separator + std::to_string(held.era().value());
+    }
+    return out;
+}
+
+/// Returns nothing if `name` does not ask for a state.
+auto parse_state_body_name(std::string_view name)
+    -> std::optional<external::store_revision>
+{
+    if (!name.starts_with(state_body_prefix))
+    {
+        return std::nullopt;
+    }
+    name.remove_prefix(state_body_prefix.size());
+    auto const separator = std::min(name.find(era_separator), name.size());
+    auto const value = parse_number<std::int64_t>(name.substr(0, separator));
+    auto const era =
+        separator == name.size()
+            ? std::optional{std::int64_t{0}}
+            : parse_number<std::int64_t>(name.substr(separator + 1));
+    return value && era ? std::optional{external::store_revision{
+                              *value, external::store_era{*era}}}
+                        : std::nullopt;
+}
+
 constexpr auto listen_backlog = 64;
 /// Time after which a second peer is asked; the first may be partitioned.
 constexpr auto next_peer_delay = duration{400ms};
@@ -167,10 +201,13 @@
                   packed_state{it.fresh, it.as_of.value(), it.keys.has_value(),
                                it.keys.value_or(std::set<std::string>{}),
                                std::move(rows)});
+    // A second object, which earlier versions of this program skip.
+    msgpack::pack(buf, it.as_of.era().value());
     return compress_state({buf.data(), buf.size()});
 }
 
-auto decode_peer_state(std::string const& bytes) -> std::optional<peer_state>
+auto decode_peer_state(std::string const& bytes, external::store_era otherwise)
+    -> std::optional<peer_state>
 {
     auto const whole = decompress_state(bytes);
     if (!whole)
@@ -179,21 +216,32 @@
     }
     try
     {
-        auto const handle = msgpack::unpack(
-            whole->data(), whole->size(), nullptr, nullptr,
-            msgpack::unpack_limit(max_entries, 0, max_state_bytes, 0, 0,
-                                  max_depth));
+        auto const limit = msgpack::unpack_limit(
+            max_entries, 0, max_state_bytes, 0, 0, max_depth);
+        auto n = std::size_t{0};
+        auto const handle = msgpack::unpack(whole->data(), whole->size(), n,
+                                            nullptr, nullptr, limit);
         auto fields = handle.get().as<packed_state>();
+        auto era = otherwise;
+        if (n < whole->size())
+        {
+            era = external::store_era{msgpack::unpack(whole->data(),
+                                                      whole->size(), n, nullptr,
+                                                      nullptr, limit)
+                                          .get()
+                                          .as<std::int64_t>()};
+        }
         auto out = peer_state{};
         out.fresh = std::get<0>(fields);
-        out.as_of = external::store_revision{std::get<1>(fields)};
+        out.as_of = external::store_revision{std::get<1>(fields), era};
         if (std::get<2>(fields))
         {
             out.keys = std::move(std::get<3>(fields));
         }
         for (auto& [key, value, at] : std::get<4>(fields))
         {
-            out.newer[key] = {std::move(value), external::store_revision{at}};
+            out.newer[key] = {std::move(value),
+                              external::store_revision{at, era}};
         }
         return out;
     }
@@ -373,15 +421,12 @@
     {
         return origin_source_();
     }
-    auto const held =
-        name.starts_with(state_body_prefix)
-            ? parse_number<std::int64_t>(name.substr(state_body_prefix.size()))
-            : std::nullopt;
+    auto const held = parse_state_body_name(name);
     if (!held)
     {
         return std::nullopt;
     }
-    auto out = encode(state_source_(external::store_revision{*held}));
+    auto out = encode(state_source_(*held));
     state_traffic_.sent += out.size();
     return out;
 }
@@ -391,10 +436,17 @@
 {
     auto const id = next_session_++;
     auto events = membership::session_events{};
-    events.on_body = [this](std::optional<std::string> const& body)
+    auto const with_era = without_era_.erase(from) == 0;
+    events.on_body =
+        [this, from, held, with_era](std::optional<std::string> const& body)
     {
+        if (!body && with_era)
+        {
+            without_era_.insert(from);
+        }
         state_traffic_.received += body ? body->size() : 0;
-        auto const it = body ? decode_peer_state(*body) : std::nullopt;
+        auto const it =
+            body ? decode_peer_state(*body, held.era()) : std::nullopt;
         if (it && it->fresh)
         {
             next_peer_.reset();
@@ -415,9 +467,9 @@
             });
     };
     ++open_fetches_;
-    sessions_[id] = membership::session::dial(
-        loop_, from, identity_, link_limits(), std::move(events),
-        std::string{state_body_prefix} + std::to_string(held.value()));
+    sessions_[id] = membership::session::dial(loop_, from, identity_,
+                                              link_limits(), std::move(events),
+                                              state_body_name(held, with_era));
 }
 
 void peer_exchange::set_origin_source(std::function<std::string()> source)
--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -59,9 +59,13 @@
 auto merge(entry_map const& own, peer_state const& it)
     -> std::optional<entry_map>;
 
+/// All entries must be of the era of `as_of`.
 auto encode(peer_state const& it) -> std::string;
-/// Returns nothing if `bytes` are not an encoded state.
-auto decode_peer_state(std::string const& bytes) -> std::optional<peer_state>;
+/// Returns nothing if `bytes` are not an encoded state. `otherwise` is the era
+/// of a state that names none, as earlier versions of this program send it.
+auto decode_peer_state(std::string const& bytes,
+                       external::store_era otherwise = {})
+    -> std::optional<peer_state>;
 
 class peer_exchange
 {
@@ -160,6 +164,9 @@
     /// The peer to ask if the first one does not help.
     std::optional<net::endpoint> next_peer_;
     net::timer next_peer_timer_;
+    /// Peers that did not answer. They are asked for their whole state next
+    /// time, since earlier versions of this program do not know eras.
+    std::set<net::endpoint> without_era_;
     std::map<std::uint64_t, std::shared_ptr<membership::session>> sessions_;
     std::function<std::string()> greeting_;
     std::function<std::string()> origin_source_;
--- a/src/gateway/peer_state_test.cpp
+++ b/src/gateway/peer_state_test.cpp
@@ -88,6 +88,26 @@
     BOOST_TEST(state.keys->size() == 2U);
 }
 
+// Revisions of a restored store are given out again, so a lower one may be
+// newer.
+BOOST_AUTO_TEST_CASE(is_whole_for_a_host_from_before_a_restoration)
+{
+    auto const in_era = [](std::int64_t it)
+    {
+        return external::store_revision{it, external::store_era{2}};
+    };
+    auto const entries =
+        entry_map{{"a", {"1", in_era(1)}}, {"b", {"2", in_era(2)}}};
+    auto const held = external::store_revision{9, external::store_era{1}};
+    auto const it = decode_peer_state(
+        encode(make_peer_state(held, entries, in_era(2), true)));
+    BOOST_REQUIRE(it);
+    BOOST_TEST(it->as_of == in_era(2));
+    auto const merged = merge({{"c", {"lost", held}}}, *it);
+    BOOST_REQUIRE(merged);
+    BOOST_TEST(same(*merged, entries));
+}
+
 BOOST_AUTO_TEST_CASE(that_builds_on_an_unknown_entry_is_not_taken)
 {
     auto peers = entry_map{};
--- a/src/gateway/store_watcher.cpp
+++ b/src/gateway/store_watcher.cpp
@@ -1,6 +1,7 @@
 #include "gateway/store_watcher.hpp"
 
 #include "external/backoff.hpp"
+#include "log/log.hpp"
 
 #include <algorithm>
 
@@ -110,18 +111,21 @@
     read_needed_ = true;
     auto request = all_keys();
     request.may_be_old = purpose == external::call_purpose::configuration_read;
-    store_.range(purpose, request,
-                 [this, generation = ++generation_](
-                     external::answer<external::range_result> const& it)
-                 {
-                     if (generation == generation_)
-                     {
-                         on_read(it);
-                     }
-                 });
+    store_.range(
+        purpose, request,
+        [this, generation = ++generation_, purpose, held = delivered_revision_](
+            external::answer<external::range_result> const& it)
+        {
+            if (generation == generation_)
+            {
+                on_read(it, purpose, held);
+            }
+        });
 }
 
-void store_watcher::on_read(external::answer<external::range_result> const& it)
+void store_watcher::on_read(external::answer<external::range_result> const& it,
+                            external::call_purpose purpose,
+                            external::store_revision held)
 {
     if (auto const* const why = std::get_if<external::call_failure>(&it))
     {
@@ -132,7 +136,24 @@
     auto const& read = std::get<external::range_result>(it);
     // A peer may have provided newer entries since the read began. The watch
     // does not deliver the changes between the two again.
-    auto const outdated = read.at < delivered_revision_;
+    auto outdated = read.at < delivered_revision_;
+    // A read that may be old can be labelled with a later era than its entries
+    // have. A read of the newest ones is not behind it otherwise.
+    auto const went_back = outdated &&
+                           purpose == external::call_purpose::history_read &&
+                           read.at < held && read.at.era() == held.era();
+    auto const restored =
+        went_back || (delivered_revision_ != external::store_revision{} &&
+                      read.at.era() > delivered_revision_.era());
+    if (restored)
+    {
+        log::write(log::level::warning, "store_restored",
+                   {{"revision", to_string(read.at)},
+                    {"held", to_string(delivered_revision_)}});
+        outdated = false;
+        delivered_revision_ = read.at;
+        events_.on_restored();
+    }
     delivered_revision_ = std::max(delivered_revision_, read.at);
     read_needed_ = false;
     on_call_answered(net::event_loop::now());
@@ -190,7 +211,7 @@
     auto const held = std::move(watch_);
     if (why.fault == external::call_fault::refused)
     {
-        // The store has compacted the history since the last event.
+        // The store has no history since the last event.
         read_all(external::call_purpose::history_read);
         return;
     }
--- a/src/gateway/store_watcher.hpp
+++ b/src/gateway/store_watcher.hpp
@@ -12,13 +12,17 @@
 
 /// Keeps one process's copy of the store up to date: one read of all keys, then
 /// a watch from that revision, and another full read only after the store has
-/// compacted the history that the watch needs.
+/// lost the history that the watch needs: it has compacted it, or has been
+/// restored from a copy.
 namespace primrosedeal::gateway
 {
 
 struct store_watcher_events
 {
-    /// Never older than the entries held.
+    /// The store was restored from a copy, so changes that it had acknowledged
+    /// may be missing from the snapshot that follows.
+    std::function<void()> on_restored;
+    /// Never older than the entries held, unless the store was restored.
     std::function<void(std::vector<external::stored_value> const&)> on_snapshot;
     std::function<void(external::watch_event const&)> on_entry;
     /// The store has stopped answering this process, or answers again;
@@ -86,7 +90,9 @@
 
 private:
     void read_all(external::call_purpose purpose);
-    void on_read(external::answer<external::range_result> const& it);
+    /// `held`: revision delivered when the read began.
+    void on_read(external::answer<external::range_result> const& it,
+                 external::call_purpose purpose, external::store_revision held);
     void reconnect();
     void open_watch();
     void end_watch();
--- a/src/gateway/store_watcher_test.cpp
+++ b/src/gateway/store_watcher_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <memory>
 #include <vector>
 
 namespace primrosedeal::gateway
@@ -172,4 +173,89 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_watcher_of_a_restored_store)
+
+namespace
+{
+
+struct watcher_with_entries
+{
+    watcher_with_entries()
+    {
+        auto events = store_watcher_events{};
+        events.on_restored = [this]
+        {
+            ++restorations;
+        };
+        events.on_snapshot = [this](std::vector<external::stored_value> const&)
+        {
+            ++snapshots;
+        };
+        events.on_entry = [](external::watch_event const&) {
+        };
+        events.on_lost = [](std::string const&) {
+        };
+        events.on_regained = [](time_point) {
+        };
+        it = std::make_unique<store_watcher>(loop, store, random,
+                                             std::move(events));
+        store.read_at =
+            external::store_revision{before, external::store_era{1}};
+        it->start();
+        loop.run();
+    }
+
+    /// The history after the watcher's revision is gone, and the next read has
+    /// revision `at`.
+    void lose_history(external::store_revision at)
+    {
+        store.read_at = at;
+        auto const watches = store.watches;
+        watches.back().on_end({external::call_fault::refused, "gone"});
+        loop.run();
+    }
+
+    static constexpr auto before = std::int64_t{8};
+    net::event_loop loop;
+    empty_store store{loop};
+    random_source random{1};
+    int restorations = 0;
+    int snapshots = 0;
+    std::unique_ptr<store_watcher> it;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(goes_back_to_an_older_revision, watcher_with_entries)
+{
+    auto const back = external::store_revision{3, external::store_era{2}};
+    lose_history(back);
+    BOOST_TEST(restorations == 1);
+    BOOST_TEST(snapshots == 2);
+    BOOST_TEST(store.watched_from == back);
+}
+
+// A first read may be old, and be labelled with the era in which it is
+// answered.
+BOOST_FIXTURE_TEST_CASE(goes_back_though_its_first_read_named_the_new_era,
+                        watcher_with_entries)
+{
+    auto const back = external::store_revision{3, external::store_era{1}};
+    lose_history(back);
+    BOOST_TEST(restorations == 1);
+    BOOST_TEST(store.watched_from == back);
+}
+
+BOOST_FIXTURE_TEST_CASE(takes_compacted_history_for_no_restoration,
+                        watcher_with_entries)
+{
+    auto const next = external::store_revision{9, external::store_era{1}};
+    lose_history(next);
+    BOOST_TEST(restorations == 0);
+    BOOST_TEST(snapshots == 2);
+    BOOST_TEST(store.watched_from == next);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace primrosedeal::gateway
