Use no target that had left before the store was restored

Callers: a restored store lists targets again whose entries were removed after its copy was made; requests went to targets that had left, or were gone, until the store removed the entries a second time. Found by reading.

Leaving was final for an incarnation, a removal was not.

Change: the directory remembers removals for 30 s.

Result: directory_test that_a_restored_store_lists_again. Without the memory accepts_no_requests_if_it_had_left fails (the target accepts requests at once and 0.5 s later), and passes with it.

--- a/src/directory/target_directory.cpp
+++ b/src/directory/target_directory.cpp
@@ -45,13 +45,15 @@
 auto target_directory::expire(time_point now) -> std::vector<change>
 {
     auto out = changes{};
-    if (store_unavailable_ || !regained_at_ ||
-        now - *regained_at_ < lapse_grace)
+    std::erase_if(removals_, [&](auto const& it)
+                  { return now - it.second.at >= removal_memory; });
+    put_doubtful(now, out);
+    if (!store_unavailable_ && regained_at_ &&
+        now - *regained_at_ >= lapse_grace)
     {
-        return out;
+        erase_lapsed(now, out);
+        regained_at_.reset();
     }
-    erase_lapsed(out);
-    regained_at_.reset();
     if (!out.empty())
     {
         rebuild(now);
@@ -65,7 +67,30 @@
            (regained_at_ && now - *regained_at_ < lapse_grace);
 }
 
-void target_directory::erase_lapsed(changes& out)
+void target_directory::put_doubtful(time_point now, changes& out)
+{
+    if (store_unavailable_)
+    {
+        return;
+    }
+    std::erase_if(doubtful_,
+                  [&](auto const& it)
+                  {
+                      auto const due = now >= it.second.usable_at;
+                      if (due)
+                      {
+                          put(it.second.it, out);
+                      }
+                      return due;
+                  });
+}
+
+void target_directory::remember_removal(listed_target const& it, time_point now)
+{
+    removals_[it.id] = {it.process_start, now};
+}
+
+void target_directory::erase_lapsed(time_point now, changes& out)
 {
     std::erase_if(entries_,
                   [&](auto const& it)
@@ -73,6 +98,7 @@
                       auto const erased = it.second.lapsed_at.has_value();
                       if (erased)
                       {
+                          remember_removal(it.second.it, now);
                           out.push_back({it.first, change_kind::gone});
                       }
                       return erased;
@@ -133,6 +159,7 @@
 
 void target_directory::on(entry_written const& it, time_point now, changes& out)
 {
+    doubtful_.erase(it.id);
     if (it.it)
     {
         put(*it.it, out);
@@ -145,6 +172,7 @@
 
 void target_directory::on(entry_removed const& it, time_point now, changes& out)
 {
+    doubtful_.erase(it.id);
     remove(it.id, now, out);
 }
 
@@ -156,12 +184,27 @@
     }
 }
 
-void target_directory::on(peer_entries const& it, time_point /*now*/,
+void target_directory::on(restored_entries const& it, time_point now,
                           changes& out)
+{
+    doubtful_.clear();
+    for (auto const& target : it.targets)
+    {
+        auto const removed = removals_.find(target.id);
+        if (!entries_.contains(target.id) && removed != removals_.end() &&
+            target.process_start <= removed->second.process_start)
+        {
+            doubtful_[target.id] = {target, now + restored_entry_probation};
+        }
+    }
+    on(all_entries{it.targets}, now, out);
+}
+
+void target_directory::on(peer_entries const& it, time_point now, changes& out)
 {
     for (auto const& id : put_all(it.targets, out))
     {
-        erase(id, out);
+        erase(id, now, out);
     }
 }
 
@@ -172,8 +215,14 @@
     for (auto const& target : targets)
     {
         present.insert(target.id);
-        put(target, out);
+        auto const doubtful = doubtful_.find(target.id);
+        if (doubtful == doubtful_.end() || doubtful->second.it != target)
+        {
+            put(target, out);
+        }
     }
+    std::erase_if(doubtful_,
+                  [&](auto const& it) { return !present.contains(it.first); });
     auto missing = std::vector<target_id>{};
     for (auto const& [id, known] : entries_)
     {
@@ -201,7 +250,7 @@
     if (it.served_others)
     {
         regained_at_.reset();
-        erase_lapsed(out);
+        erase_lapsed(now, out);
         return;
     }
     regained_at_ = now;
@@ -291,13 +340,16 @@
         out.push_back({id, change_kind::lapsed});
         return;
     }
-    erase(id, out);
+    erase(id, now, out);
 }
 
-void target_directory::erase(target_id const& id, changes& out)
+void target_directory::erase(target_id const& id, time_point now, changes& out)
 {
-    if (entries_.erase(id) > 0)
+    auto const found = entries_.find(id);
+    if (found != entries_.end())
     {
+        remember_removal(found->second.it, now);
+        entries_.erase(found);
         out.push_back({id, change_kind::gone});
     }
 }
--- a/src/directory/target_directory.hpp
+++ b/src/directory/target_directory.hpp
@@ -17,7 +17,9 @@
 ///
 /// Leaving is final for an incarnation: neither an older entry nor one from a
 /// peer reverts it. Entries that expire while the store is unavailable are
-/// retained until their targets had time to register again.
+/// retained until their targets had time to register again. An entry that was
+/// removed and that a store restored from a copy lists again is used once it
+/// is written, or has not been removed a second time.
 namespace primrosedeal::directory
 {
 
@@ -57,6 +59,12 @@
     std::vector<listed_target> targets;
 };
 
+/// A snapshot of all entries of a store that was restored from an older copy.
+struct restored_entries
+{
+    std::vector<listed_target> targets;
+};
+
 /// A snapshot of all entries from a peer that the store answers, while it does
 /// not answer this host. Missing entries were removed rather than expired.
 struct peer_entries
@@ -84,8 +92,8 @@
 };
 
 using event =
-    std::variant<entry_written, entry_removed, all_entries, peer_entries,
-                 store_lost, store_regained, target_replaced>;
+    std::variant<entry_written, entry_removed, all_entries, restored_entries,
+                 peer_entries, store_lost, store_regained, target_replaced>;
 
 enum class change_kind
 {
@@ -111,6 +119,14 @@
 /// again; the requirements state about two seconds.
 constexpr auto lapse_grace = duration{2200ms};
 
+/// Time for which a removal is remembered: the oldest copy that a store may be
+/// restored from.
+constexpr auto removal_memory = duration{30s};
+
+/// Time after a restoration by which the store has removed the entries of
+/// targets that no longer renew them.
+constexpr auto restored_entry_probation = duration{5s};
+
 class target_directory
 {
 public:
@@ -162,11 +178,25 @@
         std::optional<time_point> lapsed_at;
     };
 
+    struct removal
+    {
+        incarnation process_start;
+        time_point at;
+    };
+
+    /// A removed entry that a restored store lists again.
+    struct doubtful_entry
+    {
+        listed_target it;
+        time_point usable_at;
+    };
+
     using changes = std::vector<change>;
 
     void on(entry_written const& it, time_point now, changes& out);
     void on(entry_removed const& it, time_point now, changes& out);
     void on(all_entries const& it, time_point now, changes& out);
+    void on(restored_entries const& it, time_point now, changes& out);
     void on(peer_entries const& it, time_point now, changes& out);
     void on(store_lost const& it, time_point now, changes& out);
     void on(store_regained const& it, time_point now, changes& out);
@@ -176,8 +206,10 @@
     auto put_all(std::vector<listed_target> const& targets, changes& out)
         -> std::vector<target_id>;
     void remove(target_id const& id, time_point now, changes& out);
-    void erase(target_id const& id, changes& out);
-    void erase_lapsed(changes& out);
+    void erase(target_id const& id, time_point now, changes& out);
+    void erase_lapsed(time_point now, changes& out);
+    void put_doubtful(time_point now, changes& out);
+    void remember_removal(listed_target const& it, time_point now);
     /// Removes targets of earlier processes at the address of `it`.
     void drop_predecessors(listed_target const& it, changes& out);
     void rebuild(time_point now);
@@ -185,6 +217,9 @@
     std::map<target_id, entry> entries_;
     /// Latest incarnation of each target that is known to be leaving.
     std::map<target_id, incarnation> latest_leaving_;
+    /// Targets whose entries were removed within `removal_memory`.
+    std::map<target_id, removal> removals_;
+    std::map<target_id, doubtful_entry> doubtful_;
     std::map<service_id, std::vector<listed_target>> usable_;
     /// Software versions of all entries, and when other ones were last listed.
     std::map<service_id, std::set<software_version>> versions_;
--- a/src/directory/target_directory_test.cpp
+++ b/src/directory/target_directory_test.cpp
@@ -181,6 +181,57 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(that_a_restored_store_lists_again)
+
+// Requests were sent to targets that had left before the copy was restored.
+BOOST_FIXTURE_TEST_CASE(accepts_no_requests_if_it_had_left, known_targets)
+{
+    write(target("a"));
+    apply(entry_removed{target_id{"a"}}, 1000);
+    apply(restored_entries{{target("a")}}, 3000);
+    BOOST_TEST(!accepts("a"));
+    apply(all_entries{{target("a")}}, 3500);
+    BOOST_TEST(!accepts("a"));
+    apply(entry_removed{target_id{"a"}}, 5000);
+    directory.expire(at(3000) + restored_entry_probation);
+    BOOST_TEST(!accepts("a"));
+}
+
+BOOST_FIXTURE_TEST_CASE(accepts_requests_once_it_writes_its_entry,
+                        known_targets)
+{
+    write(target("a"));
+    apply(entry_removed{target_id{"a"}}, 1000);
+    apply(restored_entries{{target("a")}}, 3000);
+    write(target("a"), 3500);
+    BOOST_TEST(accepts("a"));
+}
+
+BOOST_FIXTURE_TEST_CASE(accepts_requests_if_its_entry_stays, known_targets)
+{
+    write(target("a"));
+    apply(entry_removed{target_id{"a"}}, 1000);
+    apply(restored_entries{{target("a")}}, 3000);
+    directory.expire(at(3000) + restored_entry_probation);
+    BOOST_TEST(accepts("a"));
+}
+
+BOOST_FIXTURE_TEST_CASE(accepts_requests_if_it_is_not_known, known_targets)
+{
+    apply(restored_entries{{target("a")}}, 3000);
+    BOOST_TEST(accepts("a"));
+}
+
+BOOST_FIXTURE_TEST_CASE(accepts_requests_as_a_new_process, known_targets)
+{
+    write(target("a"));
+    apply(entry_removed{target_id{"a"}}, 1000);
+    apply(restored_entries{{target("a", 2)}}, 3000);
+    BOOST_TEST(accepts("a"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_CASE(is_removed_if_a_newer_one_has_its_address,
                         known_targets)
 {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -277,6 +277,7 @@
         auto out = store_watcher_events{};
         out.on_restored = [this]
         {
+            snapshot_is_restored_ = true;
             on_store_restored(net::event_loop::now());
         };
         out.on_snapshot = [this](std::vector<external::stored_value> const& it)
@@ -362,6 +363,12 @@
             entries[value.key] = {value.value, value.modified};
         }
         auto targets = replace_entries(std::move(entries), now);
+        if (std::exchange(snapshot_is_restored_, false))
+        {
+            apply_target_event(directory::restored_entries{std::move(targets)},
+                               now);
+            return;
+        }
         apply_target_event(directory::all_entries{std::move(targets)}, now);
     }
 
@@ -884,6 +891,8 @@
     time_point next_registration_at_{};
     external::calls_by_purpose store_calls_{};
     time_point store_calls_due_at_{};
+    /// The next snapshot is the first one of a restored store.
+    bool snapshot_is_restored_ = false;
     /// When this host learned that the store was restored from a copy.
     std::optional<time_point> restored_at_;
     /// When the entries of a peer that was in contact were last taken.
