Refuse streams as hopeless only on the best times seen for their size

Callers: a route with long prompts that was added beside one with short prompts was never served, 503 hopeless at once with 25 s left.

Cause: the time to the first event was estimated by token over all services and sizes, so fixed parts of the time of a short prompt counted for each of its tokens: 64 s for 5,200 tokens. Only requests that are served correct the estimate, and it kept them from being served. Stream lengths had the same fault.

Change: the refusal uses a lower bound by service and size from the best recent times, which claims nothing for sizes that were not seen, and expires; one request of each size and second is a trial. The expected time of a first event is a regression with a fixed part, by service.

--- a/src/dispatch/dispatch_test.cpp
+++ b/src/dispatch/dispatch_test.cpp
@@ -702,6 +702,21 @@
     BOOST_TEST((prefill.expect(1) == duration{200ms}));
 }
 
+// Fixed parts of the time of short prompts counted for each of their tokens.
+BOOST_AUTO_TEST_CASE(expect_no_minutes_for_a_long_prompt_beside_short_ones)
+{
+    auto prefill = prefill_estimate{};
+    for (auto i = 0; i < 200; ++i)
+    {
+        prefill.observe(6, 74ms);
+    }
+    constexpr auto long_prompt = std::uint64_t{5200};
+    BOOST_TEST((prefill.expect(long_prompt) < 2500ms));
+    prefill.observe(long_prompt, 1100ms);
+    auto const learned = prefill.expect(long_prompt);
+    BOOST_TEST((learned > 900ms && learned < 1300ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace primrosedeal::dispatch
--- a/src/gateway/host_state.hpp
+++ b/src/gateway/host_state.hpp
@@ -182,8 +182,8 @@
     metrics::gateway_metrics metrics;
     std::map<relay*, std::shared_ptr<relay>> relays;
     dispatch::completion_time_table completion_times;
-    dispatch::prefill_estimate prefill_estimator;
-    dispatch::stream_estimate stream_estimator;
+    /// Services with an engine or a stream that this host has asked for.
+    std::map<service_id, dispatch::service_times> service_times;
     /// Time of SIGTERM; empty before it.
     std::optional<time_point> shutdown_started_at;
 };
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -242,13 +242,21 @@
                : rejection_limit::arrival::burst;
 }
 
-auto relay::cannot_meet_deadline(time_point now) const -> bool
+auto relay::service_times() const -> dispatch::service_times&
 {
-    return streaming() &&
-           !dispatch::can_finish_by(
-               host_.stream_estimator,
-               host_.prefill_estimator.expect(metadata_.size.prompt.value()),
-               last_event_, admitted_.deadline_at, now);
+    return host_.service_times[admitted_.service->id];
+}
+
+auto relay::cannot_meet_deadline(time_point now) -> bool
+{
+    auto const& size = metadata_.size;
+    if (!streaming() ||
+        now + service_times().least_time(size, last_event_, now) <=
+            admitted_.deadline_at)
+    {
+        return false;
+    }
+    return !service_times().begin_trial(size, now);
 }
 
 void relay::start_next_attempt(time_point now)
@@ -281,12 +289,13 @@
     if (cannot_meet_deadline(now))
     {
         auto const needed =
-            host_.stream_estimator.min_remaining_time(last_event_) +
-            host_.prefill_estimator.expect(metadata_.size.prompt.value());
+            service_times().least_time(metadata_.size, last_event_, now);
         log::write(log::level::info, "request_hopeless",
                    {{"request", metadata_.id.value()},
                     {"time_left_ms", milliseconds(admitted_.deadline_at - now)},
-                    {"usual_least_ms", milliseconds(needed)}});
+                    {"least_ms", milliseconds(needed)},
+                    {"service", admitted_.service->id.value()},
+                    {"prompt", std::to_string(metadata_.size.prompt.value())}});
         end_with_failure(refusal_reason::hopeless,
                          dispatch::final_status(state_, now), now);
         return;
@@ -374,7 +383,7 @@
     out.stream_timing.silent_attempts = silent_attempts_;
     out.stream_timing.last_run = last_run;
     out.stream_timing.expected_first =
-        host_.prefill_estimator.expect(metadata_.size.prompt.value());
+        service_times().expected_prefill(metadata_.size.prompt);
     if (route.kind == routes::request_kind::idempotent && !last_run)
     {
         out.response_timeout = part_of(route.objective, call_timeout_fraction);
@@ -529,8 +538,8 @@
     {
         current_->prefilled = true;
         host_.loads.prefilled(current_->target.id, metadata_.size);
-        host_.prefill_estimator.observe(metadata_.size.prompt.value(),
-                                        now - current_->sent_at);
+        service_times().observe_first_event(
+            metadata_.size, now - current_->sent_at, current_->warm, now);
     }
     if (!std::exchange(current_->has_event, true))
     {
@@ -595,8 +604,9 @@
     }
     if (!metadata_.resume_after && last_event_)
     {
-        host_.stream_estimator.observe(*last_event_, now - arrived_at_ -
-                                                         time_to_first_event_);
+        service_times().observe_stream(metadata_.size, *last_event_,
+                                       now - arrived_at_ - time_to_first_event_,
+                                       now);
     }
     client_->finish();
     finish("complete", success, now);
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -213,7 +213,9 @@
     [[nodiscard]] auto completion_times() const -> dispatch::completion_times&;
     /// Whether the stream cannot end before its deadline even if an attempt
     /// starts now.
-    [[nodiscard]] auto cannot_meet_deadline(time_point now) const -> bool;
+    [[nodiscard]] auto service_times() const -> dispatch::service_times&;
+    /// False also for a request that is to be a trial of the estimate.
+    auto cannot_meet_deadline(time_point now) -> bool;
 
     host_state& host_;
     http1::request message_;
--- a/src/gateway/relay_quarantine.cpp
+++ b/src/gateway/relay_quarantine.cpp
@@ -39,7 +39,7 @@
 auto relay::may_have_just_begun(time_point now) const -> bool
 {
     auto const expected =
-        host_.prefill_estimator.expect(metadata_.size.prompt.value());
+        service_times().expected_prefill(metadata_.size.prompt);
     return current_->warm || current_->has_event ||
            now - current_->sent_at >= part_of(expected, min_prefill_fraction);
 }
