Bound the unfinished events of all streams together

Callers: a target that sends events without end to many streams at once takes a host's memory, and the requests of other clients end with the process.

Cause: an unfinished event was bounded for each stream (1 MiB), not for all of them; only collected bodies had a bound together.

Change: unfinished events count with the collected bodies. Beyond 48 MiB none grows above its share, and an attempt that would is damaged. An attempt that has ended keeps nothing.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -86,6 +86,8 @@
     std::optional<http1::response_head> head;
     response_body body;
     http1::event_splitter splitter;
+    /// For the unfinished event.
+    buffer_share rest_share;
     /// Bytes of whole events since the last one that had data.
     std::size_t bytes_without_data = 0;
     std::optional<time_point> unanswered_since;
@@ -227,6 +229,9 @@
         timeout_timer.cancel();
         call.reset();
         body.take();
+        // An assignment would keep the memory of the unfinished event.
+        std::exchange(splitter, {});
+        rest_share.release();
     }
 
     void on_head(http1::response_head it)
@@ -279,7 +284,8 @@
                 return;
             }
         }
-        if (bytes_without_data + splitter.rest().size() > max_event_bytes)
+        if (bytes_without_data + splitter.rest().size() > max_event_bytes ||
+            !rest_share.resize(splitter.rest().size()))
         {
             fail(attempt_failure::damaged);
         }
--- a/src/gateway/attempt_test.cpp
+++ b/src/gateway/attempt_test.cpp
@@ -385,6 +385,55 @@
     BOOST_TEST(peak < 2 * together + buffers_of_the_targets);
 }
 
+// Each unfinished event was within its own bound, and all together ended the
+// process.
+BOOST_FIXTURE_TEST_CASE(bounds_the_events_of_all_attempts_together, attempts)
+{
+    constexpr auto unfinished = 900 * (mebibyte / 1024);
+    auto bad = raw_target{loop, [](std::string const&)
+                          {
+                              return raw_answer{signed_head + "\r\ndata: ", "x",
+                                                unfinished, answer_end::closed};
+                          }};
+    auto good = raw_target{loop, [](std::string const&)
+                           {
+                               return raw_answer{signed_head + "\r\n" +
+                                                     event(1) + event(2),
+                                                 {},
+                                                 0,
+                                                 answer_end::closed};
+                           }};
+    auto const before = allocated();
+    bad.on_sent = [&]
+    {
+        auto const now = allocated();
+        peak = std::max(peak, now > before ? now - before : 0);
+    };
+    constexpr auto at_once = std::size_t{160};
+    auto outcomes = std::vector<outcome>(at_once);
+    auto proper = outcome{};
+    {
+        auto running = std::vector<std::unique_ptr<attempt>>{};
+        for (auto& it : outcomes)
+        {
+            running.push_back(begin(bad, true, it));
+        }
+        running.push_back(begin(good, true, proper));
+        run_until(
+            [&]
+            {
+                return proper.over() &&
+                       std::all_of(outcomes.begin(), outcomes.end(),
+                                   [](outcome const& it) { return it.over(); });
+            });
+    }
+    BOOST_TEST(proper.stream_ended);
+    BOOST_TEST(proper.events.size() == 2U);
+    constexpr auto together = 48 * mebibyte;
+    constexpr auto buffers_of_the_targets = 16 * mebibyte;
+    BOOST_TEST(peak < 2 * together + buffers_of_the_targets);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(takes_a_proper_answer)
--- a/src/gateway/response_body.cpp
+++ b/src/gateway/response_body.cpp
@@ -23,32 +23,50 @@
 
 } // namespace
 
-response_body::~response_body()
+buffer_share::~buffer_share()
 {
-    take();
+    release();
 }
 
-auto response_body::append(std::string_view bytes) -> bool
+auto buffer_share::resize(std::size_t bytes) -> bool
 {
     auto& all = total();
-    auto const size = bytes_.size() + bytes.size();
-    auto const bodies = all.bodies + (bytes_.empty() ? 1U : 0U);
-    auto const full = all.bytes + bytes.size() > max_buffered_bytes;
-    if (size > max_body_bytes || (full && size > max_buffered_bytes / bodies))
+    auto const others = all.bytes - bytes_;
+    auto const other_bodies = all.bodies - (bytes_ > 0 ? 1U : 0U);
+    auto const bodies = other_bodies + (bytes > 0 ? 1U : 0U);
+    auto const full = others + bytes > max_buffered_bytes;
+    if (bytes > bytes_ && (bytes > max_body_bytes ||
+                           (full && bytes > max_buffered_bytes / bodies)))
     {
         return false;
     }
-    all.bytes += bytes.size();
+    all.bytes = others + bytes;
     all.bodies = bodies;
+    bytes_ = bytes;
+    return true;
+}
+
+void buffer_share::release()
+{
+    auto& all = total();
+    all.bytes -= bytes_;
+    all.bodies -= bytes_ > 0 ? 1U : 0U;
+    bytes_ = 0;
+}
+
+auto response_body::append(std::string_view bytes) -> bool
+{
+    if (!share_.resize(bytes_.size() + bytes.size()))
+    {
+        return false;
+    }
     bytes_ += bytes;
     return true;
 }
 
 auto response_body::take() -> std::string
 {
-    auto& all = total();
-    all.bytes -= bytes_.size();
-    all.bodies -= bytes_.empty() ? 0U : 1U;
+    share_.release();
     return std::exchange(bytes_, {});
 }
 
--- a/src/gateway/response_body.hpp
+++ b/src/gateway/response_body.hpp
@@ -4,14 +4,15 @@
 #include <string>
 #include <string_view>
 
-/// The body of a response that is buffered as a whole, within bounds of its own
-/// and of all such bodies together.
+/// What is kept of responses until it is forwarded: bodies that are buffered as
+/// a whole, and unfinished events of streams. Each is within a bound of its own
+/// and of all together.
 ///
 /// Load pattern: a target sends without end to every request that it gets. Many
 /// bodies then grow at once as fast as the link is, and each within its own
 /// bound would fill the memory of a small host. When all together are above
-/// `max_buffered_bytes`, a body grows no further than its share of them, so
-/// small responses of other targets still pass.
+/// `max_buffered_bytes`, none grows further than its share of them, so small
+/// responses of other targets still pass.
 namespace primrosedeal::gateway
 {
 
@@ -20,15 +21,29 @@
 constexpr auto max_body_bytes = std::size_t{8} << 20U;
 constexpr auto max_buffered_bytes = std::size_t{48} << 20U;
 
-/// Used on one thread; bodies of other threads are not counted with it.
-class response_body
+/// Counts the bytes kept of one response. Used on one thread; those of other
+/// threads are not counted with it.
+class buffer_share
 {
 public:
-    response_body() = default;
-    response_body(response_body const&) = delete;
-    auto operator=(response_body const&) -> response_body& = delete;
-    ~response_body();
+    buffer_share() = default;
+    buffer_share(buffer_share const&) = delete;
+    auto operator=(buffer_share const&) -> buffer_share& = delete;
+    ~buffer_share();
+
+    /// Returns false, and keeps the size, if a bound would be exceeded.
+    [[nodiscard]] auto resize(std::size_t bytes) -> bool;
+
+    /// Nothing is kept any more.
+    void release();
 
+private:
+    std::size_t bytes_ = 0;
+};
+
+class response_body
+{
+public:
     /// Returns false, and appends nothing, if a bound would be exceeded.
     [[nodiscard]] auto append(std::string_view bytes) -> bool;
 
@@ -36,6 +51,7 @@
 
 private:
     std::string bytes_;
+    buffer_share share_;
 };
 
 } // namespace primrosedeal::gateway
