Bound what waits for all clients of a server together

Callers: clients that stop reading while their targets send on take a host's memory, and the requests of other clients end with the process.

Cause: unsent bytes were bounded for each connection (8 MiB), not for all.

Change: a server counts the unsent bytes of its connections. Beyond 64 MiB together a client with more than its share of them counts as gone, as one with over 8 MiB did before. Answers in one piece count too.

--- a/src/http1/connection_test.cpp
+++ b/src/http1/connection_test.cpp
@@ -9,10 +9,14 @@
 #include <event2/thread.h>
 
 #include <arpa/inet.h>
+#include <malloc.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,6 +38,13 @@
     return {"GET", std::move(target), {{"Host", "h"}}, {}, true};
 }
 
+/// Bytes that this process has allocated, without what is free for reuse.
+auto allocated() -> std::size_t
+{
+    auto const it = ::mallinfo2();
+    return it.uordblks + it.hblkhd;
+}
+
 /// A server and its loop; `run_until` drives both ends.
 struct world
 {
@@ -612,6 +623,64 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_server_whose_clients_do_not_read)
+
+// What waited for each was within its own bound, and all together ended the
+// process.
+BOOST_FIXTURE_TEST_CASE(bounds_what_waits_for_all_together, world)
+{
+    constexpr auto mebibyte = std::size_t{1} << 20U;
+    constexpr auto clients = std::size_t{60};
+    auto open = std::vector<std::shared_ptr<exchange>>{};
+    auto it =
+        server{loop, [&](request const& asked, std::shared_ptr<exchange> from)
+               {
+                   if (asked.target == "/brief")
+                   {
+                       from->reply({200, {}}, "yes", true);
+                       return;
+                   }
+                   from->start({200, {}});
+                   open.push_back(std::move(from));
+               }};
+    auto const port = it.listen(local);
+    auto idle = std::vector<std::unique_ptr<plain_client>>{};
+    for (auto i = std::size_t{0}; i < clients; ++i)
+    {
+        idle.push_back(std::make_unique<plain_client>(port));
+        idle.back()->send("GET /long HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+    run_until([&] { return open.size() == clients; });
+    auto const before = allocated();
+    auto peak = std::size_t{0};
+    auto const piece = std::string(mebibyte / 4, 'x');
+    constexpr auto pieces = 30;
+    for (auto i = 0; i < pieces; ++i)
+    {
+        for (auto const& client : open)
+        {
+            client->send(piece);
+        }
+        auto turned = false;
+        auto const turn = loop.after(1ms, [&] { turned = true; });
+        run_until([&] { return turned; });
+        peak = std::max(peak, allocated() - std::min(before, allocated()));
+    }
+    auto brief = std::optional<net::http_response>{};
+    auto const asked =
+        fetch{loop, net::endpoint{"127.0.0.1", port}, get("/brief"), patience,
+              [&](std::optional<net::http_response> answer, bool)
+              {
+                  brief = std::move(answer);
+              }};
+    run_until([&] { return brief.has_value(); });
+    BOOST_TEST(brief->body == "yes");
+    constexpr auto together = 64 * mebibyte;
+    BOOST_TEST(peak < 2 * together);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_fetch)
 
 BOOST_FIXTURE_TEST_CASE(goes_on_while_the_answer_keeps_coming, world)
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -16,6 +16,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstdio>
+#include <limits>
 #include <map>
 #include <stdexcept>
 #include <utility>
@@ -36,6 +37,9 @@
 constexpr auto linger = duration{2s};
 /// Unsent bytes of an answer at which its client counts as gone.
 constexpr auto max_unsent = std::size_t{8} << 20U;
+/// Unsent bytes of all answers together. Beyond it a client with more than its
+/// share of them counts as gone.
+constexpr auto max_unsent_together = std::size_t{64} << 20U;
 constexpr auto backlog = 1024;
 constexpr auto request_timeout = 408;
 constexpr auto unavailable = 503;
@@ -124,6 +128,23 @@
     evconnlistener* listener = nullptr;
     std::map<connection*, std::shared_ptr<connection>> connections;
     bool closing = false;
+    /// Over all connections, and how many of them have any.
+    std::size_t unsent_bytes = 0;
+    std::size_t unsent_connections = 0;
+
+    void change_unsent(std::size_t before, std::size_t after)
+    {
+        unsent_bytes = unsent_bytes - before + after;
+        unsent_connections -= before > 0 ? 1U : 0U;
+        unsent_connections += after > 0 ? 1U : 0U;
+    }
+
+    /// Whether `unsent` bytes are too many for one of the connections.
+    [[nodiscard]] auto beyond_share(std::size_t unsent) const -> bool
+    {
+        return unsent_bytes > max_unsent_together &&
+               unsent > max_unsent_together / unsent_connections;
+    }
 
     void accepted(evutil_socket_t fd);
     void free_listener()
@@ -148,6 +169,7 @@
         setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
         bufferevent_setcb(bev_, on_read, on_written, on_event, this);
         bufferevent_setwatermark(bev_, EV_READ, 0, max_read_ahead);
+        evbuffer_add_cb(bufferevent_get_output(bev_), on_output_changed, this);
         bufferevent_enable(bev_, EV_READ | EV_WRITE);
         accepted_at_ = net::event_loop::now();
         await_client();
@@ -230,6 +252,7 @@
         {
             write(body);
         }
+        limit_unsent(std::numeric_limits<std::size_t>::max());
         answered();
     }
 
@@ -252,17 +275,7 @@
         write({size, static_cast<std::size_t>(n)});
         write(bytes);
         write("\r\n");
-        if (unsent() > max_unsent)
-        {
-            owner_.loop.post(
-                [self = weak_from_this()]
-                {
-                    if (auto const it = self.lock())
-                    {
-                        it->lost(client_loss::not_reading);
-                    }
-                });
-        }
+        limit_unsent(max_unsent);
     }
 
     void finish()
@@ -292,6 +305,31 @@
         self->parse();
     }
 
+    static void on_output_changed(evbuffer* /*buffer*/,
+                                  evbuffer_cb_info const* info, void* arg)
+    {
+        auto const after = info->orig_size + info->n_added - info->n_deleted;
+        static_cast<connection*>(arg)->owner_.change_unsent(info->orig_size,
+                                                            after);
+    }
+
+    /// Ends the connection from the loop if its client takes too little.
+    void limit_unsent(std::size_t most)
+    {
+        if (unsent() <= most && !owner_.beyond_share(unsent()))
+        {
+            return;
+        }
+        owner_.loop.post(
+            [self = weak_from_this()]
+            {
+                if (auto const it = self.lock())
+                {
+                    it->lost(client_loss::not_reading);
+                }
+            });
+    }
+
     static void on_written(bufferevent* /*bev*/, void* arg)
     {
         auto const self = static_cast<connection*>(arg)->shared_from_this();
@@ -524,6 +562,9 @@
         timer_.cancel();
         if (bev_ != nullptr)
         {
+            evbuffer_remove_cb(bufferevent_get_output(bev_), on_output_changed,
+                               this);
+            owner_.change_unsent(unsent(), 0);
             bufferevent_free(std::exchange(bev_, nullptr));
         }
     }
