Bound a prefill by prompts of its own size once they were observed

Callers: prompts of a middle size could be refused as hopeless for the rate of much longer ones, at engines whose time grows by more than in proportion, and a trial that was served did not correct it.

Cause: the bound was the largest that any size gives.

Change: observations of the same size decide where there are any.

Result: feasibility_test was_refused_for_the_rate_of_much_longer_prompts.

--- a/src/dispatch/feasibility.cpp
+++ b/src/dispatch/feasibility.cpp
@@ -64,16 +64,24 @@
 auto prefill_bound::at_least(token_count prompt, time_point now) const
     -> duration
 {
-    auto out = 0.0;
-    for (auto const& it : classes_)
+    auto const bound_of = [&](size_class const& it) -> std::optional<double>
     {
         auto const time = it.time_us.value(now);
         auto const rate = it.us_per_token.value(now);
-        if (time && rate)
+        if (!time || !rate)
         {
-            auto const in_proportion =
-                *rate * static_cast<double>(prompt.value());
-            out = std::max(out, std::min(*time, in_proportion));
+            return std::nullopt;
+        }
+        return std::min(*time, *rate * static_cast<double>(prompt.value()));
+    };
+    auto const own =
+        bound_of(classes_.at(static_cast<std::size_t>(size_class_of(prompt))));
+    auto out = own.value_or(0);
+    if (!own)
+    {
+        for (auto const& it : classes_)
+        {
+            out = std::max(out, bound_of(it).value_or(0));
         }
     }
     return duration{static_cast<duration::rep>(out)};
--- a/src/dispatch/feasibility.hpp
+++ b/src/dispatch/feasibility.hpp
@@ -43,10 +43,11 @@
     time_point current_since_{};
 };
 
-/// Lower bound on the time to the first event. The time grows with the prompt,
-/// and by less than in proportion since a part of it is fixed. So a prompt of
-/// `n` tokens takes at least the time of any smaller one, and at least `n / m`
-/// of the time of a larger one of `m` tokens.
+/// Lower bound on the time to the first event, from prompts of about the same
+/// size. For a size that was not observed, the time grows with the prompt, and
+/// by less than in proportion since a part of it is fixed: a prompt of `n`
+/// tokens takes at least the time of any smaller one, and at least `n / m` of
+/// the time of a larger one of `m` tokens.
 class prefill_bound
 {
 public:
--- a/src/dispatch/feasibility_test.cpp
+++ b/src/dispatch/feasibility_test.cpp
@@ -123,6 +123,16 @@
     BOOST_TEST(!can_finish(times, usual_size, std::nullopt, 700ms));
 }
 
+// The time of some engines grows by more than in proportion.
+BOOST_AUTO_TEST_CASE(was_refused_for_the_rate_of_much_longer_prompts)
+{
+    auto const middle = work_size{token_count{500}, token_count{10}};
+    auto times = observed_streams();
+    BOOST_TEST(!can_finish(times, middle, std::nullopt, 30ms));
+    times.observe_first_event(middle, 20ms, false, {});
+    BOOST_TEST(can_finish(times, middle, std::nullopt, 30ms));
+}
+
 BOOST_AUTO_TEST_CASE(was_refused_for_the_length_of_others)
 {
     auto const brief = work_size{usual_size.prompt, token_count{20}};
