Give up the client that has taken nothing for longest, not the next answered

Callers: with too much waiting for clients that do not read, a client that reads could lose its answer, if that was larger than an equal share.

Cause: the bound for all together was applied to the connection written to.

Change: beyond the bound the client that has taken nothing for the longest time counts as gone.

Result: http1_test a_server_whose_clients_do_not_read also asks for an answer of 6 MiB beside the others, and gets it whole; peak still below the bound.

--- a/src/http1/connection_test.cpp
+++ b/src/http1/connection_test.cpp
@@ -631,6 +631,8 @@
 {
     constexpr auto mebibyte = std::size_t{1} << 20U;
     constexpr auto clients = std::size_t{60};
+    // More than its share of what may wait.
+    auto const whole = std::string(6 * mebibyte, 'y');
     auto open = std::vector<std::shared_ptr<exchange>>{};
     auto it =
         server{loop, [&](request const& asked, std::shared_ptr<exchange> from)
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -16,8 +16,8 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstdio>
-#include <limits>
 #include <map>
+#include <optional>
 #include <stdexcept>
 #include <utility>
 
@@ -37,8 +37,8 @@
 constexpr auto linger = duration{2s};
 /// Unsent bytes of an answer at which its client counts as gone.
 constexpr auto max_unsent = std::size_t{8} << 20U;
-/// Unsent bytes of all answers together. Beyond it a client with more than its
-/// share of them counts as gone.
+/// Unsent bytes of all answers together. Beyond it the client that has taken
+/// nothing for the longest time counts as gone.
 constexpr auto max_unsent_together = std::size_t{64} << 20U;
 constexpr auto backlog = 1024;
 constexpr auto request_timeout = 408;
@@ -128,23 +128,12 @@
     evconnlistener* listener = nullptr;
     std::map<connection*, std::shared_ptr<connection>> connections;
     bool closing = false;
-    /// Over all connections, and how many of them have any.
+    /// Of all connections but those whose clients count as gone.
     std::size_t unsent_bytes = 0;
-    std::size_t unsent_connections = 0;
 
-    void change_unsent(std::size_t before, std::size_t after)
-    {
-        unsent_bytes = unsent_bytes - before + after;
-        unsent_connections -= before > 0 ? 1U : 0U;
-        unsent_connections += after > 0 ? 1U : 0U;
-    }
-
-    /// Whether `unsent` bytes are too many for one of the connections.
-    [[nodiscard]] auto beyond_share(std::size_t unsent) const -> bool
-    {
-        return unsent_bytes > max_unsent_together &&
-               unsent > max_unsent_together / unsent_connections;
-    }
+    /// Gives up the client that has taken nothing for the longest time if too
+    /// much waits for all together.
+    void limit_unsent();
 
     void accepted(evutil_socket_t fd);
     void free_listener()
@@ -170,6 +159,7 @@
         bufferevent_setcb(bev_, on_read, on_written, on_event, this);
         bufferevent_setwatermark(bev_, EV_READ, 0, max_read_ahead);
         evbuffer_add_cb(bufferevent_get_output(bev_), on_output_changed, this);
+        counted_ = true;
         bufferevent_enable(bev_, EV_READ | EV_WRITE);
         accepted_at_ = net::event_loop::now();
         await_client();
@@ -252,7 +242,7 @@
         {
             write(body);
         }
-        limit_unsent(std::numeric_limits<std::size_t>::max());
+        owner_.limit_unsent();
         answered();
     }
 
@@ -275,7 +265,33 @@
         write({size, static_cast<std::size_t>(n)});
         write(bytes);
         write("\r\n");
-        limit_unsent(max_unsent);
+        if (unsent() > max_unsent)
+        {
+            give_up();
+        }
+        owner_.limit_unsent();
+    }
+
+    /// Ends the connection, from the loop, for a client that does not read.
+    void give_up()
+    {
+        stop_counting();
+        owner_.loop.post(
+            [self = weak_from_this()]
+            {
+                if (auto const it = self.lock())
+                {
+                    it->lost(client_loss::not_reading);
+                }
+            });
+    }
+
+    /// When the client last took some of what waits for it, or it began to
+    /// wait; empty if nothing does.
+    [[nodiscard]] auto waiting_since() const -> std::optional<time_point>
+    {
+        return counted_ && unsent() > 0 ? std::optional{taken_at_}
+                                        : std::nullopt;
     }
 
     void finish()
@@ -308,26 +324,23 @@
     static void on_output_changed(evbuffer* /*buffer*/,
                                   evbuffer_cb_info const* info, void* arg)
     {
-        auto const after = info->orig_size + info->n_added - info->n_deleted;
-        static_cast<connection*>(arg)->owner_.change_unsent(info->orig_size,
-                                                            after);
+        auto& self = *static_cast<connection*>(arg);
+        self.owner_.unsent_bytes += info->n_added;
+        self.owner_.unsent_bytes -= info->n_deleted;
+        if (info->n_deleted > 0 || info->orig_size == 0)
+        {
+            self.taken_at_ = net::event_loop::now();
+        }
     }
 
-    /// Ends the connection from the loop if its client takes too little.
-    void limit_unsent(std::size_t most)
+    void stop_counting()
     {
-        if (unsent() <= most && !owner_.beyond_share(unsent()))
+        if (std::exchange(counted_, false))
         {
-            return;
+            evbuffer_remove_cb(bufferevent_get_output(bev_), on_output_changed,
+                               this);
+            owner_.unsent_bytes -= unsent();
         }
-        owner_.loop.post(
-            [self = weak_from_this()]
-            {
-                if (auto const it = self.lock())
-                {
-                    it->lost(client_loss::not_reading);
-                }
-            });
     }
 
     static void on_written(bufferevent* /*bev*/, void* arg)
@@ -562,9 +575,7 @@
         timer_.cancel();
         if (bev_ != nullptr)
         {
-            evbuffer_remove_cb(bufferevent_get_output(bev_), on_output_changed,
-                               this);
-            owner_.change_unsent(unsent(), 0);
+            stop_counting();
             bufferevent_free(std::exchange(bev_, nullptr));
         }
     }
@@ -639,6 +650,9 @@
     std::function<void(client_loss)> gone_;
     /// After the last write, or as the client was last seen to take some.
     std::size_t unsent_left_ = 0;
+    time_point taken_at_{};
+    /// Its unsent bytes are among those of the server.
+    bool counted_ = false;
     /// Further than the server's limit of connections.
     bool surplus_;
     bool answering_ = false;
@@ -733,6 +747,27 @@
     connections.emplace(it.get(), it);
 }
 
+void server::state::limit_unsent()
+{
+    if (unsent_bytes <= max_unsent_together)
+    {
+        return;
+    }
+    auto slowest = std::shared_ptr<connection>{};
+    for (auto const& [key, it] : connections)
+    {
+        auto const since = it->waiting_since();
+        if (since && (!slowest || *since < *slowest->waiting_since()))
+        {
+            slowest = it;
+        }
+    }
+    if (slowest)
+    {
+        slowest->give_up();
+    }
+}
+
 auto connection::make_exchange() -> std::shared_ptr<exchange>
 {
     return std::make_shared<open_exchange>(weak_from_this());
