Estimate the calls of other hosts at plain targets by their rate

Digests list a call of 30 ms for some 200 ms, so at 72 hosts targets with free slots seemed full and calls were refused (no_target) as soon as some targets left. Calls of others are now their rate times the time of a call, capped by what digests list; a target may have twice its slots outstanding, and beyond that a random fraction is taken.

--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -34,9 +34,17 @@
             own.memory_tokens + others.memory_tokens};
 }
 
-auto has_room(target_load const& load, directory::listed_target const& target,
-              placement_request const& it) -> bool
+auto has_room(placement_view const& view, placement_request const& it,
+              directory::listed_target const& target, double draw) -> bool
 {
+    if (it.calls)
+    {
+        auto const own = view.loads.at_target(target.id).requests;
+        auto const others =
+            calls_elsewhere(*it.calls, view.others.load_of(target.id).requests);
+        return has_room_for_call(own + others, target.slots, draw);
+    }
+    auto const load = total_load(view, target.id);
     auto const needed = it.size.prompt.value() + it.size.output.value();
     auto const fits = it.target_memory == 0 || load.memory_tokens == 0 ||
                       load.memory_tokens + needed <= it.target_memory;
@@ -117,6 +125,7 @@
            time_point now, random_source& random)
     -> std::optional<directory::listed_target>
 {
+    auto const draw = it.calls ? random.unit() : 0.0;
     return choose_best(view, it, now, random,
                        [&](directory::listed_target const& target)
                        {
@@ -124,8 +133,7 @@
                                    it.versions.contains(target.version)) &&
                                   view.limiter.permits(target.id, now) &&
                                   view.gate.permits(target.id, it.arrival) &&
-                                  has_room(total_load(view, target.id), target,
-                                           it);
+                                  has_room(view, it, target, draw);
                        });
 }
 
@@ -142,7 +150,7 @@
                view.gate.has_ample_room(target.id) &&
                view.detector.health_of(target.id, target.domain, now) ==
                    health::healthy &&
-               has_room(total_load(view, target.id), target, it);
+               has_room(view, it, target, 0.0);
     };
     auto found = choose_best(view, it, now, random,
                              [&](directory::listed_target const& target) {
--- a/src/dispatch/placement.hpp
+++ b/src/dispatch/placement.hpp
@@ -3,6 +3,7 @@
 #include "core/ids.hpp"
 #include "core/random.hpp"
 #include "directory/target_directory.hpp"
+#include "dispatch/call_capacity.hpp"
 #include "dispatch/failure_detector.hpp"
 #include "dispatch/load_tracker.hpp"
 #include "fleet/fleet_view.hpp"
@@ -36,6 +37,8 @@
     /// Targets that were already tried for this request.
     std::span<target_id const> tried;
     rejection_limit::arrival arrival = rejection_limit::arrival::independent;
+    /// For a call of a plain service, if enough is known of its other calls.
+    std::optional<call_demand> calls;
 };
 
 /// Inputs of placement, which keeps no state between calls.
--- a/src/dispatch/shutdown_admission.cpp
+++ b/src/dispatch/shutdown_admission.cpp
@@ -76,6 +76,11 @@
     }
 }
 
+auto completion_times::mean() const -> std::optional<duration>
+{
+    return estimate_ ? std::optional{estimate_->value()} : std::nullopt;
+}
+
 auto completion_times::recent(time_point now) const
     -> std::optional<recent_times>
 {
--- a/src/dispatch/shutdown_admission.hpp
+++ b/src/dispatch/shutdown_admission.hpp
@@ -51,6 +51,9 @@
     [[nodiscard]] auto recent(time_point now) const
         -> std::optional<recent_times>;
 
+    /// Moving average; nothing before the first answer.
+    [[nodiscard]] auto mean() const -> std::optional<duration>;
+
     [[nodiscard]] auto last_observed() const -> time_point
     {
         return last_observed_;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -167,7 +167,7 @@
             host_.rejection_gate};
 }
 
-auto relay::placement() const -> dispatch::placement_request
+auto relay::placement(time_point now) const -> dispatch::placement_request
 {
     auto out = dispatch::placement_request{};
     out.size = metadata_.size;
@@ -179,9 +179,27 @@
     out.versions = versions_;
     out.tried = tried_targets_;
     out.arrival = arrival();
+    if (!admitted_.service->engine && !streaming())
+    {
+        out.calls = call_demand(now);
+    }
     return out;
 }
 
+auto relay::call_demand(time_point now) const
+    -> std::optional<dispatch::call_demand>
+{
+    auto const& service = admitted_.service->id;
+    auto const rate = host_.other_hosts.request_rate(service, now);
+    auto const mean = completion_times().mean();
+    if (!rate || !mean)
+    {
+        return std::nullopt;
+    }
+    return dispatch::call_demand{*rate, *mean,
+                                 host_.targets.usable(service).size()};
+}
+
 auto relay::arrival() const -> rejection_limit::arrival
 {
     return tried_targets_.empty() && !metadata_.resume_after
@@ -353,8 +371,8 @@
     auto const& engine = admitted_.service->engine;
     if (engine && engine->supports_continuous_copy && state_.resumable)
     {
-        current_->copy = dispatch::place_copy(view(), placement(), target, now,
-                                              host_.random);
+        current_->copy = dispatch::place_copy(view(), placement(now), target,
+                                              now, host_.random);
     }
     auto plan = plan_attempt(target, from, now);
     ++attempts_;
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -104,7 +104,11 @@
                                     std::optional<copy_reference> const& from,
                                     time_point now) -> attempt_plan;
     [[nodiscard]] auto view() const -> dispatch::placement_view;
-    [[nodiscard]] auto placement() const -> dispatch::placement_request;
+    [[nodiscard]] auto placement(time_point now) const
+        -> dispatch::placement_request;
+    /// Other calls of a plain service; nothing if too little is known of them.
+    [[nodiscard]] auto call_demand(time_point now) const
+        -> std::optional<dispatch::call_demand>;
     /// When the request may come again if request limits of targets stand in
     /// its way.
     [[nodiscard]] auto limit_retry_after(time_point now)
--- a/src/gateway/relay_copies.cpp
+++ b/src/gateway/relay_copies.cpp
@@ -121,8 +121,8 @@
         return;
     }
     host_.update_limits(admitted_.service->id, now);
-    auto const to = dispatch::place_copy(view(), placement(), current_->target,
-                                         now, host_.random);
+    auto const to = dispatch::place_copy(view(), placement(now),
+                                         current_->target, now, host_.random);
     if (!to)
     {
         copy_timer_ = host_.loop.after(
--- a/src/gateway/relay_paths.cpp
+++ b/src/gateway/relay_paths.cpp
@@ -94,7 +94,7 @@
     {
         return true;
     }
-    auto it = placement();
+    auto it = placement(now);
     if (auto const fixed = fixed_version())
     {
         it.versions = {*fixed};
--- a/src/gateway/relay_versions.cpp
+++ b/src/gateway/relay_versions.cpp
@@ -145,7 +145,7 @@
 auto relay::place_attempt(time_point now)
     -> std::optional<directory::listed_target>
 {
-    auto it = placement();
+    auto it = placement(now);
     if (!begun() && sent_version_ && versions_.size() != 1)
     {
         auto same = it;
