Estimate the time of a call from its objective before any was answered

A host that has just started knew no time of its calls and went by the digests alone, which list calls that have ended: it refused calls, and so observed none.

--- a/src/dispatch/call_capacity.hpp
+++ b/src/dispatch/call_capacity.hpp
@@ -28,6 +28,13 @@
     std::size_t targets = 1;
 };
 
+/// Time of a call before any was answered. Without one, a host that has just
+/// started would refuse calls by the digests alone, and never observe any.
+constexpr auto first_mean_time(duration latency_objective) -> duration
+{
+    return latency_objective / 4;
+}
+
 /// Calls that a target may have outstanding, as a multiple of its slots.
 constexpr auto max_calls_per_slot = 2.0;
 
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -191,13 +191,15 @@
 {
     auto const& service = admitted_.service->id;
     auto const rate = host_.other_hosts.request_rate(service, now);
-    auto const mean = completion_times().mean();
-    if (!rate || !mean)
+    if (!rate)
     {
         return std::nullopt;
     }
-    return dispatch::call_demand{*rate, *mean,
-                                 host_.targets.usable(service).size()};
+    auto const mean = completion_times().mean();
+    return dispatch::call_demand{
+        *rate,
+        mean.value_or(dispatch::first_mean_time(admitted_.route->objective)),
+        host_.targets.usable(service).size()};
 }
 
 auto relay::arrival() const -> rejection_limit::arrival
