--- a/src/dispatch/failure_detector.cpp
+++ b/src/dispatch/failure_detector.cpp
@@ -37,6 +37,7 @@
     {
     case observation::answered:
         it.failures_in_row = 0;
+        it.hint_length = {};
         it.failed_ratio -= it.failed_ratio / window;
         it.responses = std::min(it.responses + 1, limits_.response_window);
         it.excluded_until = std::min(it.excluded_until, now);
@@ -160,7 +161,18 @@
 
 void failure_detector::hint(target_id const& id, time_point now)
 {
-    records_[id].hinted_until = now + limits_.hint_duration;
+    auto& it = records_[id];
+    auto const forgotten = now >= it.hinted_until + limits_.max_hint_duration;
+    if (it.hint_length == 0s || forgotten)
+    {
+        it.hint_length = limits_.hint_duration;
+    }
+    else if (now >= it.hinted_until)
+    {
+        it.hint_length =
+            std::min(2 * it.hint_length, limits_.max_hint_duration);
+    }
+    it.hinted_until = now + it.hint_length;
 }
 
 void failure_detector::discount_loss(target_id const& id,
--- a/src/dispatch/failure_detector.hpp
+++ b/src/dispatch/failure_detector.hpp
@@ -63,8 +63,11 @@
     duration max_domain_suspicion = 4s;
     /// Time for a domain probe to finish; longer than the connect timeout.
     duration domain_probe_timeout = 400ms;
-    /// Time that a report from another host is valid for.
+    /// Time that a first report from another host is valid for; doubles with
+    /// each one after its end. If most targets are lost, they would be tried
+    /// again sooner than all of them are found.
     duration hint_duration = 900ms;
+    duration max_hint_duration = 3600ms;
     /// Moving fraction of failed responses from which a target is excluded.
     double failure_ratio_threshold = 0.6;
     std::uint32_t response_window = 8;
@@ -122,6 +125,8 @@
         std::uint32_t responses = 0;
         time_point excluded_until{};
         time_point hinted_until{};
+        /// Length of the last hint; 0: the target has answered since.
+        duration hint_length{};
     };
 
     struct loss
--- a/src/gateway/digest_task.cpp
+++ b/src/gateway/digest_task.cpp
@@ -91,6 +91,7 @@
     for (auto const& id : it.lost)
     {
         host_.detector.hint(id, now);
+        host_.reported_losses.record(id, it.host, now);
         for (auto const& [key, relay] : all)
         {
             relay->on_target_suspected(id);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -891,6 +891,7 @@
         probe_paths(host_, now);
         host_.quarantine.expire(now);
         host_.limits.expire(now);
+        host_.reported_losses.expire(now);
         host_.rejection_limits.expire(now);
         host_.rejections.expire(now);
         // The permission needs several seconds without a pause between calls.
--- a/src/gateway/host_state.hpp
+++ b/src/gateway/host_state.hpp
@@ -20,6 +20,7 @@
 #include "quarantine/trial_permission.hpp"
 #include "reachability/direct_path.hpp"
 #include "reachability/helper_choice.hpp"
+#include "reachability/reported_losses.hpp"
 #include "rejection_limit/gate.hpp"
 #include "request_limit/limit_table.hpp"
 #include "request_limit/limiter.hpp"
@@ -168,6 +169,7 @@
     /// This host's own paths to the targets of each service.
     reachability::direct_path paths;
     reachability::helper_backoff helpers;
+    reachability::reported_losses reported_losses;
     /// Tunnels of this host through others.
     std::map<host_id, std::uint32_t> open_tunnels;
     /// Where a host takes tunnels; nothing if its address is not known.
--- a/src/gateway/path_events.cpp
+++ b/src/gateway/path_events.cpp
@@ -84,6 +84,24 @@
                       });
 }
 
+/// Whether a host that reaches the service has found `target` unreachable too.
+auto lost_for_others(host_state const& host,
+                     directory::listed_target const& target, time_point now)
+    -> bool
+{
+    auto const reporters = host.reported_losses.reporters(target.id, now);
+    return std::any_of(reporters.begin(), reporters.end(),
+                       [&](host_id const& id)
+                       {
+                           auto const* const it = host.other_hosts.latest(id);
+                           return it != nullptr &&
+                                  std::find(it->unreachable_services.begin(),
+                                            it->unreachable_services.end(),
+                                            target.service) ==
+                                      it->unreachable_services.end();
+                       });
+}
+
 } // namespace
 
 void on_direct_connection(host_state& host,
@@ -91,6 +109,11 @@
                           connection_result result, time_point begun_at,
                           time_point now)
 {
+    if (result != connection_result::accepted &&
+        lost_for_others(host, target, now))
+    {
+        return;
+    }
     auto const change = host.paths.observe(
         target.service, target.id, target.domain, result, begun_at,
         host.targets.usable(target.service).size(),
@@ -141,8 +164,8 @@
     }
 }
 
-void on_tunnel_refused(host_state& host, host_id const& helper,
-                       http1::tunnel_refusal why, time_point now)
+auto on_tunnel_refused(host_state& host, host_id const& helper,
+                       http1::tunnel_refusal why, time_point now) -> bool
 {
     auto const at_target = why == http1::tunnel_refusal::target_refused ||
                            why == http1::tunnel_refusal::target_timed_out;
@@ -150,6 +173,7 @@
     {
         host.helpers.failed(helper, now);
     }
+    return !at_target;
 }
 
 void probe_paths(host_state& host, time_point now)
--- a/src/gateway/path_events.hpp
+++ b/src/gateway/path_events.hpp
@@ -45,9 +45,10 @@
 void on_tunnel_begun(host_state& host, host_id const& helper);
 void on_tunnel_ended(host_state& host, host_id const& helper);
 
-/// There was no tunnel. Excludes the helper for a while if that is due to it.
-void on_tunnel_refused(host_state& host, host_id const& helper,
-                       http1::tunnel_refusal why, time_point now);
+/// There was no tunnel. Excludes the helper for a while if that is due to it,
+/// and returns whether it is.
+auto on_tunnel_refused(host_state& host, host_id const& helper,
+                       http1::tunnel_refusal why, time_point now) -> bool;
 
 /// Probes a target of each unreachable service if a probe is due. Call several
 /// times a second.
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -680,7 +680,8 @@
     }
     else
     {
-        state_.refusals += own_link || helped ? 0 : 1;
+        auto const on_path = helped && !current_->helper_failed_there;
+        state_.refusals += own_link || on_path ? 0 : 1;
         ++state_.fruitless_retries;
     }
     state_.own_link_down =
--- a/src/gateway/relay_paths.cpp
+++ b/src/gateway/relay_paths.cpp
@@ -67,8 +67,11 @@
 void relay::on_tunnel_refusal(http1::tunnel_refusal why, time_point now)
 {
     auto const& helper = *current_->path.helper;
-    failed_helpers_.push_back(helper);
-    on_tunnel_refused(host_, helper, why, now);
+    // Otherwise the target is at fault, and the helper may reach others.
+    if (on_tunnel_refused(host_, helper, why, now))
+    {
+        failed_helpers_.push_back(helper);
+    }
 }
 
 auto relay::failed_on_path(attempt_failure how) const -> bool
--- a/src/gateway/relay_paths_test.cpp
+++ b/src/gateway/relay_paths_test.cpp
@@ -1,3 +1,4 @@
+#include "gateway/path_events.hpp"
 #include "gateway/relay_fixture.hpp"
 #include "gateway/tunnel_server.hpp"
 #include "standins/cuttable_link.hpp"
@@ -287,4 +288,68 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_host_whose_targets_are_lost)
+
+// Requests went through helpers to targets that were gone, and ended without
+// being sent to the others.
+BOOST_FIXTURE_TEST_CASE(keeps_its_path_if_others_lost_them_too, one_host)
+{
+    auto const now = net::event_loop::now();
+    auto digest = fleet::digest{};
+    digest.host = host_id{"other"};
+    digest.sequence = 1;
+    host.other_hosts.apply(digest, now);
+    auto const observe_refusals = [&](std::string const& prefix)
+    {
+        for (auto i = 0; i < 8; ++i)
+        {
+            auto it = directory::listed_target{};
+            it.id = target_id{prefix + std::to_string(i)};
+            it.service = service;
+            it.domain = domain_id{i % 2 == 0 ? "a" : "b"};
+            on_direct_connection(
+                host, it, reachability::connection_result::refused, now, now);
+        }
+    };
+    list("t0", "a", unused_port(loop));
+    list("t1", "b", unused_port(loop));
+    for (auto i = 0; i < 8; ++i)
+    {
+        host.reported_losses.record(target_id{"t" + std::to_string(i)},
+                                    digest.host, now);
+    }
+    observe_refusals("t");
+    BOOST_TEST(!host.paths.unreachable(service));
+    observe_refusals("u");
+    BOOST_TEST(host.paths.lost(service));
+}
+
+// A host that is partitioned too reports targets lost that others reach.
+BOOST_FIXTURE_TEST_CASE(loses_its_path_beside_others_that_lost_theirs, one_host)
+{
+    auto const now = net::event_loop::now();
+    auto sound = fleet::digest{};
+    sound.host = host_id{"sound"};
+    sound.sequence = 1;
+    host.other_hosts.apply(sound, now);
+    auto partitioned = sound;
+    partitioned.host = host_id{"partitioned"};
+    partitioned.unreachable_services = {service};
+    host.other_hosts.apply(partitioned, now);
+    list("t0", "a", unused_port(loop));
+    for (auto i = 0; i < 4; ++i)
+    {
+        auto it = directory::listed_target{};
+        it.id = target_id{"t" + std::to_string(i)};
+        it.service = service;
+        it.domain = domain_id{"a"};
+        host.reported_losses.record(it.id, partitioned.host, now);
+        on_direct_connection(host, it, reachability::connection_result::refused,
+                             now, now);
+    }
+    BOOST_TEST(host.paths.lost(service));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace primrosedeal::gateway
