Let the raw target stop reading, half-close and keep what it reads

Tests of responses that come before the end of an upload need a target that does not read on, ends its side alone, waits with its end for a number of bytes, and takes only a few KB into its kernel. What each connection sent is kept, so that a test can tell whether other bytes came in place of the rest.

--- a/src/standins/raw_target.cpp
+++ b/src/standins/raw_target.cpp
@@ -6,6 +6,8 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -35,6 +37,8 @@
     int closed_by_peer = 0;
     std::list<connection> connections;
     net::timer wake_up;
+    /// References to its elements stay valid as it grows.
+    std::deque<std::string> received;
 
     void stand_still(duration time);
 };
@@ -44,17 +48,19 @@
     state& owner;
     bufferevent* bev;
     std::list<connection>::iterator self;
-    std::string head;
+    std::string& bytes;
     raw_answer answer;
     std::size_t queued = 0;
     std::size_t left = 0;
     bool answering = false;
     bool stood_still = false;
+    bool awaits_bytes = false;
     net::timer pause;
 
     connection(state& target, evutil_socket_t fd)
         : owner(target), bev(bufferevent_socket_new(target.loop.base(), fd,
-                                                    BEV_OPT_CLOSE_ON_FREE))
+                                                    BEV_OPT_CLOSE_ON_FREE)),
+          bytes(target.received.emplace_back())
     {
         bufferevent_setcb(bev, on_read, on_drained, on_event, this);
         bufferevent_enable(bev, EV_READ | EV_WRITE);
@@ -75,24 +81,34 @@
         auto n = bufferevent_read(bev, buf, sizeof buf);
         while (n > 0)
         {
-            it.head.append(buf, n);
+            it.bytes.append(buf, n);
             n = bufferevent_read(bev, buf, sizeof buf);
         }
-        if (!it.answering && it.head.find("\r\n\r\n") != std::string::npos)
+        if (it.awaits_bytes && it.bytes.size() >= it.answer.end_after_bytes)
+        {
+            it.awaits_bytes = false;
+            it.end();
+            return;
+        }
+        if (!it.answering && it.bytes.find("\r\n\r\n") != std::string::npos)
         {
             it.answering = true;
             ++it.owner.runs;
-            it.answer = it.owner.work(it.head);
+            it.answer = it.owner.work(it.bytes);
+            if (!it.answer.reads_on)
+            {
+                bufferevent_disable(bev, EV_READ);
+            }
             it.answer.first.empty() ? it.send_more()
                                     : it.queue(it.answer.first);
         }
     }
 
-    void queue(std::string const& bytes)
+    void queue(std::string const& it)
     {
-        queued += bytes.size();
-        left = bytes.size();
-        bufferevent_write(bev, bytes.data(), bytes.size());
+        queued += it.size();
+        left = it.size();
+        bufferevent_write(bev, it.data(), it.size());
     }
 
     static void on_drained(bufferevent* /*bev*/, void* arg)
@@ -114,12 +130,12 @@
         }
         if (!answer.repeated.empty() && queued < answer.max_bytes)
         {
-            auto bytes = std::string{};
-            while (bytes.size() < piece_bytes)
+            auto piece = std::string{};
+            while (piece.size() < piece_bytes)
             {
-                bytes += answer.repeated;
+                piece += answer.repeated;
             }
-            queue(bytes);
+            queue(piece);
             return;
         }
         if (answer.standstill > 0s && !std::exchange(stood_still, true))
@@ -137,6 +153,26 @@
         {
             return;
         }
+        awaits_bytes = bytes.size() < answer.end_after_bytes;
+        if (awaits_bytes)
+        {
+            return;
+        }
+        if (answer.end_pause > 0s)
+        {
+            pause = owner.loop.after(answer.end_pause, [this] { end(); });
+            return;
+        }
+        end();
+    }
+
+    void end()
+    {
+        if (answer.end == answer_end::half_closed)
+        {
+            ::shutdown(bufferevent_getfd(bev), SHUT_WR);
+            return;
+        }
         if (answer.end == answer_end::reset)
         {
             auto const now = linger{1, 0};
@@ -172,9 +208,10 @@
                          });
 }
 
-raw_target::raw_target(net::event_loop& loop, script work)
-    : state_(
-          new state{*this, loop, std::move(work), nullptr, 0, 0, 0, 0, {}, {}})
+raw_target::raw_target(net::event_loop& loop, script work,
+                       receive_window window)
+    : state_(new state{
+          *this, loop, std::move(work), nullptr, 0, 0, 0, 0, {}, {}, {}})
 {
     auto const at = net::to_sockaddr({"127.0.0.1", 0});
     auto const on_accept =
@@ -189,6 +226,14 @@
         loop.base(), on_accept, state_.get(),
         LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, backlog,
         reinterpret_cast<sockaddr const*>(&at), sizeof at);
+    if (window == receive_window::small)
+    {
+        auto const fd = evconnlistener_get_fd(state_->listener);
+        auto const buffer = 4096;
+        auto const segment = 1460;
+        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof buffer);
+        setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof segment);
+    }
     auto bound = sockaddr_in{};
     auto n = socklen_t{sizeof bound};
     getsockname(evconnlistener_get_fd(state_->listener),
@@ -224,6 +269,11 @@
                       [](connection const& it) { return it.answering; }));
 }
 
+auto raw_target::received() const -> std::deque<std::string> const&
+{
+    return state_->received;
+}
+
 auto raw_target::closed_by_peer() const -> int
 {
     return state_->closed_by_peer;
--- a/src/standins/raw_target.hpp
+++ b/src/standins/raw_target.hpp
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -18,6 +19,17 @@
     stays_open,
     closed,
     reset,
+    /// Its side is closed in good order, and nothing more is read.
+    half_closed,
+};
+
+/// How much of a request the kernels take for a target that does not read.
+enum class receive_window
+{
+    usual,
+    /// Some KB, and segments as on Ethernet, by which the peer's kernel bounds
+    /// what it buffers.
+    small,
 };
 
 struct raw_answer
@@ -33,6 +45,12 @@
     /// Time after `first` in which the target's process stands still: its
     /// kernel takes connections and bytes, but nobody reads them.
     duration standstill = {};
+    /// Whether the request is read beyond its first bytes.
+    bool reads_on = true;
+    /// Bytes of the connection's requests before which the answer does not end.
+    std::size_t end_after_bytes = 0;
+    /// Time between the last byte of the answer and its end.
+    duration end_pause = {};
 };
 
 class raw_target
@@ -41,7 +59,8 @@
     /// Answers the head of a request.
     using script = std::function<raw_answer(std::string const& head)>;
 
-    raw_target(net::event_loop& loop, script work);
+    raw_target(net::event_loop& loop, script work,
+               receive_window window = receive_window::usual);
     raw_target(raw_target const&) = delete;
     auto operator=(raw_target const&) -> raw_target& = delete;
     ~raw_target();
@@ -61,6 +80,10 @@
     /// Connections that the peer ended.
     [[nodiscard]] auto closed_by_peer() const -> int;
 
+    /// What each connection, in the order of their beginnings, has sent and the
+    /// target has read.
+    [[nodiscard]] auto received() const -> std::deque<std::string> const&;
+
     /// Called whenever bytes of an answer have left.
     std::function<void()> on_sent;
 
