Take no part of a response for complete when its upload was cut

A response without a length was taken for complete if its connection was reset while the upload was written: the failed write takes the error from the socket, the read after it sees an end, and libevent reports both at once (BEV_EVENT_EOF with BEV_EVENT_ERROR). So was one whose connection was ended in good order in the middle of the upload. Such a response is complete now only if the end comes without an error and the other end has acknowledged the whole request; what it has read is acknowledged by its end at the latest.

http_parser takes any number of digits, with spaces before them, that gives at most 999 for a status, so 0200, 600 and 999 were passed on. A status has three digits and is below 600 (RFC 9110, 15); anything else is malformed.

The answer has a length now; all checks stay.

--- a/src/gateway/attempt_test.cpp
+++ b/src/gateway/attempt_test.cpp
@@ -1055,7 +1055,10 @@
     BOOST_TEST(late.unanswered_since.has_value());
     BOOST_TEST(late.direct_answers == 0);
 
-    auto const bytes = signed_head + "\r\n" + event(1);
+    // With a length, since it comes before the request has left.
+    auto const bytes = signed_head +
+                       "Content-Length: " + std::to_string(event(1).size()) +
+                       "\r\n\r\n" + event(1);
     answer = http1::write_connect_answer(std::nullopt) +
              http1::write_frame_head(bytes.size()) + bytes +
              http1::write_frame_head(0);
--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -2,6 +2,7 @@
 
 #include "net/connect.hpp"
 #include "net/connect_error.hpp"
+#include "net/unacknowledged.hpp"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -221,6 +222,7 @@
     {
         auto const bytes = write_renewal();
         bufferevent_write(bev, bytes.data(), bytes.size());
+        bytes_after_request += bytes.size();
         renewal_pending = true;
         renewed_at = now;
     }
@@ -277,7 +279,10 @@
         {
             self.events.on_refused();
         }
-        self.on_closed((what & BEV_EVENT_EOF) != 0);
+        // A failed write takes the error of a reset from the socket, so that
+        // the read after it sees an end; libevent reports both at once.
+        self.on_closed((what & BEV_EVENT_EOF) != 0 &&
+                       (what & BEV_EVENT_ERROR) == 0);
     }
 
     void on_closed(bool in_good_order)
@@ -290,7 +295,7 @@
         {
             fail(call_error::closed_unanswered);
         }
-        else if (in_good_order)
+        else if (in_good_order && request_taken())
         {
             deliver(parser.feed_end(), true);
         }
@@ -300,6 +305,14 @@
         }
     }
 
+    /// Whether the other end has the whole request. A body that ends with its
+    /// connection is otherwise not known to be whole: a target that fails
+    /// ends its connection in the same way.
+    [[nodiscard]] auto request_taken() const -> bool
+    {
+        return net::unacknowledged_bytes(bev) <= bytes_after_request;
+    }
+
     /// Every handler may destroy this object.
     void deliver(response_progress it, bool ended)
     {
@@ -374,6 +387,8 @@
     std::string unsent;
     bufferevent* bev;
     net::timer deadline;
+    /// Of renewals.
+    std::size_t bytes_after_request = 0;
     bool helper_connected = false;
     bool connected = false;
     bool answered = false;
--- a/src/http1/message.cpp
+++ b/src/http1/message.cpp
@@ -459,12 +459,15 @@
         out.on_message_complete = [](http_parser* p)
         {
             auto& it = self(p);
-            if (!it.interim_)
+            if (it.interim_)
             {
-                it.progress_.complete = true;
-                it.complete_ = true;
-                http_parser_pause(p, 1);
+                it.in_status_line_ = true;
+                it.status_line_.clear();
+                return 0;
             }
+            it.progress_.complete = true;
+            it.complete_ = true;
+            http_parser_pause(p, 1);
             return 0;
         };
         return out;
@@ -552,6 +555,42 @@
     return true;
 }
 
+/// http_parser takes any number of digits, with spaces before them, that gives
+/// at most 999. A status has three digits and is below 600: RFC 9110, 15.
+auto response_parser::has_valid_status(std::string_view piece) -> bool
+{
+    constexpr auto status_at = std::string_view{"HTTP/1.1 "}.size();
+    constexpr auto status_end = status_at + 3;
+    if (!in_status_line_)
+    {
+        return true;
+    }
+    for (auto const c : piece)
+    {
+        // Empty lines may precede it.
+        auto const leads = status_line_.empty() && (c == '\r' || c == '\n');
+        if (!leads && status_line_.size() <= status_end)
+        {
+            status_line_ += c;
+        }
+    }
+    in_status_line_ = status_line_.empty() || piece.back() != '\n';
+    if (status_line_.size() <= status_end)
+    {
+        return in_status_line_;
+    }
+    auto const is_digit = [](char c)
+    {
+        return c >= '0' && c <= '9';
+    };
+    auto const first = status_line_[status_at];
+    auto const after = status_line_[status_end];
+    return first >= '1' && first <= '5' &&
+           is_digit(status_line_[status_at + 1]) &&
+           is_digit(status_line_[status_at + 2]) &&
+           (after == ' ' || after == '\r');
+}
+
 void response_parser::execute(std::string_view bytes)
 {
     static auto const settings = callbacks::make();
@@ -577,7 +616,8 @@
             part_ = chunk_left_ == 0 ? part::chunk_end : part::chunk;
             continue;
         }
-        if (part_ != part::body && !has_valid_line_end(piece))
+        if (part_ != part::body &&
+            (!has_valid_line_end(piece) || !has_valid_status(piece)))
         {
             malformed_ = true;
             break;
--- a/src/http1/message.hpp
+++ b/src/http1/message.hpp
@@ -171,12 +171,16 @@
     [[nodiscard]] auto next_piece(std::string_view bytes) const
         -> std::string_view;
     auto has_valid_line_end(std::string_view piece) -> bool;
+    auto has_valid_status(std::string_view piece) -> bool;
     void execute(std::string_view bytes);
 
     http_parser parser_{};
     header_collector headers_;
     response_progress progress_;
     part part_ = part::line;
+    /// First bytes of the status line, up to the one after the status.
+    std::string status_line_;
+    bool in_status_line_ = true;
     char last_ = '\0';
     std::uint64_t chunk_left_ = 0;
     std::size_t framing_bytes_ = 0;
