End a tunnel's answer only once its target has the whole request

It now counts the request that passes (http_parser, nothing is kept) and writes the frame only if all of it has passed and the target has acknowledged it. What is still on its way from the host is known to be missing too.

--- a/src/gateway/tunnel_server.cpp
+++ b/src/gateway/tunnel_server.cpp
@@ -1,8 +1,10 @@
 #include "gateway/tunnel_server.hpp"
 
+#include "http1/request_meter.hpp"
 #include "net/connect.hpp"
 #include "net/connect_error.hpp"
 #include "net/socket_address.hpp"
+#include "net/unacknowledged.hpp"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -189,7 +191,10 @@
         }
         else
         {
-            self->on_target_end((what & BEV_EVENT_EOF) != 0);
+            // A failed write takes the error of a reset, and the read after it
+            // sees an end; libevent reports both at once.
+            self->on_target_end((what & BEV_EVENT_EOF) != 0 &&
+                                (what & BEV_EVENT_ERROR) == 0);
         }
     }
 
@@ -328,8 +333,11 @@
     {
         traffic_.to_target += n;
         active_at_ = net::event_loop::now();
-        evbuffer_remove_buffer(bufferevent_get_input(host_),
-                               bufferevent_get_output(target_), n);
+        auto* const in = bufferevent_get_input(host_);
+        request_.feed({reinterpret_cast<char const*>(
+                           evbuffer_pullup(in, static_cast<ev_ssize_t>(n))),
+                       n});
+        evbuffer_remove_buffer(in, bufferevent_get_output(target_), n);
     }
 
     void pass_frames_to_target(std::size_t n)
@@ -350,6 +358,7 @@
         {
             traffic_.to_target += it.bytes.size();
             active_at_ = net::event_loop::now();
+            request_.feed(it.bytes);
             bufferevent_write(target_, it.bytes.data(), it.bytes.size());
         }
     }
@@ -380,7 +389,10 @@
             return;
         }
         pass_to_host();
-        if (in_order)
+        // The end states that the answer is whole, which is not known of one
+        // that ends with its connection before the target has its request.
+        if (in_order && request_.whole() &&
+            net::unacknowledged_bytes(target_) == 0)
         {
             write_to_host(http1::write_frame_head(0));
         }
@@ -490,6 +502,7 @@
     /// The host renews its lease, and what it sends comes in frames.
     bool leased_ = false;
     http1::frame_decoder frames_;
+    http1::request_meter request_;
     /// Time of the last byte from the host, or since which it is read again.
     time_point host_seen_at_{};
     bool reads_host_ = true;
