--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -19,6 +19,10 @@
          serve},
         {"check", "check settings and configuration files",
          "primrosedeal check samples/kigali.defaults.yaml", check},
+        {"check-configuration",
+         "check a configuration of the gateway before it is sent",
+         "primrosedeal check-configuration next.json --in-force now.json",
+         check_configuration},
         {"defaults", "show, diff or apply the accepted configuration",
          "primrosedeal defaults apply fleet.yaml --author=ann --wait=10s "
          "--key_value=127.0.0.1:2379 --operators=127.0.0.1:8081 "
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -59,6 +59,19 @@
     absl::SetProgramUsageMessage(cli::help_text(""));
 }
 
+/// Names of flags may be written with dashes, which absl does not know.
+auto with_underscores(std::string word) -> std::string
+{
+    constexpr auto marks = std::size_t{2};
+    if (word.size() > marks && word.starts_with("--"))
+    {
+        auto const end = std::min(word.find('='), word.size());
+        std::replace(word.begin() + marks,
+                     word.begin() + static_cast<std::ptrdiff_t>(end), '-', '_');
+    }
+    return word;
+}
+
 } // namespace
 
 auto main(int argc, char** argv) -> int
@@ -66,7 +79,17 @@
     try
     {
         configure_help();
-        auto const parsed = absl::ParseCommandLine(argc, argv);
+        auto words_as_given = std::vector<std::string>{};
+        auto pointers = std::vector<char*>{};
+        for (auto i = 0; i < argc; ++i)
+        {
+            words_as_given.push_back(with_underscores(argv[i]));
+        }
+        for (auto& it : words_as_given)
+        {
+            pointers.push_back(it.data());
+        }
+        auto const parsed = absl::ParseCommandLine(argc, pointers.data());
         net::initialise_process();
         auto const words =
             std::vector<std::string>{parsed.begin() + 1, parsed.end()};
--- a/src/cli/subcommands.hpp
+++ b/src/cli/subcommands.hpp
@@ -11,6 +11,7 @@
 auto gateway(arguments const& words) -> exit_code;
 auto serve(arguments const& words) -> exit_code;
 auto check(arguments const& words) -> exit_code;
+auto check_configuration(arguments const& words) -> exit_code;
 auto defaults(arguments const& words) -> exit_code;
 auto exceptions(arguments const& words) -> exit_code;
 auto load(arguments const& words) -> exit_code;
