Add rollouts: decisions, digest field and gateway hooks

An operator's order moves the traffic of a service to one software version. Each host counts the responses of both versions, takes the counts of others from digests, limits the version until it has been evaluated, stops it on evidence, and one host writes the status by a conditional transaction. Without an order nothing changes.

--- a/src/fleet/digest.cpp
+++ b/src/fleet/digest.cpp
@@ -2,6 +2,7 @@
 
 #include "fleet/evidence_message.hpp"
 #include "fleet/origin_message.hpp"
+#include "fleet/rollout_message.hpp"
 
 #include <msgpack.hpp>
 
@@ -50,7 +51,8 @@
     std::declval<fields>(), std::declval<evidence_fields>(),
     std::declval<sender_fields>(), std::declval<limit_fields>(),
     std::declval<origin_fields>(), std::declval<reachability_fields>(),
-    std::declval<rejection_fields>(), std::declval<configuration_fields>()));
+    std::declval<rejection_fields>(), std::declval<configuration_fields>(),
+    std::declval<rollout_fields>()));
 constexpr auto old_size = std::tuple_size_v<fields>;
 constexpr auto accusations_index = old_size;
 constexpr auto clearances_index = old_size + 1;
@@ -63,6 +65,8 @@
 constexpr auto rejection_limits_index = old_size + 8;
 constexpr auto rejections_index = old_size + 9;
 constexpr auto configuration_index = old_size + 10;
+constexpr auto rollouts_index = old_size + 11;
+constexpr auto rollout_counts_index = old_size + 12;
 
 /// Encodes the end of a limit.
 constexpr auto no_limit = -1.0;
@@ -103,10 +107,16 @@
 /// without news.
 auto pack_all(all_fields const& it, bool partial) -> std::string
 {
-    if (std::get<configuration_index>(it) != 0)
+    if (!std::get<rollouts_index>(it).empty())
     {
         return pack(it, partial);
     }
+    if (std::get<configuration_index>(it) != 0)
+    {
+        return pack(
+            first_elements(it, std::make_index_sequence<rollouts_index>{}),
+            partial);
+    }
     auto const no_rejections = std::get<rejection_limits_index>(it).empty() &&
                                std::get<rejections_index>(it).empty();
     if (!no_rejections)
@@ -142,7 +152,7 @@
         std::get<accusations_index>(it), std::get<clearances_index>(it),
         std::get<limits_index>(it), std::get<origins_index>(it),
         std::get<unreachable_index>(it), std::get<rejection_limits_index>(it),
-        std::get<rejections_index>(it));
+        std::get<rejections_index>(it), std::get<rollout_counts_index>(it));
     auto const longest = std::apply(
         [](auto const&... list) { return std::max({list.size()...}); }, lists);
     auto done = longest == 0;
@@ -278,6 +288,8 @@
     {
         std::get<configuration_index>(out) = it.configuration->version.value();
     }
+    std::tie(std::get<rollouts_index>(out),
+             std::get<rollout_counts_index>(out)) = to_fields(it.rollouts);
     auto bytes = pack_all(out, it.partial);
     if (bytes.size() > max_bytes)
     {
@@ -401,6 +413,13 @@
                     routes::configuration_version{version}, now};
             }
         }
+        if (all.size > rollout_counts_index)
+        {
+            out.rollouts = to_rollouts(
+                {all.ptr[rollouts_index].as<std::vector<rollout_row>>(),
+                 all.ptr[rollout_counts_index]
+                     .as<std::vector<rollout_counts_row>>()});
+        }
         return out;
     }
     catch (std::exception const&)
--- a/src/fleet/digest.hpp
+++ b/src/fleet/digest.hpp
@@ -6,6 +6,7 @@
 #include "quarantine/part_quarantine.hpp"
 #include "rejection_limit/rejection_log.hpp"
 #include "request_limit/limit_table.hpp"
+#include "rollout/evidence.hpp"
 #include "routes/configuration.hpp"
 #include "stream_origin/origin_table.hpp"
 
@@ -99,6 +100,9 @@
     /// Partial digests have it only if it is recent. Absent before the host has
     /// one, and in digests of hosts of earlier versions.
     std::optional<used_configuration> configuration;
+    /// Evidence of the host on versions that are rolled out. Partial digests
+    /// have all of it. Absent in digests of hosts of earlier versions.
+    std::vector<rollout::report> rollouts;
 };
 
 /// Largest digest in bytes, sent as one datagram. Entries that do not fit are
--- a/src/gateway/digest_task.cpp
+++ b/src/gateway/digest_task.cpp
@@ -79,6 +79,7 @@
     {
         host_.rejections.merge(it.host, each);
     }
+    host_.rollouts.merge(it.host, it.rollouts, now);
     for (auto const& each : it.origins)
     {
         host_.origins.merge(each, now);
@@ -123,7 +124,8 @@
         reported_configuration_ = configuration->version;
         ++state_changes_;
     }
-    own.changes = host_.loads.change_count() + state_changes_;
+    own.changes = host_.loads.change_count() + host_.rollouts.change_count() +
+                  state_changes_;
     own.lost = std::exchange(host_.newly_lost, {});
     own.replaced = std::exchange(host_.newly_replaced, {});
     own.receivers = receivers_;
@@ -156,6 +158,7 @@
     out.rejection_limits = host_.rejection_limits.report(now);
     out.rejections = host_.rejections.report(now);
     out.configuration = events_.configuration();
+    out.rollouts = host_.rollouts.reports(now);
     return out;
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -13,6 +13,7 @@
 #include "gateway/path_events.hpp"
 #include "gateway/peer_exchange.hpp"
 #include "gateway/relay.hpp"
+#include "gateway/rollout_task.hpp"
 #include "gateway/tunnel_server.hpp"
 #include "gateway/version_reader.hpp"
 #include "http1/server.hpp"
@@ -93,6 +94,7 @@
               [this](peer_state const& it) { on_peer_state(it); }),
           digests_(host_, peers_, make_digest_events()),
           origins_(host_, peers_, store), versions_(host_, store),
+          rollouts_(host_, peers_, store),
           tunnel_limit_(settings.link_bytes_per_second),
           tunnels_(loop, tunnel_limits{}, make_tunnel_events()),
           source_(loop, store, host_.random, peers_, host_.other_hosts,
@@ -422,13 +424,13 @@
                 out.push_back(std::move(*target->it));
             }
         }
-        remove_lost_records(before);
+        remove_lost_records(before, now);
         return out;
     }
 
-    /// A record of versions is never removed, but a restored store may lack it.
-    /// It is written again once it counts as missing.
-    void remove_lost_records(entry_map const& before)
+    /// A record of versions and a status are never removed, but a restored
+    /// store may lack them. They are written again once they count as missing.
+    void remove_lost_records(entry_map const& before, time_point now)
     {
         for (auto const& [key, old] : before)
         {
@@ -437,9 +439,10 @@
                 continue;
             }
             auto const it = host_.wire.read_entry(key, std::nullopt);
-            if (auto const* const record = std::get_if<versions_entry>(&it))
+            if (std::holds_alternative<versions_entry>(it) ||
+                std::holds_alternative<rollout_entry_removed>(it))
             {
-                adopt_versions(*record);
+                apply(it, now);
             }
         }
     }
@@ -477,7 +480,9 @@
                 { apply_target_event(e, now); },
                 [&](host_entry const& e) { update_host(e); },
                 [&](origins_entry const& e) { origins_.merge(e.bytes, now); },
-                [&](versions_entry const& e) { adopt_versions(e); },
+                [&](versions_entry const& e) { origins_.adopt(e); },
+                [&](auto const& e)
+                { rollouts_.apply(e, make_store_position(now), now); },
                 [](other_entry const&) {
                 }},
             it);
@@ -490,18 +495,6 @@
             std::max<std::size_t>(peers_.known_peers().size(), 1);
     }
 
-    void adopt_versions(versions_entry const& it)
-    {
-        auto const versions =
-            it.bytes ? stream_origin::decode_versions(*it.bytes) : std::nullopt;
-        if (it.bytes && !versions)
-        {
-            log::write(log::level::warning, "versions_unreadable",
-                       {{"service", it.service.value()}});
-        }
-        host_.served_versions.apply(it.service, versions);
-    }
-
     void adopt_from_entry(configuration_entry const& it, time_point now)
     {
         adopt_configuration(it, source_.in_contact() ? "store" : "peer", now);
@@ -898,6 +891,7 @@
         host_.metrics.log_lines_dropped(log::dropped_lines());
         host_.list_is_current = fleet::list_is_current(make_copy_view(now));
         origins_.tick(make_store_position(now), now);
+        rollouts_.tick(make_store_position(now), now);
         source_.tick(now);
         fetch_later_configuration(now);
         register_host(now);
@@ -966,6 +960,7 @@
             }
             host_.settings.retry_ratio = it.retry_ratio;
             host_.settings.retry_slack = it.retry_slack;
+            host_.settings.rollouts = it.rollouts;
             host_.settings.max_descriptors = it.max_descriptors;
             apply_limits();
             log::write(log::level::info, "settings_reloaded",
@@ -988,6 +983,7 @@
     digest_task digests_;
     origin_task origins_;
     version_reader versions_;
+    rollout_task rollouts_;
     reachability::tunnel_limit tunnel_limit_;
     tunnel_server tunnels_;
     entry_source source_;
--- a/src/gateway/host_state.hpp
+++ b/src/gateway/host_state.hpp
@@ -23,6 +23,7 @@
 #include "rejection_limit/gate.hpp"
 #include "request_limit/limit_table.hpp"
 #include "request_limit/limiter.hpp"
+#include "rollout/rollout_table.hpp"
 #include "routes/route_table.hpp"
 #include "stream_origin/origin_table.hpp"
 #include "stream_origin/record_reads.hpp"
@@ -184,6 +185,7 @@
     dispatch::completion_time_table completion_times;
     /// Services with an engine or a stream that this host has asked for.
     std::map<service_id, dispatch::service_times> service_times;
+    rollout::rollout_table rollouts{settings.rollouts};
     /// Time of SIGTERM; empty before it.
     std::optional<time_point> shutdown_started_at;
 };
--- a/src/gateway/origin_task.cpp
+++ b/src/gateway/origin_task.cpp
@@ -82,6 +82,18 @@
     return known->complete;
 }
 
+void origin_task::adopt(versions_entry const& it)
+{
+    auto const versions =
+        it.bytes ? stream_origin::decode_versions(*it.bytes) : std::nullopt;
+    if (it.bytes && !versions)
+    {
+        log::write(log::level::warning, "versions_unreadable",
+                   {{"service", it.service.value()}});
+    }
+    host_.served_versions.apply(it.service, versions);
+}
+
 void origin_task::on_store_restored(time_point now)
 {
     written_at_ = {};
--- a/src/gateway/origin_task.hpp
+++ b/src/gateway/origin_task.hpp
@@ -42,6 +42,9 @@
     /// one. Returns whether they are all that a host may know.
     auto merge(std::string const& bytes, time_point now) -> bool;
 
+    /// The record of a service's versions was written or removed.
+    void adopt(versions_entry const& it);
+
     /// What this host has written may be lost; it is written again.
     void on_store_restored(time_point now);
 
--- a/src/gateway/protocol.hpp
+++ b/src/gateway/protocol.hpp
@@ -6,6 +6,7 @@
 #include "dispatch/load_tracker.hpp"
 #include "http1/message.hpp"
 #include "request_limit/limit_table.hpp"
+#include "rollout/order.hpp"
 #include "routes/configuration.hpp"
 
 #include <cstdint>
@@ -126,6 +127,33 @@
     std::optional<std::string> bytes;
 };
 
+/// An order to move the traffic of a service to one version. The revision that
+/// identifies it is that of the item.
+struct rollout_order_entry
+{
+    service_id service;
+    software_version version;
+    duration length{};
+    /// Why the order cannot be read; empty if it can.
+    std::string problem;
+};
+
+/// The status of such an order.
+struct rollout_status_entry
+{
+    service_id service;
+    rollout::state what = rollout::state::in_progress;
+    software_version version;
+    std::string problem;
+};
+
+/// The item of a rollout was removed.
+struct rollout_entry_removed
+{
+    service_id service;
+    bool is_status = false;
+};
+
 /// An item that the gateway does not use.
 struct other_entry
 {
@@ -134,7 +162,8 @@
 /// A decoded item of the store.
 using store_entry =
     std::variant<configuration_entry, directory::entry_written, host_entry,
-                 origins_entry, versions_entry, other_entry>;
+                 origins_entry, versions_entry, rollout_order_entry,
+                 rollout_status_entry, rollout_entry_removed, other_entry>;
 
 class protocol
 {
@@ -184,6 +213,13 @@
         -> std::string = 0;
     [[nodiscard]] virtual auto host_key(host_id const& id) const
         -> std::string = 0;
+    [[nodiscard]] virtual auto rollout_order_key(service_id const& id) const
+        -> std::string = 0;
+    [[nodiscard]] virtual auto rollout_status_key(service_id const& id) const
+        -> std::string = 0;
+    [[nodiscard]] virtual auto
+    write_rollout_status(rollout_status_entry const& it) const
+        -> std::string = 0;
 };
 
 } // namespace primrosedeal::gateway
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -234,7 +234,7 @@
     {
         return;
     }
-    if (!set_versions(now))
+    if (!set_versions(now) || !follow_rollout(now))
     {
         return;
     }
@@ -404,6 +404,7 @@
     host_.limiter.sent(target.id, now);
     host_.rejection_gate.sent(target.id, now);
     record_origin(now);
+    host_.rollouts.sent(admitted_.service->id, target.version);
     if (warm)
     {
         current_->prefilled = true;
@@ -494,6 +495,10 @@
     }
     if (!std::exchange(current_->has_event, true))
     {
+        if (!current_->warm)
+        {
+            observe_for_rollout(false, now);
+        }
         ensure_copy(now);
     }
     on_run_progress(now);
@@ -573,6 +578,7 @@
     host_.detector.report(current_->target.id, current_->target.domain,
                           observation::answered, now);
     on_request_answered(now);
+    observe_for_rollout(false, now);
     completion_times().observe(now - arrived_at_, now);
     release_target();
     client_->reply(forwarded(it.head), it.body, false);
@@ -623,6 +629,7 @@
     auto const newly_excluded =
         !excused && host_.detector.report(target.id, target.domain,
                                           observation_of(how), now);
+    observe_failure_for_rollout(how, excused, now);
     host_.metrics.attempt_failed(to_string(how));
     auto const last_sign = current_->has_event
                                ? last_event_at_.value_or(current_->sent_at)
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -187,6 +187,15 @@
     /// it may begin. If not, the request has ended, or goes on after a read.
     [[nodiscard]] auto set_versions(time_point now) -> bool;
     void read_versions();
+    /// Narrows the versions of the next attempt to those that a rollout permits
+    /// (`relay_rollout.cpp`); false if the request has ended.
+    [[nodiscard]] auto follow_rollout(time_point now) -> bool;
+    void end_at_excluded_version(software_version const& version,
+                                 time_point now);
+    /// The current attempt has brought a response or a first event.
+    void observe_for_rollout(bool failed, time_point now);
+    void observe_failure_for_rollout(dispatch::attempt_failure how,
+                                     bool excused, time_point now);
     /// The only version at which the stream may run, once there is one: that of
     /// its first event or, before it, one that other hosts may know as that.
     [[nodiscard]] auto fixed_version() const -> std::optional<software_version>;
@@ -236,6 +245,9 @@
     std::optional<software_version> origin_;
     /// The versions at which the next attempt may run; empty: any.
     stream_origin::version_set versions_;
+    /// Versions for the next attempt where `versions_` have no room.
+    stream_origin::version_set versions_otherwise_;
+    bool counted_for_rollout_ = false;
     /// `stream_origin::service_versions::stored`.
     std::optional<stream_origin::version_set> stored_versions_;
     /// The version of the last attempt.
--- a/src/gateway/relay_end.cpp
+++ b/src/gateway/relay_end.cpp
@@ -99,6 +99,10 @@
     {
         state_.may_have_run = true;
     }
+    if (current_ && !current_->has_event)
+    {
+        observe_for_rollout(false, now);
+    }
     end_with_failure(refusal_reason::deadline,
                      dispatch::final_status(state_, now), now);
 }
--- a/src/gateway/relay_versions.cpp
+++ b/src/gateway/relay_versions.cpp
@@ -157,6 +157,11 @@
         }
     }
     auto target = dispatch::place(view(), it, now, host_.random);
+    if (!target && !versions_otherwise_.empty())
+    {
+        it.versions = versions_otherwise_;
+        target = dispatch::place(view(), it, now, host_.random);
+    }
     auto const fixed = fixed_version();
     if (target && fixed && target->version != *fixed)
     {
--- a/src/gateway/settings.hpp
+++ b/src/gateway/settings.hpp
@@ -3,6 +3,7 @@
 #include "core/ids.hpp"
 #include "core/units.hpp"
 #include "net/http_message.hpp"
+#include "rollout/plan.hpp"
 
 #include <cstddef>
 #include <stdexcept>
@@ -41,6 +42,7 @@
     /// attempts as a fraction of the requests, plus a constant number.
     double retry_ratio = 0.8;
     double retry_slack = 150;
+    rollout::rollout_bounds rollouts;
     /// Speed of this host's link in bytes a second; zero if unknown.
     double link_bytes_per_second = 0;
     /// Limit of open file descriptors.
--- a/src/metrics/gateway_metrics.cpp
+++ b/src/metrics/gateway_metrics.cpp
@@ -66,6 +66,8 @@
       rejection_limit_changes_(
           counters(*registry_, "gateway_rejection_limit_changes_total",
                    "Changes of the rejection limits of targets.")),
+      rollout_events_(counters(*registry_, "gateway_rollout_events_total",
+                               "Orders, phases and statuses of rollouts.")),
       peer_bytes_(counters(*registry_, "gateway_peer_bytes_total",
                            "Bytes exchanged with other hosts.")),
       store_calls_(counters(*registry_, "gateway_store_calls_total",
@@ -178,6 +180,11 @@
     rejection_limit_changes_.Add({{"source", std::string{source}}}).Increment();
 }
 
+void gateway_metrics::rollout_event(std::string_view what)
+{
+    rollout_events_.Add({{"what", std::string{what}}}).Increment();
+}
+
 void gateway_metrics::store_call_failed()
 {
     store_failures_.Increment();
--- a/src/metrics/gateway_metrics.hpp
+++ b/src/metrics/gateway_metrics.hpp
@@ -46,6 +46,8 @@
     void request_limit_changed(std::string_view source);
     /// The same of its rejection limit.
     void rejection_limit_changed(std::string_view source);
+    /// `what`: an order arrived, a phase began, or a status was written.
+    void rollout_event(std::string_view what);
     void store_call_failed();
     void configuration_version(std::uint64_t it);
     /// The newest version that this host or another one uses.
@@ -79,6 +81,7 @@
     prometheus::Family<prometheus::Counter>& target_changes_;
     prometheus::Family<prometheus::Counter>& limit_changes_;
     prometheus::Family<prometheus::Counter>& rejection_limit_changes_;
+    prometheus::Family<prometheus::Counter>& rollout_events_;
     prometheus::Family<prometheus::Counter>& peer_bytes_;
     prometheus::Family<prometheus::Counter>& store_calls_;
     prometheus::Family<prometheus::Counter>& unreadable_;
