--- a/src/rollout/evidence.cpp
+++ b/src/rollout/evidence.cpp
@@ -33,11 +33,11 @@
         std::clamp(size, 0.0, static_cast<double>(time_sizes - 1)));
 }
 
-void add_side(side_counts& to, side_counts const& it)
+void add_side(side_counts& to, side_counts const& it, bool with_recent)
 {
     for (auto const& [route, counts] : it)
     {
-        to[route].add(counts);
+        to[route].add(counts, with_recent);
     }
 }
 
@@ -67,16 +67,19 @@
     }
 }
 
-void route_counts::add(route_counts const& it)
+void route_counts::add(route_counts const& it, bool with_recent)
 {
     all.add(it.all);
-    recent.add(it.recent);
+    if (with_recent)
+    {
+        recent.add(it.recent);
+    }
 }
 
-void evidence::add(evidence const& it)
+void evidence::add(evidence const& it, bool with_recent)
 {
-    add_side(target, it.target);
-    add_side(others, it.others);
+    add_side(target, it.target, with_recent);
+    add_side(others, it.others, with_recent);
 }
 
 void own_evidence::observe(observation const& it, time_point now)
--- a/src/rollout/evidence.hpp
+++ b/src/rollout/evidence.hpp
@@ -41,7 +41,7 @@
     /// The same, weighted by exp(-age / window).
     response_counts recent;
 
-    void add(route_counts const& it);
+    void add(route_counts const& it, bool with_recent = true);
 };
 
 /// One side of an order, by route.
@@ -56,7 +56,7 @@
     side_counts target;
     side_counts others;
 
-    void add(evidence const& it);
+    void add(evidence const& it, bool with_recent);
 };
 
 /// An attempt at a target that ended with a response, or ran into a timeout.
--- a/src/rollout/rollout_table.cpp
+++ b/src/rollout/rollout_table.cpp
@@ -36,18 +36,6 @@
            std::holds_alternative<reverted>(it);
 }
 
-auto drop_recent(evidence it) -> evidence
-{
-    for (auto* const side : {&it.target, &it.others})
-    {
-        for (auto& [route, counts] : *side)
-        {
-            counts.recent = {};
-        }
-    }
-    return it;
-}
-
 } // namespace
 
 rollout_table::service_rollout::service_rollout(order its, duration bound,
@@ -251,8 +239,7 @@
     auto out = it.own.counts(now);
     for (auto const& [host, each] : it.others)
     {
-        out.add(now - each.at > recent_report_time ? drop_recent(each.it.counts)
-                                                   : each.it.counts);
+        out.add(each.it.counts, now - each.at <= recent_report_time);
     }
     return out;
 }
