--- a/src/gateway/rollout_task.cpp
+++ b/src/gateway/rollout_task.cpp
@@ -14,9 +14,9 @@
 namespace
 {
 
-/// A known host that has not been heard for this time is lost, and what it had
-/// outstanding with it.
-constexpr auto silence_of_lost_host = duration{5s};
+/// A known host that has been silent for 5 s is lost, and what it had
+/// outstanding with it; its digests are current for the first part of them.
+constexpr auto silence_of_lost_host = duration{5s} - fleet::host_timeout;
 
 void log_unreadable(char const* what, service_id const& service,
                     std::string const& why)
--- a/src/rollout/evaluation.cpp
+++ b/src/rollout/evaluation.cpp
@@ -23,9 +23,9 @@
 /// Largest part of the other version's responses that counts as slow.
 constexpr auto slow_part = 0.02;
 /// Sizes of times from the other version's median to a slow response: a factor
-/// of two, or of four if its times are of another load.
+/// of 2, or of 2.8 if its times are of another load.
 constexpr auto slow_sizes = std::size_t{2};
-constexpr auto slow_sizes_of_other_load = std::size_t{4};
+constexpr auto slow_sizes_of_other_load = std::size_t{3};
 
 struct sample
 {
--- a/src/rollout/plan.cpp
+++ b/src/rollout/plan.cpp
@@ -27,10 +27,10 @@
     double share = 0;
 };
 
-/// The last step leaves more than half of the time for streams that have begun
-/// at other versions: 9.6 s of an example of 16 s, where most take 5 to 10 s.
+/// The last step leaves most of the time for streams that have begun at other
+/// versions: 11 s of an example of 16 s, where most take 5 to 10 s.
 constexpr auto steps =
-    std::array{step{0, 0.25}, step{0.22, 0.5}, step{0.4, 1.0}};
+    std::array{step{0, 0.25}, step{0.16, 0.5}, step{0.28, 1.0}};
 
 /// Least part of the time at a step, so that a fault under load shows before
 /// the next one where a rollout was held up.
--- a/src/rollout/rollout_table.cpp
+++ b/src/rollout/rollout_table.cpp
@@ -15,6 +15,11 @@
 /// Recent counts of a host that is not heard any more are left out after it.
 constexpr auto recent_report_time = duration{3s};
 
+/// Part of the time to the deadline in which a version is observed before it
+/// can be completed, since it may turn bad late. Enough is left for a known
+/// host that is lost then, of 16 s.
+constexpr auto observed_until = 0.6;
+
 /// Orders that are remembered for each service.
 constexpr auto max_superseded = std::size_t{16};
 
@@ -262,17 +267,23 @@
     ++change_count_;
 }
 
-auto rollout_table::may_complete(service_rollout& it, fleet_state const& fleet,
-                                 time_point now) -> bool
+auto rollout_table::hosts_moved(service_rollout const& it,
+                                fleet_state const& fleet) -> std::size_t
 {
-    auto const all_moved = std::all_of(
+    return static_cast<std::size_t>(std::count_if(
         fleet.heard.begin(), fleet.heard.end(),
         [&](host_id const& host)
         {
             auto const found = it.others.find(host);
             return found != it.others.end() && found->second.it.whole;
-        });
-    auto const quiet = all_moved && fleet.all_heard && it.view.target_usable &&
+        }));
+}
+
+auto rollout_table::may_complete(service_rollout& it, fleet_state const& fleet,
+                                 time_point now) -> bool
+{
+    auto const quiet = hosts_moved(it, fleet) == fleet.heard.size() &&
+                       fleet.all_heard && it.view.target_usable &&
                        it.view.outstanding_at_others == 0;
     if (!quiet)
     {
@@ -323,30 +334,44 @@
         return;
     }
     it.usable_since = it.usable_since.value_or(now);
+    advance(service, it, fleet, responses_of_target(all), now);
+}
+
+void rollout_table::advance(service_id const& service, service_rollout& it,
+                            fleet_state const& fleet, double responses,
+                            time_point now)
+{
+    auto const length = it.it.length;
     auto const heard = fleet.heard.size() + 1;
     auto at = progress{};
     // Hosts see the first target at different times; short differences are
     // ignored, so that their phases agree.
     constexpr auto late_part = 8;
-    auto const begin =
-        *it.usable_since - it.ordered_at > it.it.length / late_part
-            ? *it.usable_since
-            : it.ordered_at;
+    auto const begin = *it.usable_since - it.ordered_at > length / late_part
+                           ? *it.usable_since
+                           : it.ordered_at;
     at.elapsed = now - begin;
     // Targets that are late get some time, though the deadline passes.
     constexpr auto least_part = 4;
-    at.length = std::max(it.ordered_at + it.it.length - begin,
-                         it.it.length / least_part);
+    at.length = std::max(it.ordered_at + length - begin, length / least_part);
     at.in_phase = now - it.phase_since;
-    at.responses = responses_of_target(all);
+    at.responses = responses;
     at.others_heard = 2 * heard >= hosts_;
-    auto const next = next_phase(it.at, at);
+    auto next = next_phase(it.at, at);
+    if (at.others_heard && it.view.target_usable && heard > 1 &&
+        2 * hosts_moved(it, fleet) >= heard)
+    {
+        // This host has started late, or was cut off.
+        next = whole{};
+    }
     if (next != it.at)
     {
         enter(service, it, next, {}, now);
     }
+    auto const observed_enough =
+        at.elapsed >= part_of(at.length, observed_until);
     if (std::holds_alternative<whole>(it.at) && at.others_heard &&
-        may_complete(it, fleet, now))
+        may_complete(it, fleet, now) && observed_enough)
     {
         enter(service, it, finished{}, {}, now);
     }
--- a/src/rollout/rollout_table.hpp
+++ b/src/rollout/rollout_table.hpp
@@ -187,6 +187,12 @@
                change why, time_point now);
     void adopt_stored(service_id const& service, service_rollout& it,
                       time_point now);
+    /// Other hosts whose new requests all go to the version.
+    [[nodiscard]] static auto hosts_moved(service_rollout const& it,
+                                          fleet_state const& fleet)
+        -> std::size_t;
+    void advance(service_id const& service, service_rollout& it,
+                 fleet_state const& fleet, double responses, time_point now);
     [[nodiscard]] static auto may_complete(service_rollout& it,
                                            fleet_state const& fleet,
                                            time_point now) -> bool;
