--- a/src/rollout/plan.cpp
+++ b/src/rollout/plan.cpp
@@ -53,6 +53,12 @@
         it);
 }
 
+auto has_ended(phase const& it) -> bool
+{
+    return std::holds_alternative<finished>(it) ||
+           std::holds_alternative<reverted>(it);
+}
+
 auto no_version() -> software_version const&
 {
     static auto const it = software_version{"\x7f"};
--- a/src/rollout/plan.hpp
+++ b/src/rollout/plan.hpp
@@ -65,6 +65,9 @@
 
 auto to_string(phase const& it) -> std::string_view;
 
+/// Whether the order is carried out or given up.
+auto has_ended(phase const& it) -> bool;
+
 struct exposure_bounds
 {
     /// Part of all requests of the service that may go to a version that has
--- a/src/rollout/replay_fleet.hpp
+++ b/src/rollout/replay_fleet.hpp
@@ -55,6 +55,7 @@
 struct replay_result
 {
     std::uint64_t requests = 0;
+    /// Until the deadline, or the end of the replay before it.
     std::uint64_t requests_until_deadline = 0;
     std::uint64_t sent_to_new = 0;
     std::uint64_t bad_responses = 0;
@@ -91,7 +92,7 @@
     auto run() -> replay_result
     {
         auto const end = start + 2 * options_.length;
-        for (now_ = start; now_ < end; now_ += step)
+        for (now_ = start; now_ < end && !settled(); now_ += step)
         {
             deliver_status();
             end_requests();
@@ -151,6 +152,14 @@
                now_ < start + options_.cut_until;
     }
 
+    /// All hosts have known the final status for some time.
+    [[nodiscard]] auto settled() const -> bool
+    {
+        return result_.final_at &&
+               now_ - start > std::max(*result_.final_at, options_.cut_until) +
+                                  duration{3s};
+    }
+
     void deliver_status()
     {
         if (!result_.status)
