Withdraw rolled-back versions under newer orders; report ends for 30 s

The targets of a version that was rolled back or replaced stay listed for seconds, and a newer order for a third version would have sent to them. Hosts that the store does not answer learn of the end from digests.

--- a/src/fleet/rollout_message.hpp
+++ b/src/fleet/rollout_message.hpp
@@ -23,7 +23,7 @@
     std::tuple<std::vector<rollout_row>, std::vector<rollout_counts_row>>;
 
 /// Bounds the bytes of a digest; further orders are not reported.
-constexpr auto max_reported_rollouts = std::size_t{4};
+constexpr auto max_reported_rollouts = std::size_t{8};
 
 auto to_fields(std::vector<rollout::report> const& it) -> rollout_fields;
 /// Leaves out rows that are not valid.
--- a/src/rollout/plan.cpp
+++ b/src/rollout/plan.cpp
@@ -84,8 +84,8 @@
         // No other version could serve these requests.
         return {target, {}};
     }
-    auto const moved = it.target_usable ? permitted_versions{target, {}}
-                                        : permitted_versions{others, {}};
+    auto moved = it.target_usable ? permitted_versions{target, {}}
+                                  : permitted_versions{others, {}};
     return std::visit(
         overloaded{[&](waiting) {
                        return permitted_versions{others, {}};
--- a/src/rollout/rollout_table.cpp
+++ b/src/rollout/rollout_table.cpp
@@ -15,6 +15,9 @@
 /// Recent counts of a host that is not heard any more are left out after it.
 constexpr auto recent_report_time = duration{3s};
 
+/// Time for which hosts go on to tell others of the end of a rollout.
+constexpr auto final_report_time = duration{30s};
+
 /// Orders that are remembered for each service.
 constexpr auto max_superseded = std::size_t{16};
 
@@ -39,11 +42,26 @@
 {
 }
 
+auto rollout_table::withdrawn_by(service_rollout const& it) -> version_set
+{
+    auto out = it.withdrawn;
+    if (std::holds_alternative<reverted>(it.at))
+    {
+        out.insert(it.it.target);
+    }
+    else if (std::holds_alternative<finished>(it.at))
+    {
+        out.insert(it.view.others.begin(), it.view.others.end());
+    }
+    return out;
+}
+
 auto rollout_table::apply(service_id const& service, order const& it,
                           time_point now) -> bool
 {
     auto const found = services_.find(service);
     auto superseded = std::vector<order>{};
+    auto withdrawn = version_set{};
     if (found != services_.end())
     {
         superseded = found->second.superseded;
@@ -58,12 +76,15 @@
         {
             superseded.erase(superseded.begin());
         }
+        withdrawn = withdrawn_by(found->second);
+        withdrawn.erase(it.target);
         services_.erase(found);
     }
     auto& rollout =
         services_.emplace(service, service_rollout{it, bounds_.rollback, now})
             .first->second;
     rollout.superseded = std::move(superseded);
+    rollout.withdrawn = std::move(withdrawn);
     ++change_count_;
     if (auto const status = statuses_.find(service); status != statuses_.end())
     {
@@ -178,6 +199,10 @@
     in.target = it.it.target;
     in.others = listed;
     in.others.erase(in.target);
+    auto left = in.others;
+    std::erase_if(left, [&](auto const& version)
+                  { return it.withdrawn.contains(version); });
+    in.others = left.empty() ? in.others : left;
     in.bounds = bounds_.exposure;
     in.target_usable = it.view.target_usable;
     in.hosts = hosts_;
@@ -212,8 +237,10 @@
     auto out = std::vector<report>{};
     for (auto& [service, it] : services_)
     {
-        // The status in the store tells the rest.
-        if (it.stored && *it.stored != state::in_progress)
+        // The status in the store tells the rest, also to hosts that learn of
+        // it from others.
+        auto const stored = it.stored && *it.stored != state::in_progress;
+        if (stored && now - it.phase_since >= final_report_time)
         {
             continue;
         }
@@ -222,7 +249,7 @@
                            (it.view.target_usable && it.view.others.empty());
         out.push_back({service, it.it.id, now - it.ordered_at,
                        std::holds_alternative<reverted>(it.at), moved,
-                       it.own.counts(now)});
+                       stored ? evidence{} : it.own.counts(now)});
     }
     return out;
 }
--- a/src/rollout/rollout_table.hpp
+++ b/src/rollout/rollout_table.hpp
@@ -178,10 +178,15 @@
         time_point next_write_at{};
         /// Orders before this one. A restored store may list them again.
         std::vector<order> superseded;
+        /// Versions that these have rolled back or replaced. They get no new
+        /// requests where another version is listed, unless it is ordered.
+        version_set withdrawn;
     };
 
     [[nodiscard]] static auto all_evidence(service_rollout& it, time_point now)
         -> evidence;
+    [[nodiscard]] static auto withdrawn_by(service_rollout const& it)
+        -> version_set;
     [[nodiscard]] static auto wanted(service_rollout const& it) -> state;
     void enter(service_id const& service, service_rollout& it, phase const& to,
                change why, time_point now);
--- a/src/rollout/rollout_table_test.cpp
+++ b/src/rollout/rollout_table_test.cpp
@@ -145,6 +145,33 @@
     BOOST_TEST(!permits(v2));
 }
 
+// The targets of both versions are listed for some seconds more.
+BOOST_FIXTURE_TEST_CASE(of_another_version_brings_no_withdrawn_one_back,
+                        one_table)
+{
+    auto const v3 = software_version{"v3"};
+    table.apply(service, order_of(5), at(0s));
+    table.apply(service, status{state::rolled_back, v2, entry_revision{6}},
+                at(1s));
+    table.apply(service, order_of(7, v3), at(2s));
+    auto const it = table.permitted(service, {v1, v2, v3});
+    BOOST_TEST((it.preferred == version_set{v1}));
+    BOOST_TEST(it.otherwise.empty());
+    // Nothing else could serve.
+    BOOST_TEST(table.permitted(service, {v2, v3}).preferred.contains(v2));
+}
+
+// A host that the store does not answer learns of the end from others.
+BOOST_FIXTURE_TEST_CASE(is_reported_for_a_while_after_its_end, one_table)
+{
+    table.apply(service, order_of(5), at(0s));
+    table.apply(service, status{state::rolled_back, v2, entry_revision{6}},
+                at(1s));
+    BOOST_REQUIRE(table.reports(at(20s)).size() == 1U);
+    BOOST_TEST(table.reports(at(20s)).front().bad);
+    BOOST_TEST(table.reports(at(60s)).empty());
+}
+
 // A host that starts knows both entries before it serves.
 BOOST_FIXTURE_TEST_CASE(starts_with_its_status, one_table)
 {
