Place prompts by the expected time to their answer

Placement ranked targets by outstanding prefill and counted every target as equally fast and every request in full until it ended.

src/expected_cost/ learns the output of requests by hint, route and organisation, the speed of each target from first events, event times and the prefill times that digests show of other hosts, and what is left of outstanding work. Targets are drawn from the spread that leaves them equally late after what other hosts are likely to have sent since their digests. Crossing domains counts as up to 300 ms, and as nothing if the own domain is clearly busier, nearly full or late. The copy of a run in another domain is placed in the host's own. A target known to take longer is not given up at the service's usual time.

--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -79,6 +79,63 @@
             target.domain != it.own_domain};
 }
 
+auto use_of(placement_view const& view, target_id const& id)
+    -> expected_cost::target_use
+{
+    auto const own = view.loads.at_target(id);
+    auto const others = view.others.load_of(id);
+    return {own.requests,
+            others.requests,
+            {own.pending_prefill_tokens, others.pending_prefill_tokens}};
+}
+
+/// Of the candidates that rank best by health, and by whether they were tried,
+/// one where the answer is expected early.
+template <class Allowed>
+auto choose_by_cost(placement_view const& view, placement_request const& it,
+                    time_point now, random_source& random,
+                    Allowed const& allowed)
+    -> std::optional<directory::listed_target>
+{
+    using group = std::pair<int, bool>;
+    auto lowest = std::optional<group>{};
+    auto targets = std::vector<directory::listed_target const*>{};
+    for (auto const& target : view.targets)
+    {
+        if (!allowed(target))
+        {
+            continue;
+        }
+        auto const [health, was_tried, tokens] = rank_of(view, it, target, now);
+        auto const its = group{health, was_tried};
+        if (!lowest || its < *lowest)
+        {
+            lowest = its;
+            targets.clear();
+        }
+        if (its == *lowest)
+        {
+            targets.push_back(&target);
+        }
+    }
+    if (targets.empty())
+    {
+        return std::nullopt;
+    }
+    auto candidates = std::vector<expected_cost::candidate>{};
+    candidates.reserve(targets.size());
+    for (auto const* const target : targets)
+    {
+        candidates.push_back(
+            view.costs->candidate_at(*target, use_of(view, target->id), now));
+        candidates.back().crosses = target->domain != it.own_domain;
+    }
+    auto const work = view.costs->to_place(
+        static_cast<double>(it.size.prompt.value()), it.expected_output,
+        it.objective_left, targets.front()->slots);
+    return *targets[expected_cost::choose(candidates, work, random)];
+}
+
 template <class Allowed>
 auto choose_best(placement_view const& view, placement_request const& it,
                  time_point now, random_source& random, Allowed const& allowed)
@@ -126,15 +183,16 @@
     -> std::optional<directory::listed_target>
 {
     auto const draw = it.calls ? random.unit() : 0.0;
-    return choose_best(view, it, now, random,
-                       [&](directory::listed_target const& target)
-                       {
-                           return (it.versions.empty() ||
-                                   it.versions.contains(target.version)) &&
-                                  view.limiter.permits(target.id, now) &&
-                                  view.gate.permits(target.id, it.arrival) &&
-                                  has_room(view, it, target, draw);
-                       });
+    auto const allowed = [&](directory::listed_target const& target)
+    {
+        return (it.versions.empty() || it.versions.contains(target.version)) &&
+               view.limiter.permits(target.id, now) &&
+               view.gate.permits(target.id, it.arrival) &&
+               has_room(view, it, target, draw);
+    };
+    return view.costs != nullptr && it.size.prompt.value() > 0
+               ? choose_by_cost(view, it, now, random, allowed)
+               : choose_best(view, it, now, random, allowed);
 }
 
 auto place_copy(placement_view const& view, placement_request const& it,
@@ -152,11 +210,19 @@
                    health::healthy &&
                has_room(view, it, target, 0.0);
     };
+    auto const usable_elsewhere = [&](directory::listed_target const& target)
+    {
+        return usable(target) && target.domain != primary.domain;
+    };
     auto found = choose_best(view, it, now, random,
                              [&](directory::listed_target const& target) {
-                                 return usable(target) &&
-                                        target.domain != primary.domain;
+                                 return usable_elsewhere(target) &&
+                                        target.domain == it.own_domain;
                              });
+    if (!found)
+    {
+        found = choose_best(view, it, now, random, usable_elsewhere);
+    }
     return found ? found : choose_best(view, it, now, random, usable);
 }
 
--- a/src/dispatch/placement.hpp
+++ b/src/dispatch/placement.hpp
@@ -6,6 +6,7 @@
 #include "dispatch/call_capacity.hpp"
 #include "dispatch/failure_detector.hpp"
 #include "dispatch/load_tracker.hpp"
+#include "expected_cost/service_estimates.hpp"
 #include "fleet/fleet_view.hpp"
 #include "rejection_limit/gate.hpp"
 #include "request_limit/limiter.hpp"
@@ -19,10 +20,12 @@
 ///
 /// Load pattern: long prompts, about a second of prefill each, arrive at many
 /// hosts; two prompts at one target delay both and slow every stream there.
-/// A request is sent to the target with the least outstanding prefill over all
-/// hosts. Ties go to the least loaded of a small random sample, so that hosts
-/// with the same view do not all pick the same target. A copy is placed in
-/// another failure domain, since whole domains fail together.
+/// A prompt is sent where its answer is expected first (`expected_cost`). Where
+/// no costs are known, a request is sent to the target with the least
+/// outstanding prefill over all hosts. Ties go to the least loaded of a small
+/// random sample, so that hosts with the same view do not all pick the same
+/// target. A copy is placed in another failure domain than its run, since whole
+/// domains fail together.
 namespace primrosedeal::dispatch
 {
 
@@ -39,6 +42,9 @@
     rejection_limit::arrival arrival = rejection_limit::arrival::independent;
     /// For a call of a plain service, if enough is known of its other calls.
     std::optional<call_demand> calls;
+    /// Expected output in tokens, and the time until the objective is missed.
+    double expected_output = 0;
+    duration objective_left{};
 };
 
 /// Inputs of placement, which keeps no state between calls.
@@ -53,6 +59,8 @@
     request_limit::limiter const& limiter;
     /// Whether targets that survive few rejections have room.
     rejection_limit::gate const& gate;
+    /// Null: prompts are placed by outstanding prefill alone.
+    expected_cost::service_estimates const* costs = nullptr;
 };
 
 /// Target for a new attempt, or nothing if no target has capacity. Targets
@@ -63,9 +71,12 @@
            time_point now, random_source& random)
     -> std::optional<directory::listed_target>;
 
-/// Target for a copy of a request that runs at `primary`, of the same version
-/// and preferably in another domain; nothing if no healthy target without a
-/// limit, or with ample room if it survives few rejections, has capacity.
+/// Target for a copy of a request that runs at `primary`, of the same version;
+/// nothing if no healthy target without a limit, or with ample room if it
+/// survives few rejections, has capacity. The copy of a run in another domain
+/// is preferably in the host's own one, which it still reaches while the
+/// domains are partitioned; that of a run in its own domain is preferably
+/// elsewhere.
 auto place_copy(placement_view const& view, placement_request const& it,
                 directory::listed_target const& primary, time_point now,
                 random_source& random)
--- a/src/fleet/fleet_view.cpp
+++ b/src/fleet/fleet_view.cpp
@@ -68,6 +68,7 @@
     }
     else
     {
+        record_changes(last.loads, it.loads);
         remove_loads(last.loads);
         state.last = it;
         add_loads(it.loads);
@@ -120,6 +121,7 @@
             after.emplace(id, load);
         }
     }
+    record_changes(before, after);
     remove_loads(before);
     add_loads(after);
     all.insert(after.begin(), after.end());
@@ -130,6 +132,47 @@
     last.loads = std::move(all);
 }
 
+void fleet_view::record_changes(load_map const& before, load_map const& after)
+{
+    prefill_changes_.clear();
+    auto const in = [](load_map const& loads, target_id const& id)
+    {
+        auto const found = loads.find(id);
+        return found == loads.end() ? dispatch::target_load{} : found->second;
+    };
+    auto const record = [&](target_id const& id,
+                            dispatch::target_load const& from,
+                            dispatch::target_load const& to)
+    {
+        if (from.pending_prefill_tokens != to.pending_prefill_tokens)
+        {
+            prefill_changes_.push_back({id, from, to});
+        }
+    };
+    for (auto const& [id, load] : before)
+    {
+        record(id, load, in(after, id));
+    }
+    for (auto const& [id, load] : after)
+    {
+        if (!before.contains(id))
+        {
+            record(id, {}, load);
+        }
+    }
+}
+
+auto fleet_view::mean_age(time_point now) const -> duration
+{
+    auto sum = duration{};
+    for (auto const& [id, state] : hosts_)
+    {
+        sum += now - state.received_at;
+    }
+    return hosts_.empty() ? sum
+                          : sum / static_cast<duration::rep>(hosts_.size());
+}
+
 void fleet_view::remove_loads(load_map const& it)
 {
     for (auto const& [id, load] : it)
--- a/src/fleet/fleet_view.hpp
+++ b/src/fleet/fleet_view.hpp
@@ -28,6 +28,14 @@
 /// Sliding window over which further attempts are limited.
 constexpr auto attempt_window = duration{10s};
 
+/// What a digest changed in the load of its host at one target.
+struct load_change
+{
+    target_id at;
+    dispatch::target_load before;
+    dispatch::target_load after;
+};
+
 class fleet_view
 {
 public:
@@ -35,6 +43,16 @@
     /// and for a partial one of a process of which no whole one was received.
     auto apply(digest const& it, time_point now) -> bool;
 
+    /// Changes of pending prefill by the digest that was applied last.
+    [[nodiscard]] auto prefill_changes() const
+        -> std::vector<load_change> const&
+    {
+        return prefill_changes_;
+    }
+
+    /// Mean age of the other hosts' last digests; zero without any.
+    [[nodiscard]] auto mean_age(time_point now) const -> duration;
+
     /// Removes and returns hosts that timed out. Call about every second.
     auto expire(time_point now) -> std::vector<host_id>;
 
@@ -108,9 +126,11 @@
     void remove_loads(load_map const& it);
     void add_loads(load_map const& it);
     void merge_partial(digest& last, digest const& it);
+    void record_changes(load_map const& before, load_map const& after);
 
     std::map<host_id, peer> hosts_;
     load_map loads_;
+    std::vector<load_change> prefill_changes_;
 };
 
 /// Requests and further attempts of this host over the same window.
--- a/src/gateway/digest_task.cpp
+++ b/src/gateway/digest_task.cpp
@@ -52,6 +52,7 @@
     {
         return;
     }
+    on_prefill_changes(host_, it.host, now);
     if (host_.other_hosts.live_hosts() > heard_before)
     {
         log::write(
--- a/src/gateway/host_state.hpp
+++ b/src/gateway/host_state.hpp
@@ -9,6 +9,7 @@
 #include "dispatch/shutdown.hpp"
 #include "dispatch/shutdown_admission.hpp"
 #include "dispatch/time_estimates.hpp"
+#include "expected_cost/service_estimates.hpp"
 #include "fleet/fleet_view.hpp"
 #include "gateway/background_calls.hpp"
 #include "gateway/connect_prober.hpp"
@@ -184,6 +185,8 @@
     dispatch::completion_time_table completion_times;
     /// Services with an engine or a stream that this host has asked for.
     std::map<service_id, dispatch::service_times> service_times;
+    /// Services with an engine that this host has asked for.
+    std::map<service_id, expected_cost::service_estimates> expected_costs;
     /// Time of SIGTERM; empty before it.
     std::optional<time_point> shutdown_started_at;
 };
--- a/src/gateway/protocol.hpp
+++ b/src/gateway/protocol.hpp
@@ -36,6 +36,8 @@
     std::optional<std::string> key;
     /// Zero for plain calls.
     dispatch::work_size size;
+    /// The client's estimate of the output; empty if it is unusable.
+    std::optional<token_count> length_hint;
     /// Ids of the parts of the prompt that other requests may share.
     std::vector<std::string> shared_parts;
 };
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -130,6 +130,7 @@
         origin_ = host_.origins.find(stream_);
     }
     identify_suspects();
+    on_prompt(host_, *admitted_.service, metadata_.size, now);
     host_.request_counts.request(admitted_.service->id, now);
     client_->on_gone(
         [self = weak_from_this()](http1::client_loss how)
@@ -164,7 +165,8 @@
             host_.loads,
             host_.other_hosts,
             host_.limiter,
-            host_.rejection_gate};
+            host_.rejection_gate,
+            costs()};
 }
 
 auto relay::placement(time_point now) const -> dispatch::placement_request
@@ -183,6 +185,8 @@
     {
         out.calls = call_demand(now);
     }
+    out.expected_output = expected_output();
+    out.objective_left = admitted_.objective_at - now;
     return out;
 }
 
@@ -333,8 +337,7 @@
     out.stream_timing.prefill_timeouts = prefill_timeouts_;
     out.stream_timing.silent_attempts = silent_attempts_;
     out.stream_timing.last_run = last_run;
-    out.stream_timing.expected_first =
-        service_times().expected_prefill(metadata_.size.prompt);
+    out.stream_timing.expected_first = expected_first_event();
     if (route.kind == routes::request_kind::idempotent && !last_run)
     {
         out.response_timeout = part_of(route.objective, call_timeout_fraction);
@@ -368,6 +371,7 @@
     current_->sent_at = now;
     current_->warm = warm;
     current_->from = from;
+    begin_cost(now);
     auto const& engine = admitted_.service->engine;
     if (engine && engine->supports_continuous_copy && state_.resumable)
     {
@@ -492,6 +496,7 @@
         service_times().observe_first_event(
             metadata_.size, now - current_->sent_at, current_->warm, now);
     }
+    on_cost_event(now);
     if (!std::exchange(current_->has_event, true))
     {
         ensure_copy(now);
@@ -547,6 +552,7 @@
     host_.detector.report(current_->target.id, current_->target.domain,
                           observation::answered, now);
     on_run_proven(now);
+    observe_cost(now);
     release_target();
     if (!metadata_.resume_after)
     {
@@ -824,6 +830,7 @@
         return;
     }
     drop_replacement();
+    end_cost();
     host_.loads.ended(current_->target.id, metadata_.size, current_->prefilled);
     if (current_->copy)
     {
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -3,6 +3,7 @@
 #include "dispatch/placement.hpp"
 #include "gateway/admit.hpp"
 #include "gateway/attempt.hpp"
+#include "gateway/cost_events.hpp"
 #include "gateway/host_state.hpp"
 #include "gateway/path_events.hpp"
 #include "http1/server.hpp"
@@ -59,6 +60,7 @@
     /// The target has survived the beginning of the answer.
     bool proven = false;
     bool copy_lost = false;
+    expected_cost::run cost;
     /// How the target is reached.
     attempt_path path;
     /// The helper reported that its connection to the target failed.
@@ -220,6 +222,20 @@
     [[nodiscard]] auto service_times() const -> dispatch::service_times&;
     /// False also for a request that is to be a trial of the estimate.
     auto cannot_meet_deadline(time_point now) -> bool;
+    /// Costs of this request's service; null for plain requests and services.
+    [[nodiscard]] auto costs() const -> expected_cost::service_estimates*;
+    [[nodiscard]] auto cost_key() const -> expected_cost::cost_key;
+    [[nodiscard]] auto stated_output() const -> expected_cost::stated_output;
+    /// Expected output after the events that the client has.
+    [[nodiscard]] auto expected_output() const -> double;
+    /// Call before the attempt is counted in this host's loads.
+    void begin_cost(time_point now);
+    /// Expected time to the first event of the current attempt.
+    [[nodiscard]] auto expected_first_event() const -> duration;
+    void on_cost_event(time_point now);
+    /// The answer is complete.
+    void observe_cost(time_point now);
+    void end_cost();
 
     host_state& host_;
     http1::request message_;
--- a/src/metrics/gateway_metrics.cpp
+++ b/src/metrics/gateway_metrics.cpp
@@ -93,7 +93,14 @@
                          .Name("gateway_log_lines_dropped")
                          .Help("Log lines over the bound.")
                          .Register(*registry_)
-                         .Add({}))
+                         .Add({})),
+      cost_ratios_(histograms(*registry_, "gateway_cost_ratio",
+                              "Observed cost of requests to the expected.")),
+      uneven_targets_(prometheus::BuildGauge()
+                          .Name("gateway_uneven_targets")
+                          .Help("Targets far from the usual speed.")
+                          .Register(*registry_)
+                          .Add({}))
 {
 }
 
@@ -198,6 +205,18 @@
     unreadable_.Add({{"what", std::string{what}}}).Increment();
 }
 
+void gateway_metrics::cost_observed(std::string_view what, double ratio)
+{
+    static auto const buckets = prometheus::Histogram::BucketBoundaries{
+        0.125, 0.25, 0.5, 0.75, 1, 1.5, 2, 4, 8};
+    cost_ratios_.Add({{"what", std::string{what}}}, buckets).Observe(ratio);
+}
+
+void gateway_metrics::uneven_targets(std::size_t count)
+{
+    uneven_targets_.Set(static_cast<double>(count));
+}
+
 void gateway_metrics::log_lines_dropped(std::uint64_t total)
 {
     dropped_lines_.Set(static_cast<double>(total));
--- a/src/metrics/gateway_metrics.hpp
+++ b/src/metrics/gateway_metrics.hpp
@@ -52,6 +52,10 @@
     void newest_configuration_version(std::uint64_t it);
     /// A version could not be read: `what` is all of it or single members.
     void configuration_unreadable(std::string_view what);
+    /// `ratio`: observed to expected; `what` is first_event or output.
+    void cost_observed(std::string_view what, double ratio);
+    /// Targets that are clearly slower or faster than usual.
+    void uneven_targets(std::size_t count);
     void log_lines_dropped(std::uint64_t total);
     /// Bytes exchanged with other hosts since the start.
     /// Calls to the store since the start.
@@ -87,6 +91,8 @@
     prometheus::Gauge& version_;
     prometheus::Gauge& newest_version_;
     prometheus::Gauge& dropped_lines_;
+    prometheus::Family<prometheus::Histogram>& cost_ratios_;
+    prometheus::Gauge& uneven_targets_;
 };
 
 } // namespace primrosedeal::metrics
