Divide the exposure slack in whole requests by the rank of hosts

With 360 hosts each had 0.07 of a request, so no host sent any to a new version before its tenth request of the service; a bad version was found after 3.3 s.

--- a/src/gateway/rollout_task.cpp
+++ b/src/gateway/rollout_task.cpp
@@ -149,6 +149,7 @@
         {
             continue;
         }
+        out.rank += id < host_.settings.host ? 1 : 0;
         if (host_.other_hosts.latest(id) != nullptr)
         {
             heard_at_[id] = now;
--- a/src/rollout/plan.cpp
+++ b/src/rollout/plan.cpp
@@ -67,10 +67,14 @@
 
 auto within_exposure(plan_input const& it) -> bool
 {
-    auto const hosts = static_cast<double>(std::max(it.hosts, std::size_t{1}));
+    auto const hosts = std::max(it.hosts, std::size_t{1});
+    auto const slack =
+        static_cast<std::size_t>(divided_slack * it.bounds.slack);
+    auto const part =
+        slack / hosts + (it.rank < slack % hosts ? std::size_t{1} : 0);
     auto const allowed =
         it.bounds.share * static_cast<double>(it.requests.all) +
-        divided_slack * it.bounds.slack / hosts;
+        static_cast<double>(part);
     return static_cast<double>(it.requests.at_target) + 1 <= allowed;
 }
 
--- a/src/rollout/plan.hpp
+++ b/src/rollout/plan.hpp
@@ -120,11 +120,16 @@
     /// The version has a usable target.
     bool target_usable = true;
     std::size_t hosts = 1;
+    /// Known hosts before this one in the order of ids.
+    std::size_t rank = 0;
     own_requests requests;
 };
 
 /// Whether the host may send one more request to a version that has not been
-/// evaluated. Half of the slack is left for hosts that start and count anew.
+/// evaluated. Half of the slack is left for hosts that start and count anew, or
+/// know other hosts than the rest. The other half is divided in whole requests:
+/// where hosts are many and have few requests each, parts of a request would
+/// bring no evidence before the version is evaluated.
 auto within_exposure(plan_input const& it) -> bool;
 
 auto plan(phase const& at, plan_input const& it) -> permitted_versions;
--- a/src/rollout/plan_test.cpp
+++ b/src/rollout/plan_test.cpp
@@ -66,6 +66,7 @@
     auto sent = 0.0;
     for (auto const n : hosts)
     {
+        it.rank = static_cast<std::size_t>(&n - hosts.data());
         all += n;
         sent += static_cast<double>(
             send(limited{}, it, static_cast<std::uint64_t>(n)));
@@ -73,6 +74,19 @@
     RC_ASSERT(sent <= it.bounds.share * all + it.bounds.slack);
 }
 
+// Each of many hosts had a part of a request, and none sent any.
+BOOST_AUTO_TEST_CASE(brings_evidence_where_each_host_has_few_requests)
+{
+    auto it = input();
+    it.hosts = 360;
+    auto sent = std::uint64_t{0};
+    for (it.rank = 0; it.rank < it.hosts; ++it.rank)
+    {
+        sent += send(limited{}, it, 1);
+    }
+    BOOST_TEST(sent == 25U);
+}
+
 BOOST_AUTO_TEST_CASE(is_kept_by_counts)
 {
     BOOST_TEST(send(raised{0.25}, input(), 1000) == 250U);
--- a/src/rollout/replay_fleet.hpp
+++ b/src/rollout/replay_fleet.hpp
@@ -250,6 +250,7 @@
         auto fleet = fleet_state{};
         auto view = service_view{true, {old_version}, 0};
         fleet.known_hosts = hosts_.size();
+        fleet.rank = n;
         fleet.may_write = !is_cut(n);
         fleet.all_heard = true;
         view.outstanding_at_others = static_cast<std::uint64_t>(it.outstanding);
--- a/src/rollout/rollout_table.cpp
+++ b/src/rollout/rollout_table.cpp
@@ -206,6 +206,7 @@
     in.bounds = bounds_.exposure;
     in.target_usable = it.view.target_usable;
     in.hosts = hosts_;
+    in.rank = rank_;
     in.requests = it.requests;
     return plan(it.at, in);
 }
--- a/src/rollout/rollout_table.hpp
+++ b/src/rollout/rollout_table.hpp
@@ -54,6 +54,8 @@
 struct fleet_state
 {
     std::size_t known_hosts = 1;
+    /// Known hosts before this one in the order of ids.
+    std::size_t rank = 0;
     /// Other hosts with current digests.
     std::vector<host_id> heard;
     /// Every known host is heard or counts as lost.
@@ -204,6 +206,7 @@
 
     rollout_bounds bounds_;
     std::size_t hosts_ = 1;
+    std::size_t rank_ = 0;
     std::map<service_id, service_rollout> services_;
     /// Statuses of services without a known order.
     std::map<service_id, status> statuses_;
--- a/src/rollout/rollout_update.cpp
+++ b/src/rollout/rollout_update.cpp
@@ -55,6 +55,7 @@
     }
     auto& it = found->second;
     hosts_ = std::max(fleet.known_hosts, fleet.heard.size() + 1);
+    rank_ = fleet.rank;
     it.view = view;
     if (has_ended(it.at))
     {
