Bound what a host holds for its clients by one account

Cause: bodies were received without a bound over all clients, in strings that double, and each was kept three times (in the relay, in its attempt's plan and serialised for its target). 90 clients took a gateway with bodies of at most 1 MB to 298 to 356 MB.

Change: memory::client_account decides from sizes, progress and time which connections are read, which requests are rejected (503) and which stalled ones are closed (408). A large body is read only once all of it is reserved. Budgets come from /limits/memoryMb (260 MB if it is not stated). http1::body shares one copy of a body's bytes between the relay, the attempt and the target's connection, and grows with what has arrived. Receive buffers and read-ahead shrink with the number of connections, rejected requests keep nothing, tunnels and collected answers have a part of the budget, a target's answer is not read while its client reads slowly, and free memory is given back after a peak.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -25,6 +25,8 @@
 constexpr auto max_event_bytes = std::size_t{1} << 20U;
 /// Time after which a run that no target could take over is checked again.
 constexpr auto move_check_period = duration{100ms};
+/// How soon a target is watched again after its answer has been read on.
+constexpr auto paused_check_period = duration{100ms};
 
 /// Statuses by which a client is told that its request did not run.
 auto states_not_run(int status) -> bool
@@ -99,6 +101,7 @@
     bool has_event = false;
     bool awaits_answer = false;
     bool standstill_reported = false;
+    bool reading_paused = false;
     bool ended = false;
 
     void start()
@@ -347,8 +350,27 @@
         }
     }
 
+    void pause_reading(bool on, time_point now)
+    {
+        if (ended || !call || reading_paused == on)
+        {
+            return;
+        }
+        reading_paused = on;
+        call->pause_reading(on);
+        if (plan.stream_timing.last_event)
+        {
+            plan.stream_timing.last_event = now;
+        }
+    }
+
     void check_progress(time_point now)
     {
+        if (reading_paused)
+        {
+            schedule_check(paused_check_period);
+            return;
+        }
         auto& facts = plan.stream_timing;
         auto step =
             dispatch::check_stream(dispatch::watch_limits{}, facts, now);
@@ -493,6 +515,11 @@
     return state_->call && state_->call->may_have_sent();
 }
 
+void attempt::pause_reading(bool paused, time_point now)
+{
+    state_->pause_reading(paused, now);
+}
+
 auto attempt::unanswered_since() const -> std::optional<time_point>
 {
     return state_->unanswered_since;
--- a/src/gateway/attempt.hpp
+++ b/src/gateway/attempt.hpp
@@ -21,7 +21,7 @@
 struct target_response
 {
     http1::response_head head;
-    std::string body;
+    http1::body body;
 };
 
 /// How the connection to the target ended, directly or through a tunnel.
@@ -93,6 +93,10 @@
     /// Whether any byte of the request may have reached the target.
     [[nodiscard]] auto may_have_sent() const -> bool;
 
+    /// Stops reading the target's answer for its client, or goes on. The
+    /// target's silence means nothing meanwhile.
+    void pause_reading(bool paused, time_point now);
+
     /// Time at which the connection or probe was begun whose lack of an answer
     /// ended the attempt; empty if it ended for another reason.
     [[nodiscard]] auto unanswered_since() const -> std::optional<time_point>;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,8 @@
 #include "core/overloaded.hpp"
 #include "dispatch/shutdown_steps.hpp"
 #include "fleet/configuration_lag.hpp"
+#include "gateway/client_limits.hpp"
+#include "gateway/client_memory_log.hpp"
 #include "gateway/digest_task.hpp"
 #include "gateway/entry_source.hpp"
 #include "gateway/host_state.hpp"
@@ -37,10 +39,6 @@
 constexpr auto peer_poll_period = duration{500ms};
 /// Interval of the steps of a shutdown.
 constexpr auto shutdown_period = duration{50ms};
-/// File descriptors reserved for the store, peers, files and connections to
-/// targets.
-constexpr auto reserved_descriptors = std::size_t{600};
-
 /// Time for this host's registration to appear in its copy of the store before
 /// it is written again.
 constexpr auto registration_retry_delay = duration{2s};
@@ -48,10 +46,6 @@
 /// Period of the counts of calls to the store.
 constexpr auto store_calls_period = duration{5s};
 
-/// Time beside the bound on changes for which clients may go by the limits of
-/// the configuration before.
-constexpr auto change_bound_margin = duration{2s};
-
 constexpr auto ok = 200;
 constexpr auto unavailable = 503;
 constexpr auto not_found = 404;
@@ -94,7 +88,7 @@
           digests_(host_, peers_, make_digest_events()),
           origins_(host_, peers_, store), versions_(host_, store),
           tunnel_limit_(settings.link_bytes_per_second),
-          tunnels_(loop, tunnel_limits{}, make_tunnel_events()),
+          tunnels_(loop, make_tunnel_limits(settings), make_tunnel_events()),
           source_(loop, store, host_.random, peers_, host_.other_hosts,
                   settings, make_source_events()),
           link_monitor_(settings.link_bytes_per_second),
@@ -138,6 +132,8 @@
                                         { on_dropped_input(it); });
         client_server_.on_rejected([this](http1::rejected_request const& it)
                                    { on_rejected(it); });
+        client_server_.on_memory([this](http1::memory_event const& it)
+                                 { memory_log_.on_event(it); });
         peers_.listen(at.peers);
         tunnels_.limit_rate(tunnel_limit_.bytes_per_second());
         tunnels_.listen(at.tunnels);
@@ -616,21 +612,8 @@
 
     void apply_limits()
     {
-        auto out = http1::server_limits{};
-        auto const descriptors = host_.settings.max_descriptors;
-        out.max_connections = descriptors > 2 * reserved_descriptors
-                                  ? descriptors - reserved_descriptors
-                                  : descriptors / 2;
-        if (host_.table)
-        {
-            auto const& limits = host_.table->limits();
-            out.sizes = {limits.head_bytes, limits.body_bytes};
-            out.head_timeout = limits.head_timeout;
-            out.idle_timeout = limits.idle_timeout;
-            out.former_limits_known =
-                host_.settings.change_bound + change_bound_margin;
-        }
-        client_server_.set_limits(out);
+        client_server_.set_limits(
+            apply_client_limits(host_.settings, host_.table.get()));
     }
 
     template <class Event>
@@ -967,6 +950,7 @@
             host_.settings.retry_ratio = it.retry_ratio;
             host_.settings.retry_slack = it.retry_slack;
             host_.settings.max_descriptors = it.max_descriptors;
+            host_.settings.memory_limit = it.memory_limit;
             apply_limits();
             log::write(log::level::info, "settings_reloaded",
                        {{"changed", changed ? "true" : "false"}});
@@ -981,6 +965,7 @@
     settings_loader reload_;
     external::key_value_service& store_;
     host_state host_;
+    client_memory_log memory_log_{host_};
     http1::server client_server_;
     http1::server readiness_server_;
     http1::server metrics_server_;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -139,6 +139,14 @@
                 it->on_client_disconnected(how, net::event_loop::now());
             }
         });
+    client_->on_flow(
+        [self = weak_from_this()](bool stopped)
+        {
+            if (auto const it = self.lock())
+            {
+                it->on_client_flow(stopped, net::event_loop::now());
+            }
+        });
     limit_deadline(
         host_.shutdown_started_at
             ? dispatch::final_answer_time(*host_.shutdown_started_at,
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -141,6 +141,8 @@
     void on_standstill(time_point now);
     void on_failure(dispatch::attempt_failure how,
                     std::optional<target_response> response, time_point now);
+    /// The client reads too slowly for more of its answer, or reads again.
+    void on_client_flow(bool stopped, time_point now);
     void on_client_disconnected(http1::client_loss how, time_point now);
     void on_deadline(time_point now);
     /// `may_run_until`: the target of the failed attempt may go on until then.
--- a/src/gateway/relay_end.cpp
+++ b/src/gateway/relay_end.cpp
@@ -103,6 +103,14 @@
                      dispatch::final_status(state_, now), now);
 }
 
+void relay::on_client_flow(bool stopped, time_point now)
+{
+    if (current_ && current_->io)
+    {
+        current_->io->pause_reading(stopped, now);
+    }
+}
+
 void relay::on_client_disconnected(http1::client_loss how, time_point now)
 {
     host_.metrics.client_lost(to_string(how));
--- a/src/gateway/response_body.cpp
+++ b/src/gateway/response_body.cpp
@@ -1,5 +1,6 @@
 #include "gateway/response_body.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace primrosedeal::gateway
@@ -13,6 +14,7 @@
     std::size_t bytes = 0;
     /// Bodies that are not empty.
     std::size_t bodies = 0;
+    std::size_t bound = max_buffered_bytes;
 };
 
 auto total() -> buffered_total&
@@ -23,6 +25,11 @@
 
 } // namespace
 
+void limit_buffered(std::size_t bytes)
+{
+    total().bound = std::max(bytes, max_body_bytes);
+}
+
 buffer_share::~buffer_share()
 {
     release();
@@ -34,9 +41,9 @@
     auto const others = all.bytes - bytes_;
     auto const other_bodies = all.bodies - (bytes_ > 0 ? 1U : 0U);
     auto const bodies = other_bodies + (bytes > 0 ? 1U : 0U);
-    auto const full = others + bytes > max_buffered_bytes;
-    if (bytes > bytes_ && (bytes > max_body_bytes ||
-                           (full && bytes > max_buffered_bytes / bodies)))
+    auto const full = others + bytes > all.bound;
+    if (bytes > bytes_ &&
+        (bytes > max_body_bytes || (full && bytes > all.bound / bodies)))
     {
         return false;
     }
@@ -64,7 +71,7 @@
     return true;
 }
 
-auto response_body::take() -> std::string
+auto response_body::take() -> http1::body
 {
     share_.release();
     return std::exchange(bytes_, {});
--- a/src/gateway/response_body.hpp
+++ b/src/gateway/response_body.hpp
@@ -1,7 +1,8 @@
 #pragma once
 
+#include "http1/body.hpp"
+
 #include <cstddef>
-#include <string>
 #include <string_view>
 
 /// What is kept of responses until it is forwarded: bodies that are buffered as
@@ -11,16 +12,19 @@
 /// Load pattern: a target sends without end to every request that it gets. Many
 /// bodies then grow at once as fast as the link is, and each within its own
 /// bound would fill the memory of a small host. When all together are above
-/// `max_buffered_bytes`, none grows further than its share of them, so small
+/// the bound, none grows further than its share of them, so small
 /// responses of other targets still pass.
 namespace primrosedeal::gateway
 {
 
-/// Sizes in bytes. A host has some 260 MB for all its requests, and a body that
-/// grows takes up to twice its size.
+/// Sizes in bytes. A host has some 260 MB for all its requests.
 constexpr auto max_body_bytes = std::size_t{8} << 20U;
 constexpr auto max_buffered_bytes = std::size_t{48} << 20U;
 
+/// Sets the bound of all together on this thread; `max_buffered_bytes` until
+/// then. At least `max_body_bytes`, so that one body always fits.
+void limit_buffered(std::size_t bytes);
+
 /// Counts the bytes kept of one response. Used on one thread; those of other
 /// threads are not counted with it.
 class buffer_share
@@ -47,10 +51,10 @@
     /// Returns false, and appends nothing, if a bound would be exceeded.
     [[nodiscard]] auto append(std::string_view bytes) -> bool;
 
-    auto take() -> std::string;
+    auto take() -> http1::body;
 
 private:
-    std::string bytes_;
+    http1::body bytes_;
     buffer_share share_;
 };
 
--- a/src/gateway/settings.hpp
+++ b/src/gateway/settings.hpp
@@ -45,6 +45,8 @@
     double link_bytes_per_second = 0;
     /// Limit of open file descriptors.
     std::size_t max_descriptors = 4096;
+    /// Limit of this process's memory in bytes; zero if unknown.
+    std::size_t memory_limit = 0;
 
     friend auto operator==(host_settings const&, host_settings const&)
         -> bool = default;
--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -1,5 +1,6 @@
 #include "http1/client.hpp"
 
+#include "http1/request_writer.hpp"
 #include "net/connect.hpp"
 #include "net/connect_error.hpp"
 
@@ -17,25 +18,6 @@
 namespace primrosedeal::http1
 {
 
-namespace
-{
-
-auto serialise(request const& it) -> std::string
-{
-    auto out = it.method + ' ' + it.target + " HTTP/1.1\r\n";
-    for (auto const& header : it.headers)
-    {
-        out += header.name + ": " + header.value + "\r\n";
-    }
-    if (!it.body.empty() || it.method == "POST" || it.method == "PUT")
-    {
-        out += "Content-Length: " + std::to_string(it.body.size()) + "\r\n";
-    }
-    return out + "\r\n" + it.body;
-}
-
-} // namespace
-
 auto to_string(call_error it) -> std::string_view
 {
     switch (it)
@@ -84,7 +66,7 @@
             return;
         }
         bufferevent_setcb(bev, on_read, nullptr, on_event, this);
-        unsent = serialise(message);
+        unsent = request_writer{message};
         bufferevent_enable(bev, EV_READ | EV_WRITE);
         if (!net::connect(bev, tunnel == nullptr ? to : tunnel->helper))
         {
@@ -194,14 +176,12 @@
     {
         connected = true;
         deadline.cancel();
-        auto bytes = std::exchange(unsent, {});
         if (leased)
         {
-            bytes = write_frames(bytes);
             renewed_at = net::event_loop::now();
             schedule_renewal(renewed_at);
         }
-        bufferevent_write(bev, bytes.data(), bytes.size());
+        std::exchange(unsent, {}).write(bufferevent_get_output(bev), leased);
         if (events.on_connected)
         {
             events.on_connected();
@@ -371,7 +351,7 @@
     frame_decoder frames;
     /// Queued by the handler that cancels the connect timeout and not before:
     /// libevent could send it on a connection that has just timed out.
-    std::string unsent;
+    request_writer unsent;
     bufferevent* bev;
     net::timer deadline;
     bool helper_connected = false;
@@ -406,6 +386,16 @@
     return state_->connected;
 }
 
+void client_call::pause_reading(bool paused)
+{
+    auto* const bev = state_->bev;
+    if (bev != nullptr && state_->connected && !state_->leased)
+    {
+        paused ? bufferevent_disable(bev, EV_READ)
+               : bufferevent_enable(bev, EV_READ);
+    }
+}
+
 auto client_call::may_run_until() const -> std::optional<time_point>
 {
     return state_->may_run_until();
--- a/src/http1/client.hpp
+++ b/src/http1/client.hpp
@@ -69,6 +69,10 @@
     /// Whether a byte of the request may have left this process.
     [[nodiscard]] auto may_have_sent() const -> bool;
 
+    /// Stops reading the answer, or goes on. A call through a leased tunnel is
+    /// read on, since its lease would end.
+    void pause_reading(bool paused);
+
     /// Until when the target may go on with the request if the call ends now,
     /// since its helper may not learn of that; empty: not beyond the end.
     [[nodiscard]] auto may_run_until() const -> std::optional<time_point>;
--- a/src/http1/message.cpp
+++ b/src/http1/message.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cctype>
 #include <limits>
+#include <utility>
 
 // A request is forwarded with its body re-framed by length, so a peer can
 // only see the bytes that this parser took for the message. What is ambiguous
@@ -287,13 +288,13 @@
             // An upgrade is never taken up, so the message has an end.
             p->upgrade = 0;
             // Trailers have the same limit, and are no part of the head.
-            self(p).head_bytes_ = 0;
+            self(p).kept_head_bytes_ = std::exchange(self(p).head_bytes_, 0);
             return self(p).check_head() ? 0 : -1;
         };
         out.on_body = [](http_parser* p, char const* at, std::size_t n)
         {
             auto& it = self(p);
-            it.message_.body.append(at, n);
+            it.message_.body.append({at, n});
             if (it.message_.body.size() <= it.limits_.body)
             {
                 return 0;
@@ -325,6 +326,7 @@
     message_ = {};
     headers_ = {};
     head_bytes_ = 0;
+    kept_head_bytes_ = 0;
     started_ = false;
     head_complete_ = false;
     complete_ = false;
@@ -392,6 +394,30 @@
     return n;
 }
 
+auto request_parser::announced() const -> std::optional<std::size_t>
+{
+    auto const known = head_complete_ && !chunked() &&
+                       parser_.content_length != ~std::uint64_t{0};
+    // The parser counts down as bytes come.
+    return known
+               ? std::optional{message_.body.size() +
+                               static_cast<std::size_t>(parser_.content_length)}
+               : std::nullopt;
+}
+
+auto request_parser::chunked() const -> bool
+{
+    return head_complete_ && (parser_.flags & F_CHUNKED) != 0;
+}
+
+void request_parser::discard()
+{
+    message_ = {};
+    headers_ = {};
+    head_bytes_ = 0;
+    kept_head_bytes_ = 0;
+}
+
 auto request_parser::take() -> request
 {
     auto out = std::move(message_);
--- a/src/http1/message.hpp
+++ b/src/http1/message.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http1/body.hpp"
 #include "net/http_message.hpp"
 
 #include <http_parser.h>
@@ -27,7 +28,7 @@
     /// Path and query as sent.
     std::string target;
     header_list headers;
-    std::string body;
+    http1::body body;
     /// The client may send another request on this connection.
     bool keep_alive = true;
 };
@@ -110,6 +111,21 @@
         return expects_continue_;
     }
 
+    /// Bytes kept of the message.
+    [[nodiscard]] auto held() const -> std::size_t
+    {
+        return kept_head_bytes_ + head_bytes_ + message_.body.size();
+    }
+
+    /// Size of the body as the head states it.
+    [[nodiscard]] auto announced() const -> std::optional<std::size_t>;
+
+    /// The head states that the body comes in chunks.
+    [[nodiscard]] auto chunked() const -> bool;
+
+    /// Keeps nothing more of a message that is not going to be taken.
+    void discard();
+
     /// The complete message; the parser is ready for the next one.
     auto take() -> request;
 
@@ -125,6 +141,8 @@
     header_collector headers_;
     /// Of the head, or else of the trailers.
     std::size_t head_bytes_ = 0;
+    /// Of the head, once it is complete.
+    std::size_t kept_head_bytes_ = 0;
     bool started_ = false;
     bool head_complete_ = false;
     bool complete_ = false;
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -1,5 +1,9 @@
 #include "http1/server.hpp"
 
+#include "http1/answer_flow.hpp"
+#include "http1/memory_task.hpp"
+#include "http1/open_exchange.hpp"
+#include "http1/response_text.hpp"
 #include "net/socket_address.hpp"
 
 #include <event2/buffer.h>
@@ -31,82 +35,29 @@
 namespace
 {
 
-/// Bytes of a following request kept while an answer is owed.
-constexpr auto max_read_ahead = std::size_t{64} << 10U;
 /// Time for a client to take something of the last answer of a connection.
 constexpr auto linger = duration{2s};
 /// Unsent bytes of an answer at which its client counts as gone.
 constexpr auto max_unsent = std::size_t{8} << 20U;
-/// Unsent bytes of all answers together. Beyond it the client that has taken
-/// nothing for the longest time counts as gone.
-constexpr auto max_unsent_together = std::size_t{64} << 20U;
 constexpr auto backlog = 1024;
 constexpr auto request_timeout = 408;
 constexpr auto unavailable = 503;
 /// In seconds.
 constexpr auto retry_after_full = std::string_view{"0.1"};
 constexpr auto retry_after_unready = std::string_view{"0.3"};
+/// Bodies that have stalled are closed within about this time.
+constexpr auto retry_after_memory = std::string_view{"2"};
 /// Connections over the limit that get an answer, at once.
 constexpr auto max_surplus = std::size_t{64};
 
-auto serialise_head(response_head const& it, std::string_view framing,
-                    bool close) -> std::string
-{
-    auto out = "HTTP/1.1 " + std::to_string(it.status) + ' ' +
-               std::string{reason_phrase(it.status)} + "\r\n";
-    for (auto const& header : it.headers)
-    {
-        out += header.name + ": " + header.value + "\r\n";
-    }
-    out += framing;
-    out += "\r\n";
-    if (close)
-    {
-        out += "Connection: close\r\n";
-    }
-    return out + "\r\n";
-}
-
 } // namespace
 
-auto to_string(client_loss it) -> std::string_view
-{
-    switch (it)
-    {
-    case client_loss::closed:
-        return "closed";
-    case client_loss::reset:
-        return "reset";
-    case client_loss::not_reading:
-        return "not_reading";
-    }
-    return "unknown";
-}
-
-auto to_string(end_reason it) -> std::string_view
-{
-    switch (it)
-    {
-    case end_reason::last_answer:
-        return "last_answer";
-    case end_reason::aborted:
-        return "aborted";
-    case end_reason::rejected:
-        return "rejected";
-    case end_reason::idle_timeout:
-        return "idle_timeout";
-    case end_reason::closed_idle:
-        return "closed_idle";
-    }
-    return "unknown";
-}
-
 class connection;
 
 struct server::state
 {
     state(net::event_loop& on, handler handler)
-        : loop(on), on_request(std::move(handler))
+        : loop(on), memory(on), on_request(std::move(handler))
     {
     }
 
@@ -124,6 +75,7 @@
     }
 
     net::event_loop& loop;
+    memory_task memory;
     handler on_request;
     std::function<void(dropped_input const&)> on_dropped_input;
     std::function<void(rejected_request const&)> on_rejected;
@@ -135,24 +87,20 @@
     evconnlistener* listener = nullptr;
     std::map<connection*, std::shared_ptr<connection>> connections;
     bool closing = false;
-    /// Of all connections but those whose clients count as gone.
-    std::size_t unsent_bytes = 0;
-
-    /// Gives up the client that has taken nothing for the longest time if too
-    /// much waits for all together.
-    void limit_unsent();
 
     void accepted(evutil_socket_t fd);
     void free_listener()
     {
         if (listener != nullptr)
         {
+            memory.set_listener({});
             evconnlistener_free(std::exchange(listener, nullptr));
         }
     }
 };
 
-class connection : public std::enable_shared_from_this<connection>
+class connection : public std::enable_shared_from_this<connection>,
+                   public accounted_connection
 {
 public:
     connection(server::state& owner, evutil_socket_t fd, bool surplus)
@@ -164,7 +112,8 @@
         auto const on = 1;
         setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
         bufferevent_setcb(bev_, on_read, on_written, on_event, this);
-        bufferevent_setwatermark(bev_, EV_READ, 0, max_read_ahead);
+        number_ = owner.memory.opened(*this, fd);
+        bufferevent_setwatermark(bev_, EV_READ, 0, owner.memory.read_ahead());
         evbuffer_add_cb(bufferevent_get_output(bev_), on_output_changed, this);
         counted_ = true;
         bufferevent_enable(bev_, EV_READ | EV_WRITE);
@@ -175,7 +124,7 @@
     connection(connection const&) = delete;
     auto operator=(connection const&) -> connection& = delete;
 
-    ~connection()
+    ~connection() override
     {
         close_socket();
     }
@@ -237,6 +186,11 @@
         ending_ = true;
         end_reason_ = why;
         ended_at_ = net::event_loop::now();
+        // What follows is read and dropped.
+        if (std::exchange(waiting_, false))
+        {
+            bufferevent_enable(bev_, EV_READ);
+        }
         arm(linger);
         if (unsent() == 0)
         {
@@ -259,7 +213,7 @@
         {
             write(body);
         }
-        owner_.limit_unsent();
+        owner_.memory.limit_unsent();
         answered();
     }
 
@@ -286,11 +240,40 @@
         {
             give_up();
         }
-        owner_.limit_unsent();
+        owner_.memory.limit_unsent();
+        if (flow_.sent(unsent(), owner_.memory.flow_mark(),
+                       net::event_loop::now()))
+        {
+            bufferevent_setwatermark(bev_, EV_WRITE, flow_.low_mark(), 0);
+            owner_.memory.flow_changed(true);
+        }
+    }
+
+    void on_flow(std::function<void(bool)> work)
+    {
+        flow_.on_change = std::move(work);
+    }
+
+    void check_flow(time_point now) override
+    {
+        if (flow_.overdue(now))
+        {
+            owner_.memory.readers_press() ? give_up() : resume_flow(true);
+        }
+    }
+
+    /// `for_good`: the sender is not stopped again for this answer.
+    void resume_flow(bool for_good)
+    {
+        if (flow_.resume(for_good))
+        {
+            owner_.memory.flow_changed(false);
+            bufferevent_setwatermark(bev_, EV_WRITE, 0, 0);
+        }
     }
 
     /// Ends the connection, from the loop, for a client that does not read.
-    void give_up()
+    void give_up() override
     {
         stop_counting();
         owner_.loop.post(
@@ -303,14 +286,6 @@
             });
     }
 
-    /// When the client last took some of what waits for it, or it began to
-    /// wait; empty if nothing does.
-    [[nodiscard]] auto waiting_since() const -> std::optional<time_point>
-    {
-        return counted_ && unsent() > 0 ? std::optional{taken_at_}
-                                        : std::nullopt;
-    }
-
     void finish()
     {
         write("0\r\n\r\n");
@@ -342,12 +317,9 @@
                                   evbuffer_cb_info const* info, void* arg)
     {
         auto& self = *static_cast<connection*>(arg);
-        self.owner_.unsent_bytes += info->n_added;
-        self.owner_.unsent_bytes -= info->n_deleted;
-        if (info->n_deleted > 0 || info->orig_size == 0)
-        {
-            self.taken_at_ = net::event_loop::now();
-        }
+        self.owner_.memory.unsent(
+            self.number_, info->orig_size + info->n_added - info->n_deleted,
+            info->n_deleted > 0);
     }
 
     void stop_counting()
@@ -356,13 +328,17 @@
         {
             evbuffer_remove_cb(bufferevent_get_output(bev_), on_output_changed,
                                this);
-            owner_.unsent_bytes -= unsent();
+            owner_.memory.unsent(number_, 0, false);
         }
     }
 
     static void on_written(bufferevent* /*bev*/, void* arg)
     {
         auto const self = static_cast<connection*>(arg)->shared_from_this();
+        if (self->bev_ != nullptr && self->unsent() <= self->flow_.low_mark())
+        {
+            self->resume_flow(false);
+        }
         // The call may date from before the last answer was queued.
         if (self->bev_ == nullptr || self->unsent() > 0)
         {
@@ -407,7 +383,7 @@
 
     void parse()
     {
-        if (bev_ == nullptr)
+        if (bev_ == nullptr || waiting_)
         {
             return;
         }
@@ -419,7 +395,7 @@
         }
         auto const was_started = parser_.started();
         allow(owner_.sizes());
-        while (!answering_ && evbuffer_get_length(in) > 0 &&
+        while (!answering_ && !waiting_ && evbuffer_get_length(in) > 0 &&
                parser_.error() == parse_error::none && !parser_.complete())
         {
             auto const n = evbuffer_get_contiguous_space(in);
@@ -428,6 +404,7 @@
             auto const taken = parser_.feed({data, n}, sizes_);
             evbuffer_drain(in,
                            parser_.error() == parse_error::none ? taken : n);
+            account_progress();
         }
         if (parser_.error() != parse_error::none)
         {
@@ -443,6 +420,44 @@
         }
     }
 
+    /// Reads no further for now if there is no room for more of the request.
+    void account_progress()
+    {
+        if (parser_.error() == parse_error::none && !parser_.complete() &&
+            !owner_.memory.received(number_,
+                                    {parser_.held() + unread(),
+                                     parser_.announced(), parser_.chunked()}))
+        {
+            waiting_ = true;
+            bufferevent_disable(bev_, EV_READ);
+        }
+    }
+
+    [[nodiscard]] auto has_unread() const -> bool override
+    {
+        return bev_ != nullptr && (unread() > 0 || has_pending_input());
+    }
+
+    void resume_reading() override
+    {
+        auto const self = shared_from_this();
+        waiting_ = false;
+        bufferevent_enable(bev_, EV_READ);
+        parse();
+    }
+
+    void reject_for_memory() override
+    {
+        refuse_and_end(unavailable,
+                       {{"Retry-After", std::string{retry_after_memory}}});
+    }
+
+    void close_stalled() override
+    {
+        refuse_and_end(request_timeout,
+                       {{"Retry-After", std::string{retry_after_memory}}});
+    }
+
     /// Has `sizes` hold for what comes next, and none less than before for what
     /// has come already.
     void allow(parse_limits const& sizes)
@@ -520,6 +535,8 @@
         write(serialise_head({status, std::move(headers)}, "Content-Length: 0",
                              true));
         announced_ = true;
+        owner_.memory.ended(number_);
+        parser_.discard();
         end_gently(end_reason::rejected);
     }
 
@@ -532,6 +549,7 @@
             return;
         }
         timer_.cancel();
+        owner_.memory.complete(number_, parser_.held());
         auto message = parser_.take();
         arrived_before_change_ = arrived_before_change_ && !has_no_request();
         keep_alive_ = message.keep_alive;
@@ -574,6 +592,9 @@
         {
             answering_ = false;
             gone_ = nullptr;
+            resume_flow(true);
+            flow_ = {};
+            owner_.memory.ended(number_);
         }
     }
 
@@ -613,6 +634,7 @@
         if (bev_ != nullptr)
         {
             stop_counting();
+            owner_.memory.closed(number_);
             bufferevent_free(std::exchange(bev_, nullptr));
         }
     }
@@ -642,7 +664,11 @@
         auto const self = shared_from_this();
         auto const now = net::event_loop::now();
         auto const reading = unsent() > 0 && unsent() < unsent_left_;
-        if (reading && (ending_ || !parser_.started()))
+        if (waiting_)
+        {
+            arm(owner_.limits.idle_timeout);
+        }
+        else if (reading && (ending_ || !parser_.started()))
         {
             unsent_left_ = unsent();
             arm(ending_ ? linger : timeout(now));
@@ -674,6 +700,10 @@
     }
 
     server::state& owner_;
+    memory::connection_number number_;
+    answer_flow flow_;
+    /// The account has stopped reading for now.
+    bool waiting_ = false;
     bufferevent* bev_;
     request_parser parser_;
     /// The largest ones that were in force for the request being read.
@@ -690,7 +720,6 @@
     std::function<void(client_loss)> gone_;
     /// After the last write, or as the client was last seen to take some.
     std::size_t unsent_left_ = 0;
-    time_point taken_at_{};
     /// Its unsent bytes are among those of the server.
     bool counted_ = false;
     /// Further than the server's limit of connections.
@@ -710,70 +739,6 @@
     bool drop_reported_ = false;
 };
 
-namespace
-{
-
-/// Holds its connection only while the answer is owed.
-class open_exchange : public exchange
-{
-public:
-    explicit open_exchange(std::weak_ptr<connection> it) : to_(std::move(it)) {}
-
-    void reply(response_head const& head, std::string_view body,
-               bool close) override
-    {
-        if (auto const it = std::exchange(to_, {}).lock())
-        {
-            it->reply(head, body, close);
-        }
-    }
-
-    void start(response_head const& head) override
-    {
-        if (auto const it = to_.lock())
-        {
-            it->start(head);
-        }
-    }
-
-    void send(std::string_view bytes) override
-    {
-        if (auto const it = to_.lock())
-        {
-            it->send(bytes);
-        }
-    }
-
-    void finish() override
-    {
-        if (auto const it = std::exchange(to_, {}).lock())
-        {
-            it->finish();
-        }
-    }
-
-    void abort() override
-    {
-        if (auto const it = std::exchange(to_, {}).lock())
-        {
-            it->abort();
-        }
-    }
-
-    void on_gone(std::function<void(client_loss)> work) override
-    {
-        if (auto const it = to_.lock())
-        {
-            it->on_gone(std::move(work));
-        }
-    }
-
-private:
-    std::weak_ptr<connection> to_;
-};
-
-} // namespace
-
 void server::state::accepted(evutil_socket_t fd)
 {
     auto const open = connections.size();
@@ -787,30 +752,9 @@
     connections.emplace(it.get(), it);
 }
 
-void server::state::limit_unsent()
-{
-    if (unsent_bytes <= max_unsent_together)
-    {
-        return;
-    }
-    auto slowest = std::shared_ptr<connection>{};
-    for (auto const& [key, it] : connections)
-    {
-        auto const since = it->waiting_since();
-        if (since && (!slowest || *since < *slowest->waiting_since()))
-        {
-            slowest = it;
-        }
-    }
-    if (slowest)
-    {
-        slowest->give_up();
-    }
-}
-
 auto connection::make_exchange() -> std::shared_ptr<exchange>
 {
-    return std::make_shared<open_exchange>(weak_from_this());
+    return std::make_shared<open_exchange<connection>>(weak_from_this());
 }
 
 server::server(net::event_loop& loop, handler on_request)
@@ -840,6 +784,7 @@
     {
         throw std::runtime_error("cannot listen on " + net::to_string(at));
     }
+    state_->memory.set_listener(evconnlistener_get_fd(state_->listener));
     auto bound = sockaddr_in{};
     auto n = socklen_t{sizeof bound};
     getsockname(evconnlistener_get_fd(state_->listener),
@@ -860,6 +805,7 @@
         }
     }
     state_->limits = it;
+    state_->memory.set_limits(it.memory, state_->sizes().body);
 }
 
 void server::close_after_answers()
@@ -898,6 +844,11 @@
     state_->on_rejected = std::move(report);
 }
 
+void server::on_memory(std::function<void(memory_event const&)> report)
+{
+    state_->memory.on_event = std::move(report);
+}
+
 void server::stop_listening()
 {
     if (state_->listener == nullptr)
--- a/src/http1/server.hpp
+++ b/src/http1/server.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/units.hpp"
+#include "http1/memory_task.hpp"
 #include "http1/message.hpp"
 #include "net/event_loop.hpp"
 
@@ -92,6 +93,10 @@
 
     /// Runs `work` once if the client goes before its answer is complete.
     virtual void on_gone(std::function<void(client_loss)> work) = 0;
+
+    /// Runs `work` with true when so much of a started answer waits for the
+    /// client that its sender has to stop, and with false when it goes on.
+    virtual void on_flow(std::function<void(bool)> /*work*/) {}
 };
 
 struct server_limits
@@ -111,6 +116,8 @@
     /// Connections held at once. The first request of a further one gets 503;
     /// beyond a fixed number of those, connections are closed at once.
     std::size_t max_connections = 3000;
+    /// What clients may make the server hold; empty: as much as they like.
+    std::optional<memory::budget> memory;
 };
 
 class server
@@ -155,6 +162,9 @@
     /// `report` gets each request that is malformed or too large.
     void on_rejected(std::function<void(rejected_request const&)> report);
 
+    /// `report` gets each decision for want of memory.
+    void on_memory(std::function<void(memory_event const&)> report);
+
     [[nodiscard]] auto listening() const -> bool;
 
     [[nodiscard]] auto connections() const -> std::size_t;
--- a/src/metrics/gateway_metrics.cpp
+++ b/src/metrics/gateway_metrics.cpp
@@ -47,6 +47,9 @@
                    "Ended connections on which a client still sent.")),
       rejected_(counters(*registry_, "gateway_requests_rejected_total",
                          "Requests that were malformed or too large.")),
+      client_memory_(
+          counters(*registry_, "gateway_client_memory_total",
+                   "Clients paused, rejected, closed or dropped for memory.")),
       crashes_(counters(*registry_, "gateway_target_crashes_total",
                         "Targets that crashed as they began an answer.")),
       pauses_(histograms(*registry_, "gateway_continuation_seconds",
@@ -132,6 +135,14 @@
     rejected_.Add({{"status", std::string{status}}}).Increment();
 }
 
+void gateway_metrics::client_memory(std::string_view group,
+                                    std::string_view what)
+{
+    client_memory_
+        .Add({{"group", std::string{group}}, {"what", std::string{what}}})
+        .Increment();
+}
+
 void gateway_metrics::target_crashed(std::string_view cause)
 {
     crashes_.Add({{"cause", std::string{cause}}}).Increment();
