--- a/src/gateway/attempt_test.cpp
+++ b/src/gateway/attempt_test.cpp
@@ -219,6 +219,31 @@
 
 BOOST_AUTO_TEST_SUITE(whose_target_sends_without_end)
 
+// A stream for a client that did not read was taken from its target as fast as
+// the link is.
+BOOST_FIXTURE_TEST_CASE(is_not_read_while_its_client_is_slow, attempts)
+{
+    auto const data = event(1, std::string(16000, 'x'));
+    auto target = raw_target{loop, [&](std::string const&)
+                             {
+                                 return raw_answer{signed_head + "\r\n", data,
+                                                   endless, answer_end::closed};
+                             }};
+    auto out = outcome{};
+    auto const it = begin(target, true, out);
+    run_until([&] { return !out.events.empty(); });
+    it->pause_reading(true, net::event_loop::now());
+    auto seen = out.events.size();
+    auto calm = false;
+    auto const wait = loop.after(500ms, [&] { calm = true; });
+    run_until([&] { return calm; });
+    BOOST_TEST(out.events.size() == seen);
+    BOOST_TEST(target.sent() < kernel_buffers);
+    it->pause_reading(false, net::event_loop::now());
+    run_until([&] { return out.events.size() > seen; });
+    BOOST_TEST(!out.over());
+}
+
 BOOST_FIXTURE_TEST_CASE(ends_a_plain_answer_beyond_its_bound, attempts)
 {
     auto const chunk = chunked(std::string(16000, 'x'));
--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -18,6 +18,24 @@
 namespace primrosedeal::http1
 {
 
+namespace
+{
+
+/// Bytes that the kernel keeps in each direction. It would keep several MB of
+/// a large body for a target that reads slowly, and as much of an answer that
+/// is not read for its client.
+constexpr auto socket_buffer = 256 << 10;
+
+void set_socket_options(evutil_socket_t fd)
+{
+    auto const on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &socket_buffer, sizeof socket_buffer);
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &socket_buffer, sizeof socket_buffer);
+}
+
+} // namespace
+
 auto to_string(call_error it) -> std::string_view
 {
     switch (it)
@@ -227,9 +245,7 @@
         auto& self = *static_cast<state*>(arg);
         if ((what & BEV_EVENT_CONNECTED) != 0)
         {
-            auto const on = 1;
-            setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_NODELAY, &on,
-                       sizeof on);
+            set_socket_options(bufferevent_getfd(bev));
             if (self.tunnel == nullptr)
             {
                 self.on_connected();
--- a/src/http1/memory_task.cpp
+++ b/src/http1/memory_task.cpp
@@ -24,6 +24,12 @@
 /// Heads of ordinary requests fit.
 constexpr auto least_read_ahead = std::size_t{4} << 10U;
 constexpr auto least_receive_buffer = std::size_t{4} << 10U;
+/// Of a connection whose body has been admitted.
+constexpr auto body_receive_buffer = std::size_t{256} << 10U;
+/// The kernel would keep up to 4 MB for a client that does not read.
+constexpr auto usual_send_buffer = std::size_t{256} << 10U;
+/// While many connections are open.
+constexpr auto least_send_buffer = std::size_t{64} << 10U;
 /// Under pressure a stream gets what a client takes in a moment.
 constexpr auto pressed_flow_mark = std::size_t{256} << 10U;
 constexpr auto usual_flow_mark = std::size_t{4} << 20U;
@@ -33,6 +39,12 @@
 /// A peak after which free memory is given back.
 constexpr auto trimmed_peak = std::size_t{8} << 20U;
 
+void set_size(evutil_socket_t of, int option, std::size_t bytes)
+{
+    auto const value = static_cast<int>(bytes);
+    ::setsockopt(of, SOL_SOCKET, option, &value, sizeof value);
+}
+
 auto address_of(evutil_socket_t fd) -> memory::client_address
 {
     auto it = sockaddr_in{};
@@ -58,18 +70,26 @@
     limits.bytes = it.value_or(memory::budget{});
     limits.largest_body = largest_body;
     account_.set_limits(limits);
-    size_receive_buffers();
+    if (listener_ && budget_ && receive_buffer_ == 0)
+    {
+        set_size(*listener_, SO_SNDBUF, usual_send_buffer);
+    }
+    size_socket_buffers();
 }
 
 void memory_task::set_listener(std::optional<evutil_socket_t> it)
 {
     listener_ = it;
     receive_buffer_ = 0;
-    size_receive_buffers();
+    if (listener_ && budget_)
+    {
+        set_size(*listener_, SO_SNDBUF, usual_send_buffer);
+    }
+    size_socket_buffers();
 }
 
-/// A few connections keep what the kernel gives them.
-void memory_task::size_receive_buffers()
+/// A few connections keep the receive buffers that the kernel gives them.
+void memory_task::size_socket_buffers()
 {
     auto const open = connections_.size();
     if (!budget_ || !listener_ ||
@@ -77,6 +97,10 @@
     {
         return;
     }
+    if (receive_buffer_ == 0)
+    {
+        set_size(*listener_, SO_SNDBUF, least_send_buffer);
+    }
     auto const size = memory::share_of(budget_->received / 2, open,
                                        least_receive_buffer, most_read_ahead);
     // Each change is a system call, and holds for later connections only.
@@ -85,8 +109,7 @@
         size - receive_buffer_ > receive_buffer_ / tolerance)
     {
         receive_buffer_ = size;
-        auto const value = static_cast<int>(size);
-        ::setsockopt(*listener_, SOL_SOCKET, SO_RCVBUF, &value, sizeof value);
+        set_size(*listener_, SO_RCVBUF, size);
     }
 }
 
@@ -94,9 +117,9 @@
     -> memory::connection_number
 {
     auto const id = memory::connection_number{++last_number_};
-    connections_.emplace(id, &it);
+    connections_.emplace(id, client{&it, fd, false});
     account_.opened(id, address_of(fd));
-    size_receive_buffers();
+    size_socket_buffers();
     return id;
 }
 
@@ -104,7 +127,7 @@
 {
     account_.closed(id);
     connections_.erase(id);
-    size_receive_buffers();
+    size_socket_buffers();
     arm();
 }
 
@@ -133,9 +156,25 @@
         report(account_.group(id), "paused");
         arm();
     }
+    if (on && it.held > memory::small_request)
+    {
+        grow_receive_buffer(id);
+    }
     return on;
 }
 
+/// Its body has been reserved, and what waits unread is a part of it.
+void memory_task::grow_receive_buffer(memory::connection_number id)
+{
+    auto& it = connections_.at(id);
+    if (receive_buffer_ > 0 && account_.reserved(id) > memory::small_request &&
+        !std::exchange(it.grown, true))
+    {
+        set_size(it.fd, SO_RCVBUF,
+                 std::min(account_.reserved(id), body_receive_buffer));
+    }
+}
+
 void memory_task::complete(memory::connection_number id, std::size_t bytes)
 {
     account_.complete(id, bytes);
@@ -164,7 +203,7 @@
         return;
     }
     report(memory::client_group::slow_reader, "dropped");
-    connections_.at(*slowest)->give_up();
+    connections_.at(*slowest).connection->give_up();
 }
 
 void memory_task::flow_changed(bool stopped)
@@ -201,13 +240,14 @@
 void memory_task::tick(time_point now)
 {
     timer_.cancel();
-    auto const due = account_.step(now,
-                                   [this](memory::connection_number id)
-                                   {
-                                       auto const it = connections_.find(id);
-                                       return it != connections_.end() &&
-                                              it->second->has_unread();
-                                   });
+    auto const due =
+        account_.step(now,
+                      [this](memory::connection_number id)
+                      {
+                          auto const it = connections_.find(id);
+                          return it != connections_.end() &&
+                                 it->second.connection->has_unread();
+                      });
     std::for_each(due.begin(), due.end(),
                   [this](memory::decision const& it) { carry_out(it); });
     if (stopped_flows_ > 0)
@@ -225,9 +265,12 @@
     {
         return;
     }
-    auto& to = *found->second;
+    auto& to = *found->second.connection;
     std::visit(overloaded{[&](memory::resume_reading const&)
-                          { to.resume_reading(); },
+                          {
+                              grow_receive_buffer(it.connection);
+                              to.resume_reading();
+                          },
                           [&](memory::reject_request const&)
                           {
                               report(it.group, "rejected");
@@ -249,7 +292,7 @@
     {
         if (connections_.contains(id))
         {
-            it->check_flow(now);
+            it.connection->check_flow(now);
         }
     }
 }
--- a/src/http1/memory_task.hpp
+++ b/src/http1/memory_task.hpp
@@ -59,7 +59,7 @@
     void set_limits(std::optional<memory::budget> const& it,
                     std::size_t largest_body);
 
-    /// New connections get the receive buffers of this listener.
+    /// New connections get the buffers of this listener.
     void set_listener(std::optional<evutil_socket_t> it);
 
     auto opened(accounted_connection& it, evutil_socket_t fd)
@@ -93,7 +93,8 @@
 
 private:
     void report(memory::client_group group, std::string_view what) const;
-    void size_receive_buffers();
+    void size_socket_buffers();
+    void grow_receive_buffer(memory::connection_number id);
     void arm();
     void tick(time_point now);
     void check_flow(time_point now);
@@ -103,7 +104,14 @@
     net::event_loop& loop_;
     memory::client_account account_;
     std::optional<memory::budget> budget_;
-    std::map<memory::connection_number, accounted_connection*> connections_;
+    struct client
+    {
+        accounted_connection* connection = nullptr;
+        evutil_socket_t fd = -1;
+        bool grown = false;
+    };
+
+    std::map<memory::connection_number, client> connections_;
     std::uint64_t last_number_ = 0;
     std::optional<evutil_socket_t> listener_;
     std::size_t receive_buffer_ = 0;
--- a/src/http1/open_exchange.hpp
+++ b/src/http1/open_exchange.hpp
@@ -66,11 +66,11 @@
         }
     }
 
-    void on_flow(std::function<void(bool)> work) override
+    void on_flow(std::function<void(bool)> const& work) override
     {
         if (auto const it = to_.lock())
         {
-            it->on_flow(std::move(work));
+            it->on_flow(work);
         }
     }
 
--- a/src/http1/server.hpp
+++ b/src/http1/server.hpp
@@ -96,7 +96,7 @@
 
     /// Runs `work` with true when so much of a started answer waits for the
     /// client that its sender has to stop, and with false when it goes on.
-    virtual void on_flow(std::function<void(bool)> /*work*/) {}
+    virtual void on_flow(std::function<void(bool)> const& /*work*/) {}
 };
 
 struct server_limits
--- a/src/memory/client_account.cpp
+++ b/src/memory/client_account.cpp
@@ -54,8 +54,13 @@
 auto client_account::group(connection_number id) const -> client_group
 {
     auto const it = entries_.find(id);
-    return it == entries_.end() ? client_group::small
-                                : group_of(it->second);
+    return it == entries_.end() ? client_group::small : group_of(it->second);
+}
+
+auto client_account::reserved(connection_number id) const -> std::size_t
+{
+    auto const it = entries_.find(id);
+    return it == entries_.end() ? 0 : it->second.reserved;
 }
 
 auto client_account::fits(std::size_t wanted) const -> bool
@@ -184,47 +189,6 @@
     }
 }
 
-void client_account::unsent(connection_number id, std::size_t bytes, bool taken,
-                            time_point now)
-{
-    auto const found = entries_.find(id);
-    if (found == entries_.end())
-    {
-        return;
-    }
-    auto& it = found->second;
-    if (taken || it.unsent == 0)
-    {
-        it.taken_at = now;
-    }
-    usage_.unsent = usage_.unsent - it.unsent + bytes;
-    it.unsent = bytes;
-}
-
-auto client_account::slowest_reader() const -> std::optional<connection_number>
-{
-    if (usage_.unsent <= limits_.bytes.unsent)
-    {
-        return std::nullopt;
-    }
-    auto out = std::optional<connection_number>{};
-    auto since = time_point::max();
-    for (auto const& [id, it] : entries_)
-    {
-        if (it.unsent > 0 && it.taken_at < since)
-        {
-            out = id;
-            since = it.taken_at;
-        }
-    }
-    return out;
-}
-
-auto client_account::readers_press() const -> bool
-{
-    return usage_.unsent > limits_.bytes.unsent / 2;
-}
-
 void client_account::measure_progress(time_point now,
                                       unread_query const& has_unread)
 {
--- a/src/memory/client_account.hpp
+++ b/src/memory/client_account.hpp
@@ -133,6 +133,9 @@
     /// Of the request that is being received.
     [[nodiscard]] auto group(connection_number id) const -> client_group;
 
+    /// Bytes reserved for its body.
+    [[nodiscard]] auto reserved(connection_number id) const -> std::size_t;
+
     /// The request is complete, and holds `bytes` until it has ended.
     void complete(connection_number id, std::size_t bytes);
     /// Nothing of its request is held any more.
