Size receive buffers before and at the acceptance of a connection

Cause: up to 1,024 connections wait to be accepted and have the kernel's receive buffers by then.

Change: the listener's buffers come from the budget (16 to 64 KB), those of an accepted connection from its share, and those of a connection whose body has been admitted have up to 256 KB. The window's bound is raised with the buffer. A client that asks with Expect is told to go on only once there is room.

--- a/src/http1/client_memory_test.cpp
+++ b/src/http1/client_memory_test.cpp
@@ -182,6 +182,25 @@
     run_until_answered(first, "200");
 }
 
+// A client that asks first sent a body for which there was no room.
+BOOST_AUTO_TEST_CASE(asks_for_no_body_that_finds_no_room)
+{
+    auto stalled = socket_client{port};
+    stalled.send(head(mebibyte) + std::string(mebibyte / 2, 'x'));
+    run_until([&] { return it.connections() == 1; });
+    auto const asking = "POST /x HTTP/1.1\r\nHost: h\r\nExpect: 100-continue"
+                        "\r\nContent-Length: " +
+                        std::to_string(mebibyte) + "\r\n\r\n";
+    auto waiting = socket_client{port};
+    waiting.send(asking);
+    run_until([&] { return !events.empty(); });
+    BOOST_TEST(waiting.received().empty());
+    run_until_answered(waiting, "100 Continue");
+    BOOST_TEST(events.back() == "closed");
+    waiting.send(std::string(mebibyte, 'x'));
+    run_until_answered(waiting, "200");
+}
+
 // A target sent all of its answer for a client that did not read.
 BOOST_AUTO_TEST_CASE(stops_the_sender_of_an_answer_that_is_not_read)
 {
--- a/src/http1/memory_task.cpp
+++ b/src/http1/memory_task.cpp
@@ -4,6 +4,7 @@
 
 #include <malloc.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -24,6 +25,8 @@
 /// Heads of ordinary requests fit.
 constexpr auto least_read_ahead = std::size_t{4} << 10U;
 constexpr auto least_receive_buffer = std::size_t{4} << 10U;
+/// As a connection begins. As many as wait to be accepted may fill it.
+constexpr auto least_first_buffer = std::size_t{16} << 10U;
 /// Of a connection whose body has been admitted.
 constexpr auto body_receive_buffer = std::size_t{256} << 10U;
 /// The kernel would keep up to 4 MB for a client that does not read.
@@ -45,6 +48,15 @@
     ::setsockopt(of, SOL_SOCKET, option, &value, sizeof value);
 }
 
+/// The window of a connection is bounded by the buffer that it began with
+/// until it is raised too.
+void set_receive_buffer(evutil_socket_t of, std::size_t bytes)
+{
+    set_size(of, SO_RCVBUF, bytes);
+    auto const window = static_cast<int>(bytes);
+    ::setsockopt(of, IPPROTO_TCP, TCP_WINDOW_CLAMP, &window, sizeof window);
+}
+
 auto address_of(evutil_socket_t fd) -> memory::client_address
 {
     auto it = sockaddr_in{};
@@ -70,46 +82,43 @@
     limits.bytes = it.value_or(memory::budget{});
     limits.largest_body = largest_body;
     account_.set_limits(limits);
-    if (listener_ && budget_ && receive_buffer_ == 0)
-    {
-        set_size(*listener_, SO_SNDBUF, usual_send_buffer);
-    }
-    size_socket_buffers();
+    size_listener_buffers();
 }
 
 void memory_task::set_listener(std::optional<evutil_socket_t> it)
 {
     listener_ = it;
-    receive_buffer_ = 0;
-    if (listener_ && budget_)
-    {
-        set_size(*listener_, SO_SNDBUF, usual_send_buffer);
-    }
-    size_socket_buffers();
+    size_listener_buffers();
 }
 
-/// A few connections keep the receive buffers that the kernel gives them.
-void memory_task::size_socket_buffers()
+/// The kernel gives these to connections before they are accepted.
+void memory_task::size_listener_buffers()
 {
-    auto const open = connections_.size();
-    if (!budget_ || !listener_ ||
-        (receive_buffer_ == 0 && open < memory::assumed_connections))
+    if (!budget_ || !listener_)
     {
         return;
     }
-    if (receive_buffer_ == 0)
+    constexpr auto most_waiting = std::size_t{1024};
+    constexpr auto parts = std::size_t{4};
+    set_size(*listener_, SO_RCVBUF,
+             std::clamp(budget_->received / most_waiting * parts,
+                        least_first_buffer, most_read_ahead));
+    set_size(*listener_, SO_SNDBUF, usual_send_buffer);
+}
+
+void memory_task::size_buffers(evutil_socket_t fd)
+{
+    if (!budget_)
     {
-        set_size(*listener_, SO_SNDBUF, least_send_buffer);
+        return;
     }
-    auto const size = memory::share_of(budget_->received / 2, open,
-                                       least_receive_buffer, most_read_ahead);
-    // Each change is a system call, and holds for later connections only.
-    constexpr auto tolerance = 8;
-    if (receive_buffer_ == 0 || size < receive_buffer_ ||
-        size - receive_buffer_ > receive_buffer_ / tolerance)
+    auto const open = connections_.size();
+    set_receive_buffer(fd,
+                       memory::share_of(budget_->received / 2, open,
+                                        least_receive_buffer, most_read_ahead));
+    if (open > memory::assumed_connections)
     {
-        receive_buffer_ = size;
-        set_size(*listener_, SO_RCVBUF, size);
+        set_size(fd, SO_SNDBUF, least_send_buffer);
     }
 }
 
@@ -119,7 +128,7 @@
     auto const id = memory::connection_number{++last_number_};
     connections_.emplace(id, client{&it, fd, false});
     account_.opened(id, address_of(fd));
-    size_socket_buffers();
+    size_buffers(fd);
     return id;
 }
 
@@ -127,7 +136,6 @@
 {
     account_.closed(id);
     connections_.erase(id);
-    size_socket_buffers();
     arm();
 }
 
@@ -167,11 +175,11 @@
 void memory_task::grow_receive_buffer(memory::connection_number id)
 {
     auto& it = connections_.at(id);
-    if (receive_buffer_ > 0 && account_.reserved(id) > memory::small_request &&
+    if (budget_ && account_.reserved(id) > memory::small_request &&
         !std::exchange(it.grown, true))
     {
-        set_size(it.fd, SO_RCVBUF,
-                 std::min(account_.reserved(id), body_receive_buffer));
+        set_receive_buffer(
+            it.fd, std::min(account_.reserved(id), body_receive_buffer));
     }
 }
 
--- a/src/http1/memory_task.hpp
+++ b/src/http1/memory_task.hpp
@@ -59,7 +59,7 @@
     void set_limits(std::optional<memory::budget> const& it,
                     std::size_t largest_body);
 
-    /// New connections get the buffers of this listener.
+    /// New connections begin with the buffers of this listener.
     void set_listener(std::optional<evutil_socket_t> it);
 
     auto opened(accounted_connection& it, evutil_socket_t fd)
@@ -93,7 +93,8 @@
 
 private:
     void report(memory::client_group group, std::string_view what) const;
-    void size_socket_buffers();
+    void size_listener_buffers();
+    void size_buffers(evutil_socket_t fd);
     void grow_receive_buffer(memory::connection_number id);
     void arm();
     void tick(time_point now);
@@ -114,7 +115,6 @@
     std::map<memory::connection_number, client> connections_;
     std::uint64_t last_number_ = 0;
     std::optional<evutil_socket_t> listener_;
-    std::size_t receive_buffer_ = 0;
     std::size_t stopped_flows_ = 0;
     /// Most bytes held since free memory was given back.
     std::size_t peak_ = 0;
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -498,7 +498,7 @@
         {
             await_client();
         }
-        if (parser_.expects_continue() && !continued_)
+        if (parser_.expects_continue() && !continued_ && !waiting_)
         {
             continued_ = true;
             write("HTTP/1.1 100 Continue\r\n\r\n");
