--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -1,5 +1,6 @@
 #include "http1/client.hpp"
 
+#include "http1/request_writer.hpp"
 #include "net/connect.hpp"
 #include "net/connect_error.hpp"
 #include "net/unacknowledged.hpp"
@@ -21,18 +22,17 @@
 namespace
 {
 
-auto serialise(request const& it) -> std::string
+/// Bytes that the kernel keeps in each direction. It would keep several MB of
+/// a large body for a target that reads slowly, and as much of an answer that
+/// is not read for its client.
+constexpr auto socket_buffer = 256 << 10;
+
+void set_socket_options(evutil_socket_t fd)
 {
-    auto out = it.method + ' ' + it.target + " HTTP/1.1\r\n";
-    for (auto const& header : it.headers)
-    {
-        out += header.name + ": " + header.value + "\r\n";
-    }
-    if (!it.body.empty() || it.method == "POST" || it.method == "PUT")
-    {
-        out += "Content-Length: " + std::to_string(it.body.size()) + "\r\n";
-    }
-    return out + "\r\n" + it.body;
+    auto const on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &socket_buffer, sizeof socket_buffer);
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &socket_buffer, sizeof socket_buffer);
 }
 
 } // namespace
@@ -85,7 +85,7 @@
             return;
         }
         bufferevent_setcb(bev, on_read, nullptr, on_event, this);
-        unsent = serialise(message);
+        unsent = request_writer{message};
         bufferevent_enable(bev, EV_READ | EV_WRITE);
         if (!net::connect(bev, tunnel == nullptr ? to : tunnel->helper))
         {
@@ -195,14 +195,12 @@
     {
         connected = true;
         deadline.cancel();
-        auto bytes = std::exchange(unsent, {});
         if (leased)
         {
-            bytes = write_frames(bytes);
             renewed_at = net::event_loop::now();
             schedule_renewal(renewed_at);
         }
-        bufferevent_write(bev, bytes.data(), bytes.size());
+        std::exchange(unsent, {}).write(bufferevent_get_output(bev), leased);
         if (events.on_connected)
         {
             events.on_connected();
@@ -249,9 +247,7 @@
         auto& self = *static_cast<state*>(arg);
         if ((what & BEV_EVENT_CONNECTED) != 0)
         {
-            auto const on = 1;
-            setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_NODELAY, &on,
-                       sizeof on);
+            set_socket_options(bufferevent_getfd(bev));
             if (self.tunnel == nullptr)
             {
                 self.on_connected();
@@ -384,7 +380,7 @@
     frame_decoder frames;
     /// Queued by the handler that cancels the connect timeout and not before:
     /// libevent could send it on a connection that has just timed out.
-    std::string unsent;
+    request_writer unsent;
     bufferevent* bev;
     net::timer deadline;
     /// Of renewals.
@@ -421,6 +417,16 @@
     return state_->connected;
 }
 
+void client_call::pause_reading(bool paused)
+{
+    auto* const bev = state_->bev;
+    if (bev != nullptr && state_->connected && !state_->leased)
+    {
+        paused ? bufferevent_disable(bev, EV_READ)
+               : bufferevent_enable(bev, EV_READ);
+    }
+}
+
 auto client_call::may_run_until() const -> std::optional<time_point>
 {
     return state_->may_run_until();
