--- a/src/rollout/replay_fleet.hpp
+++ b/src/rollout/replay_fleet.hpp
@@ -6,9 +6,9 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <set>
 #include <string>
@@ -317,18 +317,17 @@
     [[nodiscard]] auto is_bad(std::string const& route) const -> bool
     {
         auto const& bad = options_.bad;
-        auto const recent = std::max(recent_all_, 1.0);
         return now_ >= start + bad.from &&
                (bad.route.empty() || bad.route == route) &&
-               recent_new_ / recent >= bad.above_share && bad.part > 0;
+               recent_new_ >= bad.above_share * recent_all_ && bad.part > 0;
     }
 
     void ask(std::size_t n)
     {
         auto& at = *hosts_[n];
         ++result_.requests;
-        result_.requests_until_deadline +=
-            now_ < start + options_.length ? 1 : 0;
+        auto const in_time = now_ < start + options_.length;
+        result_.requests_until_deadline += in_time ? 1 : 0;
         at.table.request(service);
         auto const to = at.table.permitted(service, {old_version, new_version});
         auto const is_new = to.preferred.contains(new_version);
