--- a/src/expected_cost/choice.cpp
+++ b/src/expected_cost/choice.cpp
@@ -18,7 +18,7 @@
 /// Occupancy of the own domain relative to the others' from which the price of
 /// crossing falls, and at which it is zero.
 constexpr auto busier = 1.0;
-constexpr auto much_busier = 1.5;
+constexpr auto much_busier = 1.25;
 /// Occupancy of a domain that is nearly idle, which makes no difference.
 constexpr auto idle_occupancy = 0.05;
 /// Occupancy of the own domain from which the price falls and at which it is
--- a/src/expected_cost/choice.hpp
+++ b/src/expected_cost/choice.hpp
@@ -55,7 +55,7 @@
 /// Time that a run in another failure domain has to save to be worth it, while
 /// the own domain has capacity. It is lost if the domains are partitioned, and
 /// its bytes have a price.
-constexpr auto crossing_time = duration{300ms};
+constexpr auto crossing_time = duration{200ms};
 
 /// The time that crossing counts for. Zero if targets of the own domain are
 /// clearly busier than those elsewhere, are nearly full, or would miss the
--- a/src/expected_cost/cost_model.hpp
+++ b/src/expected_cost/cost_model.hpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <utility>
 
 /// Expected output of a request, in tokens.
@@ -33,7 +34,11 @@
     std::string route;
     organisation_id organisation;
 
-    friend auto operator<=>(cost_key const&, cost_key const&) = default;
+    friend auto operator<(cost_key const& a, cost_key const& b) -> bool
+    {
+        return std::tie(a.route, a.organisation) <
+               std::tie(b.route, b.organisation);
+    }
 };
 
 /// What a client states of its answer. Zero: it states no maximum.
--- a/src/expected_cost/service_estimates.cpp
+++ b/src/expected_cost/service_estimates.cpp
@@ -115,8 +115,10 @@
 {
     auto const known = speeds.speed({at.id, at.process_start}, now);
     auto const bound =
-        work.speed_bound(at.id, usual_prompt, speeds.us_per_token(),
-                         speeds.event_time(at.slots), now);
+        work.speed_bound(at.id,
+                         {known, usual_prompt, speeds.us_per_token(),
+                          speeds.event_time(at.slots), others.age},
+                         now);
     return bound ? std::min(known, *bound) : known;
 }
 
--- a/src/expected_cost/target_speeds.hpp
+++ b/src/expected_cost/target_speeds.hpp
@@ -61,14 +61,6 @@
 
     void remove(target_id const& id);
 
-    /// Removes the targets for which `listed` is false.
-    template <class Listed>
-    void retain(Listed const& listed)
-    {
-        std::erase_if(targets_,
-                      [&](auto const& it) { return !listed(it.first); });
-    }
-
     /// 1: the usual speed, 2: twice as fast.
     [[nodiscard]] auto speed(process const& at, time_point now) const -> double;
 
--- a/src/expected_cost/work_left.cpp
+++ b/src/expected_cost/work_left.cpp
@@ -13,14 +13,11 @@
 constexpr auto least_left = 0.2;
 
 /// Multiples of the expected time after which work is overdue.
-constexpr auto overdue_prefill = 2.0;
+constexpr auto overdue_prefill = 1.5;
 constexpr auto overdue_events = 3.0;
 /// A pause that says nothing.
 constexpr auto short_pause = duration{400ms};
 
-/// The end of another host's prompt is known this late.
-constexpr auto longest_digest_age = duration{800ms};
-
 /// A prompt of a host that left is not observed to its end.
 constexpr auto prompt_timeout = duration{30s};
 
@@ -209,8 +206,7 @@
     return found == targets_.end() ? 0 : found->second.output;
 }
 
-auto work_left::speed_bound(target_id const& id, double usual_prompt,
-                            double us_per_token, duration event_time,
+auto work_left::speed_bound(target_id const& id, expectation const& expected,
                             time_point now) const -> std::optional<double>
 {
     auto const found = targets_.find(id);
@@ -220,29 +216,32 @@
     }
     auto const& it = found->second;
     auto out = std::optional<double>{};
-    auto const bound = [&](double expected_us, double factor, duration passed)
+    auto const bound = [&](double usual_us, double factor, duration passed)
     {
+        auto const expected_us = usual_us / expected.speed;
         if (passed > short_pause && to_us(passed) > factor * expected_us)
         {
-            out = std::min(out.value_or(1), expected_us / to_us(passed));
+            auto const ratio = expected_us / to_us(passed);
+            out =
+                std::min(out.value_or(expected.speed), expected.speed * ratio);
         }
     };
     if (it.streams > 0)
     {
-        bound(events_observed * to_us(event_time), overdue_events,
+        bound(events_observed * to_us(expected.event_time), overdue_events,
               now - it.last_event);
     }
     if (it.own.pending > 0)
     {
-        bound(it.first_tokens * us_per_token, overdue_prefill,
+        bound(it.first_tokens * expected.us_per_token, overdue_prefill,
               now - std::max(it.own.pending_since, it.own.last_prefilled));
     }
     if (it.others.pending > 0)
     {
         auto const since =
             std::max(it.others.pending_since, it.others.last_prefilled);
-        bound(usual_prompt * us_per_token, overdue_prefill,
-              now - since - longest_digest_age);
+        bound(expected.prompt * expected.us_per_token, overdue_prefill,
+              now - since - expected.digest_age);
     }
     return out;
 }
--- a/src/expected_cost/work_left.hpp
+++ b/src/expected_cost/work_left.hpp
@@ -29,7 +29,7 @@
 
 /// Events of a stream that are observed together: their mean time varies less,
 /// and costs less.
-constexpr auto events_observed = std::uint32_t{8};
+constexpr auto events_observed = std::uint32_t{4};
 
 /// A prefill that ended, as two digests of a host show it.
 struct observed_prefill
@@ -45,6 +45,19 @@
     std::uint64_t others = 0;
 };
 
+/// What is expected of a target.
+struct expectation
+{
+    double speed = 1;
+    /// Mean size of one prompt.
+    double prompt = 0;
+    /// At the usual speed.
+    double us_per_token = 0;
+    duration event_time{};
+    /// How late the progress of other hosts' prompts is known.
+    duration digest_age{};
+};
+
 class work_left
 {
 public:
@@ -79,8 +92,8 @@
 
     /// Upper bound of the speed of `id` from what is overdue there, if
     /// anything is: a target that stands still produces no observations.
-    [[nodiscard]] auto speed_bound(target_id const& id, double usual_prompt,
-                                   double us_per_token, duration event_time,
+    [[nodiscard]] auto speed_bound(target_id const& id,
+                                   expectation const& expected,
                                    time_point now) const
         -> std::optional<double>;
 
--- a/src/gateway/cost_events.cpp
+++ b/src/gateway/cost_events.cpp
@@ -16,18 +16,6 @@
 constexpr auto least_age = duration{20ms};
 constexpr auto most_age = duration{800ms};
 
-/// Removes targets that are no longer listed once they are many.
-void forget_removed(host_state const& host, service_id const& service,
-                    expected_cost::service_estimates& costs)
-{
-    constexpr auto spare = std::size_t{64};
-    if (costs.speeds.size() > host.targets.usable(service).size() + spare)
-    {
-        costs.speeds.retain([&](target_id const& id)
-                            { return host.targets.find(id) != nullptr; });
-    }
-}
-
 } // namespace
 
 void on_prompt(host_state& host, routes::service const& service,
@@ -48,7 +36,6 @@
         host.other_hosts.live_hosts(),
         host.other_hosts.request_rate(service.id, now),
         std::clamp(host.other_hosts.mean_age(now), least_age, most_age)};
-    forget_removed(host, service.id, costs);
     constexpr auto uneven = 0.75;
     host.metrics.uneven_targets(costs.speeds.uneven(uneven, now));
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -651,12 +651,7 @@
                          source_.in_contact() ? "true" : "false"}});
             if (it.to == directory::change_kind::gone)
             {
-                host_.detector.remove_target(it.id);
-                host_.limits.remove_target(it.id);
-                host_.limiter.remove_target(it.id);
-                host_.rejection_limits.remove_target(it.id);
-                host_.rejections.remove_target(it.id);
-                host_.rejection_gate.remove_target(it.id);
+                host_.remove_target(it.id);
                 notify_relays(it.id);
             }
         }
--- a/src/gateway/host_state.hpp
+++ b/src/gateway/host_state.hpp
@@ -128,6 +128,22 @@
                               demand, now);
     }
 
+    /// `id` is no longer listed.
+    void remove_target(target_id const& id)
+    {
+        detector.remove_target(id);
+        limits.remove_target(id);
+        limiter.remove_target(id);
+        rejection_limits.remove_target(id);
+        rejections.remove_target(id);
+        rejection_gate.remove_target(id);
+        for (auto& [service, costs] : expected_costs)
+        {
+            costs.speeds.remove(id);
+            costs.work.remove(id);
+        }
+    }
+
     net::event_loop& loop;
     protocol const& wire;
     host_settings settings;
