--- a/src/gateway/relay_fixture.hpp
+++ b/src/gateway/relay_fixture.hpp
@@ -146,13 +146,14 @@
     }
 
     void send(std::string const& path, client_view& client,
-              http1::header_list const& more = {}, std::string body = "prompt")
+              http1::header_list const& more = {},
+              std::string_view body = "prompt")
     {
         auto it = http1::request{
             "POST",
             path,
             {{"Host", "h"}, {std::string{platform::names::request_id}, "r"}},
-            std::move(body),
+            body,
             true};
         it.headers.insert(it.headers.end(), more.begin(), more.end());
         relay::start(host, std::move(it),
--- a/src/gateway/tunnel_server_test.cpp
+++ b/src/gateway/tunnel_server_test.cpp
@@ -114,7 +114,8 @@
 struct tunnelled_call
 {
     tunnelled_call(net::event_loop& loop, http1::tunnel_route const& route,
-                   std::string body = {}, duration connect_timeout = patience)
+                   std::string_view body = {},
+                   duration connect_timeout = patience)
     {
         auto events = http1::call_events{};
         events.on_connected = [this]
@@ -149,8 +150,7 @@
         // The address would be wrong: the helper knows the right one.
         call = std::make_unique<http1::client_call>(
             loop, net::endpoint{"127.0.0.1", 1},
-            http1::request{
-                "POST", "/a", {{"Host", "h"}}, std::move(body), true},
+            http1::request{"POST", "/a", {{"Host", "h"}}, body, true},
             connect_timeout, std::move(events), route);
     }
 
--- a/src/http1/client_test.cpp
+++ b/src/http1/client_test.cpp
@@ -65,7 +65,7 @@
     }
 
     /// What comes of `upload` at `target`.
-    auto call(raw_target& target, std::string upload) -> outcome
+    auto call(raw_target& target, std::string_view upload) -> outcome
     {
         auto out = outcome{};
         auto events = call_events{};
@@ -86,7 +86,7 @@
             out.error = why;
         };
         auto const message =
-            request{"POST", "/a", {{"Host", "h"}}, std::move(upload), true};
+            request{"POST", "/a", {{"Host", "h"}}, upload, true};
         auto const it = client_call{loop,
                                     {"127.0.0.1", target.port()},
                                     message,
