--- a/src/expected_cost/work_left.cpp
+++ b/src/expected_cost/work_left.cpp
@@ -13,7 +13,7 @@
 constexpr auto least_left = 0.2;
 
 /// Multiples of the expected time after which work is overdue.
-constexpr auto overdue_prefill = 1.5;
+constexpr auto overdue_prefill = 2.0;
 constexpr auto overdue_events = 3.0;
 /// A pause that says nothing.
 constexpr auto short_pause = duration{400ms};
