--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -715,6 +715,14 @@
     {
         on_run_broken(target, now);
     }
+    else if (how == attempt_failure::broken)
+    {
+        on_run_unresolved(helped ? "through_helper" : "path_lost", now);
+    }
+    else if (how == attempt_failure::silent)
+    {
+        on_run_unresolved("timed_out", now);
+    }
     else if (how == attempt_failure::target_error)
     {
         on_request_answered(now);
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -171,6 +171,9 @@
     void identify_suspects();
     /// The connection to `target` broke under the current run.
     void on_run_broken(directory::listed_target const& target, time_point now);
+    /// The current run ends unanswered for `reason`, and its target may still
+    /// crash under it.
+    void on_run_unresolved(std::string_view reason, time_point now);
     /// Whether the target may just have begun this answer.
     [[nodiscard]] auto may_have_just_begun(time_point now) const -> bool;
     static void record_crash(host_state& host,
--- a/src/gateway/relay_end.cpp
+++ b/src/gateway/relay_end.cpp
@@ -98,6 +98,7 @@
     if (current_ && current_->io && current_->io->may_have_sent())
     {
         state_.may_have_run = true;
+        on_run_unresolved("deadline", now);
     }
     if (current_ && !current_->has_event)
     {
@@ -123,6 +124,10 @@
                 {"how", std::string{to_string(how)}},
                 {"answer_started", state_.answer_started ? "true" : "false"}});
     completion_times().observe_unanswered(now - arrived_at_, now);
+    if (current_ && current_->io && current_->io->may_have_sent())
+    {
+        on_run_unresolved("client_gone", now);
+    }
     release_target();
     finish("client_gone", 0, now);
 }
--- a/src/gateway/relay_quarantine.cpp
+++ b/src/gateway/relay_quarantine.cpp
@@ -81,6 +81,22 @@
                        });
 }
 
+void relay::on_run_unresolved(std::string_view reason, time_point now)
+{
+    if (current_->proven)
+    {
+        return;
+    }
+    host_.metrics.run_unresolved(reason);
+    log::write(log::level::info, "run_unresolved",
+               {{"request", metadata_.id.value()},
+                {"target", current_->target.id.value()},
+                {"identity", hexadecimal(identity_.value())},
+                {"reason", std::string{reason}},
+                {"helper", current_->path.helper.value_or(host_id{}).value()},
+                {"sent_ms_ago", milliseconds(now - current_->sent_at)}});
+}
+
 void relay::record_crash(host_state& host,
                          directory::listed_target const& target,
                          request_id const& id,
--- a/src/metrics/gateway_metrics.cpp
+++ b/src/metrics/gateway_metrics.cpp
@@ -52,6 +52,9 @@
                    "Clients paused, rejected, closed or dropped for memory.")),
       crashes_(counters(*registry_, "gateway_target_crashes_total",
                         "Targets that crashed as they began an answer.")),
+      unresolved_runs_(
+          counters(*registry_, "gateway_unresolved_runs_total",
+                   "Runs that ended unanswered, their targets' fate unknown.")),
       pauses_(histograms(*registry_, "gateway_continuation_seconds",
                          "Pause of a stream that went on elsewhere.")),
       stream_waits_(counters(*registry_, "gateway_stream_waits_total",
@@ -157,6 +160,11 @@
     crashes_.Add({{"cause", std::string{cause}}}).Increment();
 }
 
+void gateway_metrics::run_unresolved(std::string_view reason)
+{
+    unresolved_runs_.Add({{"reason", std::string{reason}}}).Increment();
+}
+
 void gateway_metrics::stream_continued(bool from_copy, duration pause)
 {
     pauses_.Add({{"from", from_copy ? "copy" : "prompt"}}, request_buckets())
--- a/src/metrics/gateway_metrics.hpp
+++ b/src/metrics/gateway_metrics.hpp
@@ -35,6 +35,8 @@
     /// A target crashed as it began an answer; `cause` is what it is put down
     /// to.
     void target_crashed(std::string_view cause);
+    /// A run ended unanswered and its target may still crash under it.
+    void run_unresolved(std::string_view reason);
     void stream_continued(bool from_copy, duration pause);
     /// A begun stream delayed its next attempt.
     void stream_waited(std::string_view reason);
@@ -81,6 +83,7 @@
     prometheus::Family<prometheus::Counter>& rejected_;
     prometheus::Family<prometheus::Counter>& client_memory_;
     prometheus::Family<prometheus::Counter>& crashes_;
+    prometheus::Family<prometheus::Counter>& unresolved_runs_;
     prometheus::Family<prometheus::Histogram>& pauses_;
     prometheus::Family<prometheus::Counter>& stream_waits_;
     prometheus::Family<prometheus::Counter>& own_link_changes_;
