Replay calls that are given up before their targets crash

Cause: the replay ended each run with its host's attempt, so it could not show what a timeout hides, nor what accusing given-up runs costs sound calls. Change: a timeout for first runs, a later crash, and the rule that accuses open runs only.

--- a/src/quarantine/request_replay_test.cpp
+++ b/src/quarantine/request_replay_test.cpp
@@ -35,6 +35,8 @@
 constexpr auto restart_time = duration{3500ms};
 /// Time to find that a new connection to the target fails too.
 constexpr auto confirm_time = duration{5ms};
+/// The same if no run was open there.
+constexpr auto probe_time = duration{250ms};
 constexpr auto max_attempts = 2U;
 constexpr auto settling_time = duration{3s};
 constexpr auto counted_crash = std::size_t{3};
@@ -47,11 +49,15 @@
     duration run_time = 15ms;
     bool culprit = true;
     /// A domain is lost again and again.
-    std::optional<duration> domain_loss_period;
+    std::optional<duration> domain_loss_period = {};
     /// A host restarts or is paused again and again.
-    std::optional<duration> host_fault_period;
+    std::optional<duration> host_fault_period = {};
     /// Until then the hosts hear nothing of each other, from `cut_from` on.
     duration cut_until{};
+    /// A first run is given up after it, and goes on at its target.
+    duration timeout = duration::max();
+    /// Longest time from the start of the culprit's run to the crash.
+    duration until_crash = 10ms;
 };
 
 /// Later than the verdict and earlier than the first trial.
@@ -87,6 +93,10 @@
         return true;
     }
     virtual void crashed(call const& it, crash_id crash, time_point now) = 0;
+    [[nodiscard]] virtual auto accuses_given_up() const -> bool
+    {
+        return true;
+    }
     virtual void answered(call const&, time_point) {}
     virtual void exchange(random_source&, time_point) {}
     virtual void restart(std::size_t) {}
@@ -132,6 +142,8 @@
     bool limits_retries = true;
     /// Trials are for the lowest host that is heard.
     bool lowest_tries = false;
+    /// Crashes accuse runs that were given up before.
+    bool accuses_given_up = true;
 };
 
 /// The quarantine of requests, one for each host.
@@ -163,6 +175,11 @@
                                            std::span{&it.identity, 1}, now);
     }
 
+    [[nodiscard]] auto accuses_given_up() const -> bool override
+    {
+        return variation_.accuses_given_up;
+    }
+
     void answered(call const& it, time_point now) override
     {
         hosts_.state(it.host).record_progress(std::span{&it.identity, 1}, now);
@@ -292,11 +309,17 @@
         }
     };
 
+    struct target_run
+    {
+        call_ptr of;
+        bool given_up = false;
+    };
+
     struct target
     {
         bool up = true;
         std::uint64_t life = 0;
-        std::map<std::uint64_t, call_ptr> runs;
+        std::map<std::uint64_t, target_run> runs;
     };
 
     struct culprit_run
@@ -400,7 +423,7 @@
         {
             return;
         }
-        auto const n = choose_target();
+        auto const n = choose_target(it->id);
         if (!n)
         {
             return;
@@ -411,19 +434,37 @@
             culprit_runs_.push_back({now_, now_ < disturbed_until_[it->host]});
         }
         auto& to = targets_.at(*n);
-        to.runs[it->id] = it;
-        auto const time = it->culprit ? between(2ms, 10ms)
+        to.runs[it->id] = {it};
+        auto const time = it->culprit ? between(scenario_.until_crash / 5,
+                                                scenario_.until_crash)
                                       : between(0us, 2 * scenario_.run_time);
         at(now_ + time,
            [this, it, n = *n, life = to.life] { end(it, n, life); });
+        if (it->repeatable && it->runs < max_attempts &&
+            scenario_.timeout < time)
+        {
+            at(now_ + scenario_.timeout,
+               [this, it, n = *n, life = to.life] { give_up(it, n, life); });
+        }
+    }
+
+    void give_up(call_ptr const& it, std::size_t n, std::uint64_t life)
+    {
+        auto& on = targets_.at(n);
+        if (on.up && on.life == life)
+        {
+            on.runs.at(it->id).given_up = true;
+            send(it);
+        }
     }
 
-    auto choose_target() -> std::optional<std::size_t>
+    /// One without a run of `call`.
+    auto choose_target(std::uint64_t call) -> std::optional<std::size_t>
     {
         auto up = std::vector<std::size_t>{};
         for (auto n = std::size_t{0}; n < targets_.size(); ++n)
         {
-            if (targets_.at(n).up)
+            if (targets_.at(n).up && !targets_.at(n).runs.contains(call))
             {
                 up.push_back(n);
             }
@@ -445,9 +486,12 @@
             lose(on);
             return;
         }
-        on.runs.erase(it->id);
-        it->served = true;
-        rule_.answered(*it, now_);
+        auto const ended = on.runs.extract(it->id);
+        if (!ended.mapped().given_up)
+        {
+            it->served = true;
+            rule_.answered(*it, now_);
+        }
     }
 
     void lose_domain()
@@ -486,11 +530,18 @@
         it.up = false;
         ++targets_lost_;
         auto const id = crash_id{targets_lost_};
-        for (auto const& [key, owner] : std::exchange(it.runs, {}))
+        for (auto const& [key, run] : std::exchange(it.runs, {}))
         {
-            at(now_ + confirm_time,
-               [this, id, owner = owner] { rule_.crashed(*owner, id, now_); });
-            send(owner);
+            auto const owner = run.of;
+            if (!run.given_up || rule_.accuses_given_up())
+            {
+                at(now_ + (run.given_up ? probe_time : confirm_time),
+                   [this, id, owner] { rule_.crashed(*owner, id, now_); });
+            }
+            if (!run.given_up)
+            {
+                send(owner);
+            }
         }
         at(now_ + restart_time,
            [&it]
@@ -608,7 +659,11 @@
 }
 
 /// With more than one target in each domain.
-constexpr auto large_service = scenario{12, 400, 200ms, true, {}, {}, {}};
+constexpr auto large_service =
+    scenario{.targets = 12, .sound_per_second = 400, .run_time = 200ms};
+/// Of most runs of the culprit.
+constexpr auto crashes_after_timeout =
+    scenario{.timeout = 60ms, .until_crash = 200ms};
 
 } // namespace
 
@@ -649,6 +704,21 @@
     check_bounds(quarantined("by request, hosts cut off", what));
 }
 
+BOOST_AUTO_TEST_CASE(if_it_crashes_them_after_it_was_given_up)
+{
+    check_bounds(quarantined("by request, given up", crashes_after_timeout));
+}
+
+BOOST_AUTO_TEST_CASE(if_many_calls_are_given_up_and_all_of_that_happens)
+{
+    auto what = large_service;
+    what.domain_loss_period = 7s;
+    what.host_fault_period = 4s;
+    what.timeout = 250ms;
+    what.until_crash = 500ms;
+    check_bounds(quarantined("by request, large, given up", what));
+}
+
 BOOST_AUTO_TEST_CASE(if_all_of_that_happens)
 {
     auto what = large_service;
@@ -691,6 +761,13 @@
         quarantined("each host alone", {}, {.exchanges = false})));
 }
 
+BOOST_AUTO_TEST_CASE(is_not_stopped_if_only_open_runs_are_accused)
+{
+    BOOST_TEST(!within_bounds(quarantined("only open runs accused",
+                                          crashes_after_timeout,
+                                          {.accuses_given_up = false})));
+}
+
 BOOST_AUTO_TEST_CASE(is_not_stopped_if_each_lowest_host_tries_it)
 {
     auto what = scenario{};
