Tell crashes of one target id apart by the start of its process

Cause: a crash was named by the target's id. Targets that start again under their ids made one crash each, so two of them never made the three that quarantine a request. Change: the start of the process is the seed of the hash. Targets that state no start are named as before.

--- a/src/gateway/crash_events.cpp
+++ b/src/gateway/crash_events.cpp
@@ -22,7 +22,7 @@
             quarantine::accused_run const& run, time_point ended_at,
             time_point now)
 {
-    auto const crash = quarantine::to_crash_id(target.id);
+    auto const crash = quarantine::to_crash_id(target.id, target.process_start);
     auto const domain_suspected =
         host.detector.domain_suspected(target.domain, now);
     host.quarantine.record_crash(crash, quarantine::to_run_id(run.request),
--- a/src/quarantine/part_quarantine.cpp
+++ b/src/quarantine/part_quarantine.cpp
@@ -80,9 +80,11 @@
     return suspect_id{hash(part) & ~kind_bit};
 }
 
-auto to_crash_id(target_id const& id) -> crash_id
+auto to_crash_id(target_id const& id, incarnation process_start) -> crash_id
 {
-    return crash_id{hash(id.value())};
+    auto const& it = id.value();
+    return crash_id{
+        XXH3_64bits_withSeed(it.data(), it.size(), process_start.value())};
 }
 
 auto to_run_id(request_id const& id) -> run_id
--- a/src/quarantine/part_quarantine.hpp
+++ b/src/quarantine/part_quarantine.hpp
@@ -47,7 +47,7 @@
 /// Label in log lines and metrics.
 auto to_string(suspect_kind it) -> std::string_view;
 
-/// Hash of the id of a target that crashed; a restarted target has another.
+/// Hash of the process of a target that crashed.
 using crash_id = strong<struct crash_id_tag, std::uint64_t>;
 
 /// Hash of the id of a request.
@@ -71,7 +71,8 @@
 
 /// Hashes of ids, alike on all hosts.
 auto to_part_id(std::string_view part) -> suspect_id;
-auto to_crash_id(target_id const& id) -> crash_id;
+/// A target that starts again may keep its id, but not its `process_start`.
+auto to_crash_id(target_id const& id, incarnation process_start) -> crash_id;
 auto to_run_id(request_id const& id) -> run_id;
 
 /// Rules that differ between kinds of suspects.
--- a/src/quarantine/part_quarantine_test.cpp
+++ b/src/quarantine/part_quarantine_test.cpp
@@ -74,7 +74,9 @@
 {
     constexpr auto xxh3_of_a = 0xe6c632b61e964e1fULL;
     BOOST_TEST(to_part_id("a").value() == (xxh3_of_a & ~1ULL));
-    BOOST_TEST(to_crash_id(target_id{"a"}).value() == xxh3_of_a);
+    BOOST_TEST(to_crash_id(target_id{"a"}, {}).value() == xxh3_of_a);
+    BOOST_TEST((to_crash_id(target_id{"a"}, incarnation{1}) !=
+                to_crash_id(target_id{"a"}, incarnation{2})));
     BOOST_TEST(to_run_id(request_id{"a"}).value() == xxh3_of_a);
     BOOST_TEST(to_part_id("b") != to_part_id("a"));
 }
--- a/src/quarantine/unresolved_runs.cpp
+++ b/src/quarantine/unresolved_runs.cpp
@@ -12,7 +12,7 @@
     {
         runs_.pop_front();
     }
-    auto const crash = to_crash_id(it.target.id);
+    auto const crash = to_crash_id(it.target.id, it.target.process_start);
     runs_.push_back({std::move(it), crash, std::nullopt});
 }
 
--- a/src/quarantine/unresolved_runs_test.cpp
+++ b/src/quarantine/unresolved_runs_test.cpp
@@ -92,8 +92,10 @@
 
 BOOST_FIXTURE_TEST_CASE(are_found_by_the_crash_that_another_host_reports, host)
 {
-    BOOST_TEST((runs.targets_of({to_crash_id(target_id{"t1"}),
-                                 to_crash_id(target_id{"t9"})}) ==
+    auto const first = incarnation{1};
+    BOOST_TEST((runs.targets_of({to_crash_id(target_id{"t1"}, first),
+                                 to_crash_id(target_id{"t0"}, incarnation{2}),
+                                 to_crash_id(target_id{"t9"}, first)}) ==
                 targets{target_id{"t1"}}));
 }
 
