Bound what clients may send to the readiness and metrics ports

Clients that nobody controls could end the process by memory, and use up its descriptors, through the two ports that are not for requests. Cause: limits were set at the clients' server only; the other two kept the defaults: bodies of 4 MB each without a budget, and 3,000 connections. Evidence: 90 bodies of 4 MB took the process to 384 and 382 MB of 48, 450 connections to 464 descriptors of 300. Change: make_query_limits: one connection of 32 descriptors (4 to 32), as many that get 503, heads of 8 KB, bodies of 1 KB.

--- a/src/gateway/client_limits.cpp
+++ b/src/gateway/client_limits.cpp
@@ -19,6 +19,14 @@
 /// the configuration before.
 constexpr auto change_bound_margin = duration{2s};
 
+/// Share of the descriptors for the connections of one port for queries, and
+/// their number.
+constexpr auto query_descriptor_share = std::size_t{32};
+constexpr auto least_query_connections = std::size_t{4};
+constexpr auto most_query_connections = std::size_t{32};
+constexpr auto query_sizes =
+    http1::parse_limits{std::size_t{8} << 10U, std::size_t{1} << 10U};
+
 /// A tunnel holds bytes at both ends, received and not yet sent.
 constexpr auto buffers_of_a_tunnel = std::size_t{4};
 constexpr auto least_tunnel_buffer = std::size_t{8} << 10U;
@@ -47,6 +55,16 @@
     return out;
 }
 
+auto make_query_limits(host_settings const& settings) -> http1::server_limits
+{
+    auto out = http1::server_limits{};
+    out.max_connections =
+        std::clamp(settings.max_descriptors / query_descriptor_share,
+                   least_query_connections, most_query_connections);
+    out.sizes = query_sizes;
+    return out;
+}
+
 auto make_tunnel_limits(host_settings const& settings) -> tunnel_limits
 {
     auto out = tunnel_limits{};
--- a/src/gateway/client_limits.hpp
+++ b/src/gateway/client_limits.hpp
@@ -19,6 +19,10 @@
                          routes::route_table const* table)
     -> http1::server_limits;
 
+/// Limits of the ports for readiness and metrics: few connections, which send
+/// short requests.
+auto make_query_limits(host_settings const& settings) -> http1::server_limits;
+
 auto make_tunnel_limits(host_settings const& settings) -> tunnel_limits;
 
 } // namespace primrosedeal::gateway
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -608,6 +608,9 @@
     {
         client_server_.set_limits(
             apply_client_limits(host_.settings, host_.table.get()));
+        auto const queries = make_query_limits(host_.settings);
+        readiness_server_.set_limits(queries);
+        metrics_server_.set_limits(queries);
     }
 
     template <class Event>
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -743,7 +743,7 @@
 {
     auto const open = connections.size();
     auto const most = limits.max_connections;
-    if (open >= most + max_surplus)
+    if (open >= most + std::min(most, max_surplus))
     {
         ::close(fd);
         return;
--- a/src/http1/server.hpp
+++ b/src/http1/server.hpp
@@ -114,7 +114,7 @@
     /// Time for which clients may still go by the limits before these.
     duration former_limits_known = 4s;
     /// Connections held at once. The first request of a further one gets 503;
-    /// beyond a fixed number of those, connections are closed at once.
+    /// beyond as many of those, or 64, connections are closed at once.
     std::size_t max_connections = 3000;
     /// What clients may make the server hold; empty: as much as they like.
     std::optional<memory::budget> memory;
