Give a stalled client's connection to a further one

Ordinary callers got 503 for up to 15 s while clients that stop short of the end of small requests held all connections of a process. Cause: a connection that stalls was closed early for want of memory only, never for want of connections; over the limit, the newest were refused. Change: at the limit the client that has sent nothing for 1 s goes, within a request first; it gets 408, nothing has run. Where the descriptors for further connections are used up too, those that have their last answer or have stalled are closed.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -137,6 +137,8 @@
                                    { on_rejected(it); });
         client_server_.on_memory([this](http1::memory_event const& it)
                                  { memory_log_.on_event(it); });
+        client_server_.on_replaced([this]
+                                   { host_.metrics.connection_replaced(); });
         peers_.listen(at.peers);
         tunnels_.limit_rate(tunnel_limit_.bytes_per_second());
         tunnels_.listen(at.tunnels);
--- a/src/http1/connection_test.cpp
+++ b/src/http1/connection_test.cpp
@@ -1075,6 +1075,48 @@
     BOOST_TEST(within.receive_all(*this).ends_with("\r\n\r\nwhole"));
 }
 
+BOOST_FIXTURE_TEST_CASE(kept_a_stalled_request_and_refused_a_further_client,
+                        limited_server)
+{
+    limits.max_connections = 2;
+    limits.stall_time = 50ms;
+    it.set_limits(limits);
+    auto const idle = plain_client{port};
+    auto const stalled = plain_client{port};
+    stalled.send(part_of_head);
+    run_until([&] { return it.connections() == 2; });
+    wait(100ms);
+    auto const served =
+        talk(*this, port, std::string{part_of_head} + rest_of_head);
+    BOOST_TEST(served.ends_with("\r\n\r\nwhole"));
+    BOOST_TEST(stalled.receive_all(*this).starts_with("HTTP/1.1 408 "));
+    idle.send(std::string{part_of_head} + rest_of_head);
+    BOOST_TEST(idle.receive_all(*this).ends_with("\r\n\r\nwhole"));
+}
+
+BOOST_FIXTURE_TEST_CASE(closed_further_clients_for_ones_that_never_ask,
+                        limited_server)
+{
+    limits.max_connections = 1;
+    limits.stall_time = 50ms;
+    limits.head_timeout = 3 * patience;
+    limits.idle_timeout = 3 * patience;
+    it.set_limits(limits);
+    auto clients = std::vector<std::unique_ptr<plain_client>>{};
+    for (auto i = 0; i < 4; ++i)
+    {
+        clients.push_back(std::make_unique<plain_client>(port));
+    }
+    wait(100ms);
+    for (auto i = 0; i < 4; ++i)
+    {
+        auto const served =
+            talk(*this, port, std::string{part_of_head} + rest_of_head);
+        BOOST_TEST(served.ends_with("\r\n\r\nwhole"));
+        wait(300ms);
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(held_connections_without_bound, limited_server)
 {
     limits.max_connections = 1;
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -47,6 +47,9 @@
 constexpr auto retry_after_unready = std::string_view{"0.3"};
 /// Bodies that have stalled are closed within about this time.
 constexpr auto retry_after_memory = std::string_view{"2"};
+/// The same where another connection needs its descriptor and nothing of the
+/// answer is unsent.
+constexpr auto least_linger = duration{200ms};
 /// Connections over the limit that get an answer, at once.
 constexpr auto max_surplus = std::size_t{64};
 
@@ -79,6 +82,7 @@
     handler on_request;
     std::function<void(dropped_input const&)> on_dropped_input;
     std::function<void(rejected_request const&)> on_rejected;
+    std::function<void()> on_replaced;
     server_limits limits;
     bool limited = false;
     /// The longest one of limits that clients may still go by.
@@ -88,7 +92,13 @@
     std::map<connection*, std::shared_ptr<connection>> connections;
     bool closing = false;
 
-    void accepted(evutil_socket_t fd);
+    void accepted(evutil_socket_t fd, time_point now);
+    /// Closes a connection that has its last answer, or that is over the limit
+    /// and stalled; returns whether there was one.
+    auto close_spent(time_point now) -> bool;
+    /// Whether a further connection may be served: there are few enough, or a
+    /// stalled one has been closed for it.
+    auto make_room(time_point now) -> bool;
     void free_listener()
     {
         if (listener != nullptr)
@@ -136,6 +146,63 @@
                unsent() == 0 && has_no_request();
     }
 
+    /// Its client owes it something and has sent nothing for a while.
+    [[nodiscard]] auto stalled(time_point now) const -> bool
+    {
+        return bev_ != nullptr && !answering_ && !ending_ && !waiting_ &&
+               unsent() == 0 &&
+               now >= waiting_since_ + owner_.limits.stall_time;
+    }
+
+    /// Since when it could be closed without loss; empty: it could not.
+    [[nodiscard]] auto spent_since(time_point now) const
+        -> std::optional<time_point>
+    {
+        if (bev_ != nullptr && ending_ && unsent() == 0 &&
+            now >= ended_at_ + least_linger)
+        {
+            return ended_at_;
+        }
+        return surplus_ && stalled(now) ? std::optional{waiting_since_}
+                                        : std::nullopt;
+    }
+
+    void close_spent()
+    {
+        lost(client_loss::closed);
+    }
+
+    [[nodiscard]] auto ending() const -> bool
+    {
+        return ending_;
+    }
+
+    /// A stalled request goes before a connection without one, and of these the
+    /// one that has waited for longer.
+    [[nodiscard]] auto replacement_order() const -> std::pair<bool, time_point>
+    {
+        return {!parser_.started(), waiting_since_};
+    }
+
+    /// Ends it for a further one, unless its client has just sent something.
+    /// Nothing of its request has run.
+    auto end_replaced() -> bool
+    {
+        if (has_unread())
+        {
+            return false;
+        }
+        if (parser_.started())
+        {
+            refuse_and_end(request_timeout, {{"Retry-After", "0"}});
+        }
+        else
+        {
+            end_idle(end_reason::closed_idle);
+        }
+        return true;
+    }
+
     /// Nothing of a request has arrived that is not answered.
     [[nodiscard]] auto has_no_request() const -> bool
     {
@@ -739,19 +806,69 @@
     bool drop_reported_ = false;
 };
 
-void server::state::accepted(evutil_socket_t fd)
+void server::state::accepted(evutil_socket_t fd, time_point now)
 {
-    auto const open = connections.size();
     auto const most = limits.max_connections;
-    if (open >= most + std::min(most, max_surplus))
+    if (connections.size() >= most + std::min(most, max_surplus) &&
+        !close_spent(now))
     {
         ::close(fd);
         return;
     }
-    auto it = std::make_shared<connection>(*this, fd, open >= most);
+    auto const surplus = !make_room(now);
+    auto it = std::make_shared<connection>(*this, fd, surplus);
     connections.emplace(it.get(), it);
 }
 
+auto server::state::close_spent(time_point now) -> bool
+{
+    auto first = std::shared_ptr<connection>{};
+    auto first_since = std::optional<time_point>{};
+    for (auto const& [key, it] : connections)
+    {
+        auto const since = it->spent_since(now);
+        if (since && (!first || *since < *first_since))
+        {
+            first = it;
+            first_since = since;
+        }
+    }
+    if (first)
+    {
+        first->close_spent();
+    }
+    return first != nullptr;
+}
+
+auto server::state::make_room(time_point now) -> bool
+{
+    if (connections.size() < limits.max_connections)
+    {
+        return true;
+    }
+    auto serving = std::size_t{0};
+    auto first = std::shared_ptr<connection>{};
+    for (auto const& [key, it] : connections)
+    {
+        serving += it->ending() ? 0 : 1;
+        if (it->stalled(now) &&
+            (!first || it->replacement_order() < first->replacement_order()))
+        {
+            first = it;
+        }
+    }
+    if (serving < limits.max_connections)
+    {
+        return true;
+    }
+    auto const replaced = first && first->end_replaced();
+    if (replaced && on_replaced)
+    {
+        on_replaced();
+    }
+    return replaced;
+}
+
 auto connection::make_exchange() -> std::shared_ptr<exchange>
 {
     return std::make_shared<open_exchange<connection>>(weak_from_this());
@@ -774,7 +891,7 @@
     auto const on_accept =
         [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* arg)
     {
-        static_cast<state*>(arg)->accepted(fd);
+        static_cast<state*>(arg)->accepted(fd, net::event_loop::now());
     };
     state_->listener = evconnlistener_new_bind(
         state_->loop.base(), on_accept, state_.get(),
@@ -844,6 +961,11 @@
     state_->on_rejected = std::move(report);
 }
 
+void server::on_replaced(std::function<void()> report)
+{
+    state_->on_replaced = std::move(report);
+}
+
 void server::on_memory(std::function<void(memory_event const&)> report)
 {
     state_->memory.on_event = std::move(report);
@@ -865,7 +987,7 @@
         fd = ::accept4(from, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (fd >= 0)
         {
-            state_->accepted(fd);
+            state_->accepted(fd, net::event_loop::now());
         }
     }
     state_->free_listener();
--- a/src/http1/server.hpp
+++ b/src/http1/server.hpp
@@ -113,9 +113,13 @@
     duration min_idle_time = 500ms;
     /// Time for which clients may still go by the limits before these.
     duration former_limits_known = 4s;
-    /// Connections held at once. The first request of a further one gets 503;
-    /// beyond as many of those, or 64, connections are closed at once.
+    /// Connections held at once. A further one takes the place of a stalled
+    /// one; without one, its first request gets 503. Beyond as many of those,
+    /// or 64, connections are closed at once.
     std::size_t max_connections = 3000;
+    /// Silence of a client, within a request or between two, after which its
+    /// connection counts as stalled where another one needs its place.
+    duration stall_time = 1s;
     /// What clients may make the server hold; empty: as much as they like.
     std::optional<memory::budget> memory;
 };
@@ -163,6 +167,8 @@
     void on_rejected(std::function<void(rejected_request const&)> report);
 
     /// `report` gets each decision for want of memory.
+    /// A connection was closed for a further one.
+    void on_replaced(std::function<void()> report);
     void on_memory(std::function<void(memory_event const&)> report);
 
     [[nodiscard]] auto listening() const -> bool;
--- a/src/metrics/gateway_metrics.cpp
+++ b/src/metrics/gateway_metrics.cpp
@@ -50,6 +50,9 @@
       client_memory_(
           counters(*registry_, "gateway_client_memory_total",
                    "Clients paused, rejected, closed or dropped for memory.")),
+      replaced_connections_(
+          counters(*registry_, "gateway_client_connections_replaced_total",
+                   "Stalled clients' connections closed for further ones.")),
       crashes_(counters(*registry_, "gateway_target_crashes_total",
                         "Targets that crashed as they began an answer.")),
       unresolved_runs_(
@@ -155,6 +158,11 @@
         .Increment();
 }
 
+void gateway_metrics::connection_replaced()
+{
+    replaced_connections_.Add({}).Increment();
+}
+
 void gateway_metrics::target_crashed(std::string_view cause)
 {
     crashes_.Add({{"cause", std::string{cause}}}).Increment();
--- a/src/metrics/gateway_metrics.hpp
+++ b/src/metrics/gateway_metrics.hpp
@@ -30,6 +30,8 @@
     void client_input_dropped(std::string_view why);
     /// A request that never was whole: malformed or too large.
     void request_rejected(std::string_view status);
+    /// The connection of a stalled client was closed for a further one.
+    void connection_replaced();
     /// `what` was done with a client of `group` for want of memory.
     void client_memory(std::string_view group, std::string_view what);
     /// A target crashed as it began an answer; `cause` is what it is put down
@@ -82,6 +84,7 @@
     prometheus::Family<prometheus::Counter>& dropped_input_;
     prometheus::Family<prometheus::Counter>& rejected_;
     prometheus::Family<prometheus::Counter>& client_memory_;
+    prometheus::Family<prometheus::Counter>& replaced_connections_;
     prometheus::Family<prometheus::Counter>& crashes_;
     prometheus::Family<prometheus::Counter>& unresolved_runs_;
     prometheus::Family<prometheus::Histogram>& pauses_;
