Name and log what becomes of unanswered runs in one place

Cause: read as a newcomer, two functions were called on_run_unresolved, one way of keeping a run had no line, and comments stood beside other constants. Change: keep_unresolved_run logs and counts, check_unresolved_runs probes.

--- a/src/gateway/crash_events.cpp
+++ b/src/gateway/crash_events.cpp
@@ -15,7 +15,7 @@
 namespace
 {
 
-/// Delay of the probe of a target after a run there was given up.
+/// Delay of the probe of a target after a run there has ended unanswered.
 constexpr auto first_probe_delay = duration{250ms};
 
 void accuse(host_state& host, directory::listed_target const& target,
@@ -59,9 +59,17 @@
     on_target_ended(host, target.id, now);
 }
 
-void on_run_unresolved(host_state& host, quarantine::unresolved_run it)
+void keep_unresolved_run(host_state& host, quarantine::unresolved_run it,
+                         std::string_view reason)
 {
     auto const id = it.target.id;
+    host.metrics.run_unresolved(reason);
+    log::write(log::level::info, "run_unresolved",
+               {{"request", it.run.request.value()},
+                {"target", id.value()},
+                {"identity", hexadecimal(it.run.suspects.back().value())},
+                {"reason", std::string{reason}},
+                {"sent_ms_ago", milliseconds(it.ended_at - it.run.sent_at)}});
     host.unresolved_runs.add(std::move(it));
     if (host.crash_probes.contains(id))
     {
@@ -72,11 +80,11 @@
         [&host, id]
         {
             auto const done = host.crash_probes.extract(id);
-            on_target_unreachable(host, id, net::event_loop::now());
+            check_unresolved_runs(host, id, net::event_loop::now());
         });
 }
 
-void on_target_unreachable(host_state& host, target_id const& id,
+void check_unresolved_runs(host_state& host, target_id const& id,
                            time_point now)
 {
     auto const target = host.unresolved_runs.probe_due(id, now);
--- a/src/gateway/crash_events.hpp
+++ b/src/gateway/crash_events.hpp
@@ -3,6 +3,8 @@
 #include "gateway/host_state.hpp"
 #include "quarantine/unresolved_runs.hpp"
 
+#include <string_view>
+
 /// Records crashes of targets under runs, and finds out whether targets crash
 /// under runs that have ended unanswered.
 namespace primrosedeal::gateway
@@ -14,12 +16,14 @@
                   quarantine::accused_run const& run, time_point ended_at,
                   time_point now);
 
-/// Keeps the run, and probes its target once after a short time.
-void on_run_unresolved(host_state& host, quarantine::unresolved_run it);
+/// Keeps a run that ended unanswered for `reason`, logs it, and probes its
+/// target after a short time.
+void keep_unresolved_run(host_state& host, quarantine::unresolved_run it,
+                         std::string_view reason);
 
-/// A connection to the target failed, at this host or at another one, or it is
-/// no longer listed. Probes it if it has unresolved runs.
-void on_target_unreachable(host_state& host, target_id const& id,
+/// The target may be gone: a connection to it failed, at this host or at
+/// another one, or it is no longer listed. Probes it if it has unresolved runs.
+void check_unresolved_runs(host_state& host, target_id const& id,
                            time_point now);
 
 /// The target's process has ended, and not in order.
--- a/src/gateway/digest_task.cpp
+++ b/src/gateway/digest_task.cpp
@@ -95,7 +95,7 @@
     {
         host_.detector.hint(id, now);
         host_.reported_losses.record(id, it.host, now);
-        on_target_unreachable(host_, id, now);
+        check_unresolved_runs(host_, id, now);
         for (auto const& [key, relay] : all)
         {
             relay->on_target_suspected(id);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -657,7 +657,7 @@
             host_.unresolved_runs.on_leaving(it.id);
             return;
         case directory::change_kind::gone:
-            on_target_unreachable(host_, it.id, now);
+            check_unresolved_runs(host_, it.id, now);
             return;
         case directory::change_kind::lapsed:
             return;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -727,7 +727,7 @@
     }
     else if (how == attempt_failure::not_connected && !helped)
     {
-        on_target_unreachable(host_, target.id, now);
+        check_unresolved_runs(host_, target.id, now);
     }
     else if (how == attempt_failure::target_error)
     {
--- a/src/gateway/relay_quarantine.cpp
+++ b/src/gateway/relay_quarantine.cpp
@@ -84,7 +84,7 @@
             }
             if (!alive)
             {
-                gateway::on_run_unresolved(host, {target, run, now});
+                keep_unresolved_run(host, {target, run, now}, "path_lost");
             }
             if (auto const it = self.lock())
             {
@@ -95,19 +95,11 @@
 
 void relay::on_run_unresolved(std::string_view reason, time_point now)
 {
-    if (current_->proven)
+    if (!current_->proven)
     {
-        return;
+        keep_unresolved_run(host_, {current_->target, accused(now), now},
+                            reason);
     }
-    host_.metrics.run_unresolved(reason);
-    log::write(log::level::info, "run_unresolved",
-               {{"request", metadata_.id.value()},
-                {"target", current_->target.id.value()},
-                {"identity", hexadecimal(identity_.value())},
-                {"reason", std::string{reason}},
-                {"helper", current_->path.helper.value_or(host_id{}).value()},
-                {"sent_ms_ago", milliseconds(now - current_->sent_at)}});
-    gateway::on_run_unresolved(host_, {current_->target, accused(now), now});
 }
 
 void relay::on_run_progress(time_point now)
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -37,6 +37,9 @@
 
 /// Time for a client to take something of the last answer of a connection.
 constexpr auto linger = duration{2s};
+/// Time after which a connection whose last answer is sent may be closed where
+/// another one needs its descriptor.
+constexpr auto least_linger = duration{200ms};
 /// Unsent bytes of an answer at which its client counts as gone.
 constexpr auto max_unsent = std::size_t{8} << 20U;
 constexpr auto backlog = 1024;
@@ -47,9 +50,6 @@
 constexpr auto retry_after_unready = std::string_view{"0.3"};
 /// Bodies that have stalled are closed within about this time.
 constexpr auto retry_after_memory = std::string_view{"2"};
-/// The same where another connection needs its descriptor and nothing of the
-/// answer is unsent.
-constexpr auto least_linger = duration{200ms};
 /// Connections over the limit that get an answer, at once.
 constexpr auto max_surplus = std::size_t{64};
 
@@ -154,7 +154,8 @@
                now >= waiting_since_ + owner_.limits.stall_time;
     }
 
-    /// Since when it could be closed without loss; empty: it could not.
+    /// Since when nothing would be lost if it were closed; empty: something
+    /// would.
     [[nodiscard]] auto spent_since(time_point now) const
         -> std::optional<time_point>
     {
@@ -177,8 +178,8 @@
         return ending_;
     }
 
-    /// A stalled request goes before a connection without one, and of these the
-    /// one that has waited for longer.
+    /// A stalled request is replaced before a connection without one; among
+    /// equals, the longest silence first.
     [[nodiscard]] auto replacement_order() const -> std::pair<bool, time_point>
     {
         return {!parser_.started(), waiting_since_};
--- a/src/http1/server.hpp
+++ b/src/http1/server.hpp
@@ -166,9 +166,10 @@
     /// `report` gets each request that is malformed or too large.
     void on_rejected(std::function<void(rejected_request const&)> report);
 
-    /// `report` gets each decision for want of memory.
-    /// A connection was closed for a further one.
+    /// `report` runs for each connection that is closed for a further one.
     void on_replaced(std::function<void()> report);
+
+    /// `report` gets each decision for want of memory.
     void on_memory(std::function<void(memory_event const&)> report);
 
     [[nodiscard]] auto listening() const -> bool;
