Keep the number of further connections that get an answer

Cause: bounded them by the limit of connections itself, so a host with few descriptors closed them without an answer. Change: a limit of its own, 64 as before; the ports for queries set theirs.

--- a/src/gateway/client_limits.cpp
+++ b/src/gateway/client_limits.cpp
@@ -61,6 +61,7 @@
     out.max_connections =
         std::clamp(settings.max_descriptors / query_descriptor_share,
                    least_query_connections, most_query_connections);
+    out.max_surplus_connections = out.max_connections;
     out.sizes = query_sizes;
     return out;
 }
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -50,8 +50,6 @@
 constexpr auto retry_after_unready = std::string_view{"0.3"};
 /// Bodies that have stalled are closed within about this time.
 constexpr auto retry_after_memory = std::string_view{"2"};
-/// Connections over the limit that get an answer, at once.
-constexpr auto max_surplus = std::size_t{64};
 
 } // namespace
 
@@ -809,9 +807,8 @@
 
 void server::state::accepted(evutil_socket_t fd, time_point now)
 {
-    auto const most = limits.max_connections;
-    if (connections.size() >= most + std::min(most, max_surplus) &&
-        !close_spent(now))
+    auto const most = limits.max_connections + limits.max_surplus_connections;
+    if (connections.size() >= most && !close_spent(now))
     {
         ::close(fd);
         return;
--- a/src/http1/server.hpp
+++ b/src/http1/server.hpp
@@ -114,9 +114,10 @@
     /// Time for which clients may still go by the limits before these.
     duration former_limits_known = 4s;
     /// Connections held at once. A further one takes the place of a stalled
-    /// one; without one, its first request gets 503. Beyond as many of those,
-    /// or 64, connections are closed at once.
+    /// one; without one, its first request gets 503.
     std::size_t max_connections = 3000;
+    /// Connections beyond those. Further ones are closed at once.
+    std::size_t max_surplus_connections = 64;
     /// Silence of a client, within a request or between two, after which its
     /// connection counts as stalled where another one needs its place.
     duration stall_time = 1s;
