Move what changes of the directory mean into a file of its own

Change: gateway/target_events has the log line, the forgotten targets, the replaced copies and the settled runs; a pure move.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -5,7 +5,6 @@
 #include "fleet/configuration_lag.hpp"
 #include "gateway/client_limits.hpp"
 #include "gateway/client_memory_log.hpp"
-#include "gateway/crash_events.hpp"
 #include "gateway/digest_task.hpp"
 #include "gateway/entry_source.hpp"
 #include "gateway/host_state.hpp"
@@ -17,6 +16,7 @@
 #include "gateway/peer_exchange.hpp"
 #include "gateway/relay.hpp"
 #include "gateway/rollout_task.hpp"
+#include "gateway/target_events.hpp"
 #include "gateway/tunnel_server.hpp"
 #include "gateway/version_reader.hpp"
 #include "http1/server.hpp"
@@ -618,61 +618,8 @@
     template <class Event>
     void apply_target_event(Event const& it, time_point now)
     {
-        log_changes(host_.targets.handle(it, now));
-    }
-
-    void log_changes(std::vector<directory::change> const& changes)
-    {
-        for (auto const& it : changes)
-        {
-            host_.metrics.target_changed(to_string(it.to));
-            log::write(log::level::info, "target_changed",
-                       {{"target", it.id.value()},
-                        {"to", std::string{to_string(it.to)}},
-                        {"store_in_contact",
-                         source_.in_contact() ? "true" : "false"}});
-            resolve_runs(it, net::event_loop::now());
-            if (it.to == directory::change_kind::gone)
-            {
-                host_.remove_target(it.id);
-                notify_relays(it.id);
-            }
-        }
-    }
-
-    /// What the change says of runs that ended unanswered at the target, or at
-    /// an earlier one in its place.
-    void resolve_runs(directory::change const& it, time_point now)
-    {
-        switch (it.to)
-        {
-        case directory::change_kind::added:
-        case directory::change_kind::returned:
-            if (auto const* const target = host_.targets.find(it.id))
-            {
-                on_target_listed(host_, *target, now);
-            }
-            return;
-        case directory::change_kind::leaving:
-            host_.unresolved_runs.on_leaving(it.id);
-            return;
-        case directory::change_kind::gone:
-            check_unresolved_runs(host_, it.id, now);
-            return;
-        case directory::change_kind::lapsed:
-            return;
-        }
-    }
-
-    /// Streams that have their copy at `gone` need a replacement.
-    void notify_relays(target_id const& gone)
-    {
-        auto const now = net::event_loop::now();
-        auto const all = host_.relays;
-        for (auto const& [key, it] : all)
-        {
-            it->on_target_lost(gone, now);
-        }
+        on_targets_changed(host_, host_.targets.handle(it, now),
+                           source_.in_contact(), now);
     }
 
     auto make_state_for_peer(external::store_revision held) -> peer_state
@@ -882,7 +829,8 @@
         auto const now = net::event_loop::now();
         observe_link(now);
         observe_store_calls(now);
-        log_changes(host_.targets.expire(now));
+        on_targets_changed(host_, host_.targets.expire(now),
+                           source_.in_contact(), now);
         for (auto const& id : host_.other_hosts.expire(now))
         {
             log::write(log::level::warning, "host_silent",
