--- a/src/gateway/crash_events.cpp
+++ b/src/gateway/crash_events.cpp
@@ -4,9 +4,8 @@
 #include "gateway/path_events.hpp"
 #include "log/log.hpp"
 
-#include <algorithm>
-#include <iterator>
 #include <set>
+#include <string>
 #include <utility>
 
 namespace primrosedeal::gateway
@@ -59,6 +58,15 @@
     on_target_ended(host, target.id, now);
 }
 
+auto on_failed_probe(host_state& host, directory::listed_target const& target,
+                     time_point begun_at, time_point now) -> bool
+{
+    on_direct_connection(host, target,
+                         reachability::connection_result::timed_out, begun_at,
+                         now);
+    return !host.own_link.down() && !host.paths.unreachable(target.service);
+}
+
 void keep_unresolved_run(host_state& host, quarantine::unresolved_run it,
                          std::string_view reason)
 {
@@ -92,24 +100,16 @@
     {
         return;
     }
-    host.prober.probe(target->address,
-                      [&host, target = *target, now](bool alive)
-                      {
-                          if (alive)
-                          {
-                              return;
-                          }
-                          auto const probed_at = net::event_loop::now();
-                          on_direct_connection(
-                              host, target,
-                              reachability::connection_result::timed_out, now,
-                              probed_at);
-                          if (!host.own_link.down() &&
-                              !host.paths.unreachable(target.service))
-                          {
-                              on_target_ended(host, target.id, probed_at);
-                          }
-                      });
+    host.prober.probe(
+        target->address,
+        [&host, target = *target, begun_at = now](bool alive)
+        {
+            auto const probed_at = net::event_loop::now();
+            if (!alive && on_failed_probe(host, target, begun_at, probed_at))
+            {
+                on_target_ended(host, target.id, probed_at);
+            }
+        });
 }
 
 void on_target_ended(host_state& host, target_id const& id, time_point now)
--- a/src/gateway/crash_events.hpp
+++ b/src/gateway/crash_events.hpp
@@ -16,6 +16,12 @@
                   quarantine::accused_run const& run, time_point ended_at,
                   time_point now);
 
+/// A direct probe of `target`, begun at `begun_at`, got no connection. Returns
+/// whether that shows that the target has ended; a host that may itself have
+/// lost its link or its path cannot tell.
+auto on_failed_probe(host_state& host, directory::listed_target const& target,
+                     time_point begun_at, time_point now) -> bool;
+
 /// Keeps a run that ended unanswered for `reason`, logs it, and probes its
 /// target after a short time.
 void keep_unresolved_run(host_state& host, quarantine::unresolved_run it,
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -68,6 +68,15 @@
     std::unique_ptr<attempt> io;
 };
 
+/// What a failed attempt was put down to, for its log line.
+struct failure_context
+{
+    /// The target is newly excluded.
+    bool set_aside = false;
+    bool own_link = false;
+    bool path_lost = false;
+};
+
 class relay : public std::enable_shared_from_this<relay>
 {
 public:
@@ -143,6 +152,8 @@
     void on_standstill(time_point now);
     void on_failure(dispatch::attempt_failure how,
                     std::optional<target_response> response, time_point now);
+    void log_failed_attempt(dispatch::attempt_failure how,
+                            failure_context const& it, time_point now);
     /// The client reads too slowly for more of its answer, or reads again.
     void on_client_flow(bool stopped, time_point now);
     void on_client_disconnected(http1::client_loss how, time_point now);
@@ -169,6 +180,11 @@
                         time_point now);
     void drop_replacement();
     void identify_suspects();
+    /// The current attempt has failed: whether its target crashed or may still
+    /// do so, or its response clears the request. `excused`: the failure says
+    /// nothing about the target.
+    void settle_run(dispatch::attempt_failure how, bool excused,
+                    time_point now);
     /// The connection to `target` broke under the current run.
     void on_run_broken(directory::listed_target const& target, time_point now);
     /// The current run ends unanswered for `reason`, and its target may still
--- a/src/gateway/relay_quarantine.cpp
+++ b/src/gateway/relay_quarantine.cpp
@@ -69,15 +69,7 @@
          now](bool alive)
         {
             auto const probed_at = net::event_loop::now();
-            if (!alive)
-            {
-                on_direct_connection(host, target,
-                                     reachability::connection_result::timed_out,
-                                     now, probed_at);
-            }
-            auto const crashed = !alive && !host.own_link.down() &&
-                                 !host.paths.unreachable(target.service);
-            if (crashed)
+            if (!alive && on_failed_probe(host, target, now, probed_at))
             {
                 record_crash(host, target, run, now, probed_at);
                 return;
@@ -93,6 +85,33 @@
         });
 }
 
+void relay::settle_run(dispatch::attempt_failure how, bool excused,
+                       time_point now)
+{
+    using dispatch::attempt_failure;
+    auto const helped = current_->path.helper.has_value();
+    if (how == attempt_failure::broken && !excused && !helped)
+    {
+        on_run_broken(current_->target, now);
+    }
+    else if (how == attempt_failure::broken)
+    {
+        on_run_unresolved(helped ? "through_helper" : "path_lost", now);
+    }
+    else if (how == attempt_failure::silent)
+    {
+        on_run_unresolved("timed_out", now);
+    }
+    else if (how == attempt_failure::not_connected && !helped)
+    {
+        check_unresolved_runs(host_, current_->target.id, now);
+    }
+    else if (how == attempt_failure::target_error)
+    {
+        on_request_answered(now);
+    }
+}
+
 void relay::on_run_unresolved(std::string_view reason, time_point now)
 {
     if (!current_->proven)
