--- a/src/gateway/client_limits.cpp
+++ b/src/gateway/client_limits.cpp
@@ -39,9 +39,9 @@
 {
     auto out = http1::server_limits{};
     auto const descriptors = settings.max_descriptors;
-    out.max_connections = descriptors > 2 * reserved_descriptors
-                              ? descriptors - reserved_descriptors
-                              : descriptors / 2;
+    out.connections.most = descriptors > 2 * reserved_descriptors
+                               ? descriptors - reserved_descriptors
+                               : descriptors / 2;
     out.memory = memory::make_budget(settings.memory_limit);
     limit_buffered(out.memory->collected);
     if (table != nullptr)
@@ -58,10 +58,10 @@
 auto make_query_limits(host_settings const& settings) -> http1::server_limits
 {
     auto out = http1::server_limits{};
-    out.max_connections =
+    out.connections.most =
         std::clamp(settings.max_descriptors / query_descriptor_share,
                    least_query_connections, most_query_connections);
-    out.max_surplus_connections = out.max_connections;
+    out.connections.most_surplus = out.connections.most;
     out.sizes = query_sizes;
     return out;
 }
--- a/src/http1/connection_test.cpp
+++ b/src/http1/connection_test.cpp
@@ -1063,7 +1063,7 @@
 BOOST_FIXTURE_TEST_CASE(closed_a_connection_too_many_without_an_answer,
                         limited_server)
 {
-    limits.max_connections = 1;
+    limits.connections.most = 1;
     it.set_limits(limits);
     auto const within = plain_client{port};
     run_until([&] { return it.connections() == 1; });
@@ -1078,8 +1078,8 @@
 BOOST_FIXTURE_TEST_CASE(kept_a_stalled_request_and_refused_a_further_client,
                         limited_server)
 {
-    limits.max_connections = 2;
-    limits.stall_time = 50ms;
+    limits.connections.most = 2;
+    limits.connections.stall_time = 50ms;
     it.set_limits(limits);
     auto const idle = plain_client{port};
     auto const stalled = plain_client{port};
@@ -1097,8 +1097,8 @@
 BOOST_FIXTURE_TEST_CASE(closed_further_clients_for_ones_that_never_ask,
                         limited_server)
 {
-    limits.max_connections = 1;
-    limits.stall_time = 50ms;
+    limits.connections.most = 1;
+    limits.connections.stall_time = 50ms;
     limits.head_timeout = 3 * patience;
     limits.idle_timeout = 3 * patience;
     it.set_limits(limits);
@@ -1119,7 +1119,7 @@
 
 BOOST_FIXTURE_TEST_CASE(held_connections_without_bound, limited_server)
 {
-    limits.max_connections = 1;
+    limits.connections.most = 1;
     limits.head_timeout = 3 * patience;
     limits.idle_timeout = 3 * patience;
     it.set_limits(limits);
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -1,5 +1,6 @@
 #include "http1/server.hpp"
 
+#include "http1/connection_limit.hpp"
 #include "http1/server_connection.hpp"
 #include "http1/server_state.hpp"
 #include "net/socket_address.hpp"
@@ -11,9 +12,11 @@
 #include <unistd.h>
 
 #include <cerrno>
-#include <optional>
+#include <memory>
 #include <stdexcept>
 #include <utility>
+#include <variant>
+#include <vector>
 
 namespace primrosedeal::http1
 {
@@ -27,64 +30,49 @@
 
 void server::state::accepted(evutil_socket_t fd, time_point now)
 {
-    auto const most = limits.max_connections + limits.max_surplus_connections;
-    if (connections.size() >= most && !close_spent(now))
+    auto surplus = false;
+    if (connections.size() >= limits.connections.most)
     {
-        ::close(fd);
-        return;
+        auto const it = make_room(now);
+        if (std::holds_alternative<close_at_once>(it))
+        {
+            ::close(fd);
+            return;
+        }
+        surplus = std::holds_alternative<refuse_request>(it);
     }
-    auto const surplus = !make_room(now);
     auto it = std::make_shared<server_connection>(*this, fd, surplus);
     connections.emplace(it.get(), it);
 }
 
-auto server::state::close_spent(time_point now) -> bool
+auto server::state::make_room(time_point now) -> connection_place
 {
-    auto first = std::shared_ptr<server_connection>{};
-    auto first_since = std::optional<time_point>{};
+    auto all = std::vector<std::shared_ptr<server_connection>>{};
+    auto held = std::vector<held_connection>{};
     for (auto const& [key, it] : connections)
     {
-        auto const since = it->spent_since(now);
-        if (since && (!first || *since < *first_since))
-        {
-            first = it;
-            first_since = since;
-        }
+        all.push_back(it);
+        held.push_back(it->describe());
     }
-    if (first)
+    auto const decision = place_connection(held, limits.connections, now);
+    if (decision.spent)
     {
-        first->close_spent();
+        all.at(*decision.spent)->close_now();
     }
-    return first != nullptr;
-}
-
-auto server::state::make_room(time_point now) -> bool
-{
-    if (connections.size() < limits.max_connections)
-    {
-        return true;
-    }
-    auto serving = std::size_t{0};
-    auto first = std::shared_ptr<server_connection>{};
-    for (auto const& [key, it] : connections)
+    auto const* const served = std::get_if<serve>(&decision.what);
+    if (served == nullptr || !served->instead_of)
     {
-        serving += it->ending() ? 0 : 1;
-        if (it->stalled(now) &&
-            (!first || it->replacement_order() < first->replacement_order()))
-        {
-            first = it;
-        }
+        return decision.what;
     }
-    if (serving < limits.max_connections)
+    if (!all.at(*served->instead_of)->end_replaced())
     {
-        return true;
+        return refuse_request{};
     }
-    auto const replaced = first && first->end_replaced();
-    if (replaced && on_replaced)
+    if (on_replaced)
     {
         on_replaced();
     }
-    return replaced;
+    return decision.what;
 }
 
 server::server(net::event_loop& loop, handler on_request)
--- a/src/http1/server.hpp
+++ b/src/http1/server.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/units.hpp"
+#include "http1/connection_limit.hpp"
 #include "http1/memory_task.hpp"
 #include "http1/message.hpp"
 #include "net/event_loop.hpp"
@@ -113,14 +114,7 @@
     duration min_idle_time = 500ms;
     /// Time for which clients may still go by the limits before these.
     duration former_limits_known = 4s;
-    /// Connections held at once. A further one takes the place of a stalled
-    /// one; without one, its first request gets 503.
-    std::size_t max_connections = 3000;
-    /// Connections beyond those. Further ones are closed at once.
-    std::size_t max_surplus_connections = 64;
-    /// Silence of a client, within a request or between two, after which its
-    /// connection counts as stalled where another one needs its place.
-    duration stall_time = 1s;
+    connection_bounds connections;
     /// What clients may make the server hold; empty: as much as they like.
     std::optional<memory::budget> memory;
 };
--- a/src/http1/server_connection.cpp
+++ b/src/http1/server_connection.cpp
@@ -24,9 +24,6 @@
 
 /// Time for a client to take something of the last answer of a connection.
 constexpr auto linger = duration{2s};
-/// Time after which a connection whose last answer is sent may be closed where
-/// another one needs its descriptor.
-constexpr auto least_linger = duration{200ms};
 /// Unsent bytes of an answer at which its client counts as gone.
 constexpr auto max_unsent = std::size_t{8} << 20U;
 constexpr auto request_timeout = 408;
@@ -70,39 +67,25 @@
            unsent() == 0 && has_no_request();
 }
 
-auto server_connection::stalled(time_point now) const -> bool
+auto server_connection::describe() const -> held_connection
 {
-    return bev_ != nullptr && !answering_ && !ending_ && !waiting_ &&
-           unsent() == 0 && now >= waiting_since_ + owner_.limits.stall_time;
+    auto out = held_connection{};
+    out.ending = ending_;
+    out.surplus = surplus_;
+    out.has_unsent = unsent() > 0;
+    // A connection that waits for memory is not read, and owes nothing.
+    out.owes_request = bev_ != nullptr && !answering_ && !ending_ &&
+                       !waiting_ && !out.has_unsent;
+    out.in_request = parser_.started();
+    out.silent_since = ending_ ? ended_at_ : waiting_since_;
+    return out;
 }
 
-auto server_connection::spent_since(time_point now) const
-    -> std::optional<time_point>
-{
-    if (bev_ != nullptr && ending_ && unsent() == 0 &&
-        now >= ended_at_ + least_linger)
-    {
-        return ended_at_;
-    }
-    return surplus_ && stalled(now) ? std::optional{waiting_since_}
-                                    : std::nullopt;
-}
-
-void server_connection::close_spent()
+void server_connection::close_now()
 {
     lost(client_loss::closed);
 }
 
-auto server_connection::ending() const -> bool
-{
-    return ending_;
-}
-
-auto server_connection::replacement_order() const -> std::pair<bool, time_point>
-{
-    return {!parser_.started(), waiting_since_};
-}
-
 auto server_connection::end_replaced() -> bool
 {
     if (has_unread())
--- a/src/http1/server_connection.hpp
+++ b/src/http1/server_connection.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http1/answer_flow.hpp"
+#include "http1/connection_limit.hpp"
 #include "http1/memory_task.hpp"
 #include "http1/message.hpp"
 #include "http1/server.hpp"
@@ -33,21 +34,11 @@
 
     [[nodiscard]] auto idle(time_point now) const -> bool;
 
-    /// Its client owes it something and has sent nothing for a while.
-    [[nodiscard]] auto stalled(time_point now) const -> bool;
+    /// What decides whether it goes for a further one.
+    [[nodiscard]] auto describe() const -> held_connection;
 
-    /// Since when nothing would be lost if it were closed; empty: something
-    /// would.
-    [[nodiscard]] auto spent_since(time_point now) const
-        -> std::optional<time_point>;
-
-    void close_spent();
-
-    [[nodiscard]] auto ending() const -> bool;
-
-    /// A stalled request is replaced before a connection without one; among
-    /// equals, the longest silence first.
-    [[nodiscard]] auto replacement_order() const -> std::pair<bool, time_point>;
+    /// Closes it without a further answer.
+    void close_now();
 
     /// Ends it for a further one, unless its client has just sent something.
     /// Nothing of its request has run.
--- a/src/http1/server_state.hpp
+++ b/src/http1/server_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http1/connection_limit.hpp"
 #include "http1/memory_task.hpp"
 #include "http1/server.hpp"
 
@@ -55,12 +56,8 @@
     bool closing = false;
 
     void accepted(evutil_socket_t fd, time_point now);
-    /// Closes a connection that has its last answer, or that is over the limit
-    /// and stalled; returns whether there was one.
-    auto close_spent(time_point now) -> bool;
-    /// Whether a further connection may be served: there are few enough, or a
-    /// stalled one has been closed for it.
-    auto make_room(time_point now) -> bool;
+    /// Carries out what is decided on a further connection at the limit.
+    auto make_room(time_point now) -> connection_place;
     void free_listener()
     {
         if (listener != nullptr)
