Bound the bytes of a request that are neither head nor body

A client that never ends the extensions of a chunk, or the white space of a head, was read for as long as it sent: no limit met it, and it kept its connection. Change: all bytes count; beyond 128 KB and 16 for each kept byte the request is malformed ("framing"), as answers are. A chunk of one byte with a size of eight digits and an extension still passes.

--- a/src/http1/message.cpp
+++ b/src/http1/message.cpp
@@ -16,11 +16,11 @@
 
 /// Bytes of head an answer may have.
 constexpr auto max_response_head = std::size_t{64} << 10U;
-/// Bytes of an answer beside its body: heads, interim answers, sizes and
+/// Bytes of a message beside its body: heads, interim answers, sizes and
 /// extensions of chunks. A chunk of one byte has five of them, or twelve if its
 /// size is written with leading zeros.
 constexpr auto max_framing = std::size_t{128} << 10U;
-constexpr auto max_framing_per_body_byte = std::size_t{16};
+constexpr auto max_framing_per_byte = std::size_t{16};
 
 constexpr auto first_status = 100U;
 constexpr auto first_final_status = 200U;
@@ -327,6 +327,7 @@
     headers_ = {};
     head_bytes_ = 0;
     kept_head_bytes_ = 0;
+    received_ = 0;
     started_ = false;
     head_complete_ = false;
     complete_ = false;
@@ -382,6 +383,7 @@
     }
     auto const n =
         http_parser_execute(&parser_, &settings, bytes.data(), bytes.size());
+    received_ += n;
     auto const failed = HTTP_PARSER_ERRNO(&parser_) != HPE_OK &&
                         HTTP_PARSER_ERRNO(&parser_) != HPE_PAUSED;
     if (failed && error_ == parse_error::none)
@@ -391,6 +393,14 @@
                      : parse_error::malformed;
         problem_ = http_errno_name(HTTP_PARSER_ERRNO(&parser_));
     }
+    // http_parser reports neither white space nor extensions of chunks.
+    auto const framing = received_ - message_.body.size();
+    if (error_ == parse_error::none && !complete_ &&
+        framing > max_framing + max_framing_per_byte * held())
+    {
+        error_ = parse_error::malformed;
+        problem_ = "framing";
+    }
     return n;
 }
 
@@ -659,8 +669,7 @@
     progress_.malformed =
         malformed_ ||
         (!complete_ &&
-         framing_bytes_ >
-             max_framing + max_framing_per_body_byte * body_bytes_);
+         framing_bytes_ > max_framing + max_framing_per_byte * body_bytes_);
     return std::move(progress_);
 }
 
--- a/src/http1/message.hpp
+++ b/src/http1/message.hpp
@@ -143,6 +143,8 @@
     std::size_t head_bytes_ = 0;
     /// Of the head, once it is complete.
     std::size_t kept_head_bytes_ = 0;
+    /// Bytes taken of the message, kept or not.
+    std::size_t received_ = 0;
     bool started_ = false;
     bool head_complete_ = false;
     bool complete_ = false;
--- a/src/http1/message_test.cpp
+++ b/src/http1/message_test.cpp
@@ -165,6 +165,20 @@
     BOOST_TEST(it.message->body == "ab");
 }
 
+BOOST_AUTO_TEST_CASE(with_sizes_of_chunks_far_longer_than_the_chunks)
+{
+    constexpr auto chunks = 50000;
+    auto bytes = with_head("Transfer-Encoding: chunked\r\n");
+    for (auto i = 0; i < chunks; ++i)
+    {
+        bytes += "00000001;a=b\r\nx\r\n";
+    }
+    constexpr auto step = std::size_t{1000};
+    auto const it = parse(bytes + "0\r\n\r\n", step);
+    BOOST_REQUIRE(it.message);
+    BOOST_TEST(it.message->body.size() == chunks);
+}
+
 // http_parser refused heads over 80 KB whatever the limit: 431.
 BOOST_AUTO_TEST_CASE(with_a_head_as_large_as_a_high_limit_allows)
 {
@@ -296,6 +310,33 @@
         (parse(chunked, 7, limits).error == parse_error::body_too_large));
 }
 
+// http_parser skips these, so a request went on for as long as they came.
+BOOST_AUTO_TEST_CASE(when_what_it_adds_to_its_head_and_body_does_not_end)
+{
+    constexpr auto most = std::size_t{1} << 20U;
+    auto const endless = [](std::string out, std::string const& part)
+    {
+        while (out.size() < most)
+        {
+            out += part;
+        }
+        return out;
+    };
+    auto const chunked = with_head("Transfer-Encoding: chunked\r\n");
+    auto const requests = {
+        endless(chunked + "5", ";a=bbbbbbbb"),
+        endless(chunked, "1;" + std::string(100, 'a') + "\r\nx\r\n"),
+        endless(chunked + "0\r\nX-A:", " "),
+        endless("POST / HTTP/1.1\r\nX-A:", " "),
+        endless("", "\r\n"),
+    };
+    for (auto const& it : requests)
+    {
+        constexpr auto step = std::size_t{1000};
+        BOOST_TEST((parse(it, step).error == parse_error::malformed));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
