Count bytes, not signs of life, as progress of a connection

A crowd that sends a byte now and then kept all connections for as long as it liked; ordinary requests got 503. Change: within a request, 4 KB more count as progress, the rule by which the memory account finds stalled bodies; a body that waited for memory starts anew.

--- a/src/http1/connection_limit.cpp
+++ b/src/http1/connection_limit.cpp
@@ -12,14 +12,14 @@
 auto stalled(held_connection const& it, duration stall_time, time_point now)
     -> bool
 {
-    return it.owes_request && now >= it.silent_since + stall_time;
+    return it.owes_request && now >= it.progressed_at + stall_time;
 }
 
 /// Whether nothing is lost if it is closed.
 auto spent(held_connection const& it, duration stall_time, time_point now)
     -> bool
 {
-    return it.ending ? !it.has_unsent && now >= it.silent_since + least_linger
+    return it.ending ? !it.has_unsent && now >= it.progressed_at + least_linger
                      : it.surplus && stalled(it, stall_time, now);
 }
 
@@ -51,7 +51,7 @@
         out.spent = first(
             held,
             [&](auto const& it) { return spent(it, bounds.stall_time, now); },
-            [](auto const& it) { return it.silent_since; });
+            [](auto const& it) { return it.progressed_at; });
         if (!out.spent)
         {
             out.what = close_at_once{};
@@ -75,7 +75,7 @@
                    (!out.spent || &it != &held[*out.spent]);
         },
         [](auto const& it) {
-            return std::tuple{!it.in_request, it.silent_since};
+            return std::tuple{!it.in_request, it.progressed_at};
         });
     if (replaced)
     {
--- a/src/http1/connection_limit.hpp
+++ b/src/http1/connection_limit.hpp
@@ -11,10 +11,10 @@
 /// as it may, and which one goes for it.
 ///
 /// Load pattern: clients that nobody controls open more connections than a host
-/// may hold and stay silent, before, within or after a request. Refusing the
-/// newest ones would keep ordinary clients out for as long as the silent ones
-/// like, so those give way. Clients that keep sending, and those whose request
-/// runs, do not.
+/// may hold and stay silent, before, within or after a request, or send a byte
+/// now and then. Refusing the newest ones would keep ordinary clients out for
+/// as long as these like, so these give way. Clients that make progress, and
+/// those whose request runs, do not.
 namespace primrosedeal::http1
 {
 
@@ -24,10 +24,14 @@
     std::size_t most = 3000;
     /// Connections beyond those, whose first request gets 503.
     std::size_t most_surplus = 64;
-    /// Silence after which a client that owes a request counts as stalled.
+    /// Time without progress after which a client that owes a request counts as
+    /// stalled.
     duration stall_time = 1s;
 };
 
+/// Bytes of a request that count as progress. Between requests its begin does.
+constexpr auto least_progress = std::size_t{4} << 10U;
+
 /// Time after which a connection whose last answer is sent may be closed where
 /// another one needs its descriptor.
 constexpr auto least_linger = duration{200ms};
@@ -45,8 +49,8 @@
     bool in_request = false;
     /// Bytes wait to be sent.
     bool has_unsent = false;
-    /// Since its client's last sign; of an ending one, since its end.
-    time_point silent_since{};
+    /// When its client last made progress; of an ending one, when it ended.
+    time_point progressed_at{};
 };
 
 /// The further connection is served.
--- a/src/http1/connection_limit_test.cpp
+++ b/src/http1/connection_limit_test.cpp
@@ -15,14 +15,14 @@
 
 auto running() -> held_connection
 {
-    return {.silent_since = now - 30s};
+    return {.progressed_at = now - 30s};
 }
 
 auto silent(duration length, bool in_request = true) -> held_connection
 {
     return {.owes_request = true,
             .in_request = in_request,
-            .silent_since = now - length};
+            .progressed_at = now - length};
 }
 
 auto surplus(duration silent_for) -> held_connection
@@ -34,8 +34,9 @@
 
 auto ending(duration length, bool has_unsent = false) -> held_connection
 {
-    return {
-        .ending = true, .has_unsent = has_unsent, .silent_since = now - length};
+    return {.ending = true,
+            .has_unsent = has_unsent,
+            .progressed_at = now - length};
 }
 
 auto decide(std::vector<held_connection> const& held) -> connection_decision
--- a/src/http1/connection_test.cpp
+++ b/src/http1/connection_test.cpp
@@ -1094,6 +1094,38 @@
     BOOST_TEST(idle.receive_all(*this).ends_with("\r\n\r\nwhole"));
 }
 
+BOOST_FIXTURE_TEST_CASE(kept_a_request_that_comes_byte_by_byte, limited_server)
+{
+    constexpr auto length = std::size_t{64} << 10U;
+    auto const head =
+        "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: " +
+        std::to_string(length) + "\r\n\r\n";
+    limits.connections.most = 2;
+    limits.connections.stall_time = 150ms;
+    it.set_limits(limits);
+    auto const slow = plain_client{port};
+    slow.send(head);
+    run_until([&] { return it.connections() == 1; });
+    auto const steady = plain_client{port};
+    steady.send(head);
+    run_until([&] { return it.connections() == 2; });
+    auto left = length;
+    for (auto i = 0; i < 6; ++i)
+    {
+        wait(50ms);
+        slow.send("x");
+        steady.send(std::string(least_progress, 'x'));
+        left -= least_progress;
+    }
+    wait(20ms);
+    auto const served =
+        talk(*this, port, std::string{part_of_head} + rest_of_head);
+    BOOST_TEST(served.ends_with("\r\n\r\nwhole"));
+    steady.send(std::string(left, 'x'));
+    BOOST_TEST(steady.receive_all(*this).ends_with("\r\n\r\nwhole"));
+    BOOST_TEST(slow.receive_all(*this).starts_with("HTTP/1.1 408 "));
+}
+
 BOOST_FIXTURE_TEST_CASE(closed_further_clients_for_ones_that_never_ask,
                         limited_server)
 {
--- a/src/http1/message.hpp
+++ b/src/http1/message.hpp
@@ -117,6 +117,12 @@
         return kept_head_bytes_ + head_bytes_ + message_.body.size();
     }
 
+    /// Bytes taken of the message, kept or not.
+    [[nodiscard]] auto received() const -> std::size_t
+    {
+        return received_;
+    }
+
     /// Size of the body as the head states it.
     [[nodiscard]] auto announced() const -> std::optional<std::size_t>;
 
@@ -143,7 +149,6 @@
     std::size_t head_bytes_ = 0;
     /// Of the head, once it is complete.
     std::size_t kept_head_bytes_ = 0;
-    /// Bytes taken of the message, kept or not.
     std::size_t received_ = 0;
     bool started_ = false;
     bool head_complete_ = false;
--- a/src/http1/server_connection.cpp
+++ b/src/http1/server_connection.cpp
@@ -77,7 +77,9 @@
     out.owes_request = bev_ != nullptr && !answering_ && !ending_ &&
                        !waiting_ && !out.has_unsent;
     out.in_request = parser_.started();
-    out.silent_since = ending_ ? ended_at_ : waiting_since_;
+    out.progressed_at = ending_             ? ended_at_
+                        : parser_.started() ? progressed_at_
+                                            : waiting_since_;
     return out;
 }
 
@@ -398,6 +400,7 @@
 {
     auto const self = shared_from_this();
     waiting_ = false;
+    progressed_at_ = net::event_loop::now();
     bufferevent_enable(bev_, EV_READ);
     parse();
 }
@@ -437,6 +440,11 @@
 
 void server_connection::on_progress(bool was_started)
 {
+    if (!was_started || parser_.received() >= progress_ + least_progress)
+    {
+        progressed_at_ = net::event_loop::now();
+        progress_ = parser_.received();
+    }
     if (parser_.head_complete())
     {
         head_overdue_ = false;
--- a/src/http1/server_connection.hpp
+++ b/src/http1/server_connection.hpp
@@ -165,8 +165,12 @@
     bool arrived_before_change_ = false;
     net::timer timer_;
     time_point accepted_at_{};
-    /// When a head began, or else the last progress.
+    /// When a head began, or else the last byte.
     time_point waiting_since_{};
+    /// When the request had last got another `least_progress`, and what it had
+    /// then.
+    time_point progressed_at_{};
+    std::size_t progress_ = 0;
     time_point ended_at_{};
     std::uint64_t requests_ = 0;
     std::function<void(client_loss)> gone_;
