--- a/src/http1/server_connection.cpp
+++ b/src/http1/server_connection.cpp
@@ -440,10 +440,11 @@
 
 void server_connection::on_progress(bool was_started)
 {
-    if (!was_started || parser_.received() >= progress_ + least_progress)
+    if (!was_started ||
+        parser_.received() >= progressed_bytes_ + least_progress)
     {
         progressed_at_ = net::event_loop::now();
-        progress_ = parser_.received();
+        progressed_bytes_ = parser_.received();
     }
     if (parser_.head_complete())
     {
--- a/src/http1/server_connection.hpp
+++ b/src/http1/server_connection.hpp
@@ -167,10 +167,10 @@
     time_point accepted_at_{};
     /// When a head began, or else the last byte.
     time_point waiting_since_{};
-    /// When the request had last got another `least_progress`, and what it had
-    /// then.
+    /// When a request began or had got another `least_progress`, and the bytes
+    /// that it had then.
     time_point progressed_at_{};
-    std::size_t progress_ = 0;
+    std::size_t progressed_bytes_ = 0;
     time_point ended_at_{};
     std::uint64_t requests_ = 0;
     std::function<void(client_loss)> gone_;
