--- a/review/standins-2/world.hpp
+++ b/review/standins-2/world.hpp
@@ -135,7 +135,8 @@
 
 /// The platform's metadata store: items, watches, transactions. Sound and
 /// linearizable; `cut` makes it unreachable, as a partition does: nothing is
-/// answered, and connections hang until it ends.
+/// answered, and connections hang until it ends. `restore_copy` is the drill of
+/// the pages.
 class store
 {
 public:
@@ -168,6 +169,27 @@
         remove_locked(key);
     }
 
+    /// A copy of all items.
+    void take_copy()
+    {
+        auto const lock = std::lock_guard{mutex_};
+        copy_ = items_;
+        copy_revision_ = revision_;
+    }
+
+    /// Comes back from the last copy: revisions go back and are given out
+    /// again, and there is no history.
+    void restore_copy()
+    {
+        auto const lock = std::lock_guard{mutex_};
+        items_ = copy_;
+        revision_ = copy_revision_;
+        events_.clear();
+        history_from_ = revision_;
+        ++era_;
+        changed_.notify_all();
+    }
+
     void cut(bool on)
     {
         auto const lock = std::lock_guard{mutex_};
@@ -248,12 +270,12 @@
         return out;
     }
 
-    static auto reply(connection& to, int status, std::string const& body)
-        -> bool
+    auto reply(connection& to, int status, std::string const& body) -> bool
     {
         return to.write("HTTP/1.1 " + std::to_string(status) +
                         " Store\r\nContent-Type: application/json\r\n"
-                        "Store-Era: 1\r\nContent-Length: " +
+                        "Store-Era: " +
+                        std::to_string(era_) + "\r\nContent-Length: " +
                         std::to_string(body.size()) + "\r\n\r\n" + body);
     }
 
@@ -326,11 +348,15 @@
         auto const until =
             steady::now() +
             ms{std::atoll(argument(request.target, "waitMs").c_str())};
+        auto const lost = [&]
+        {
+            return after > revision_ || after < history_from_;
+        };
         auto const any = [&]
         {
             return !events_.empty() && events_.back().revision > after;
         };
-        while (!any() && !cut_ && !stopping_ && steady::now() < until)
+        while (!lost() && !any() && !cut_ && !stopping_ && steady::now() < until)
         {
             changed_.wait_until(lock, std::min(until, steady::now() + 100ms));
         }
@@ -339,6 +365,10 @@
             changed_.wait(lock, [&] { return !cut_ || stopping_; });
             return false;
         }
+        if (lost())
+        {
+            return reply(to, 410, "{}");
+        }
         auto out = std::string{"{\"events\":["};
         for (auto const& it : events_)
         {
@@ -391,6 +421,11 @@
     std::map<std::string, item> items_;
     std::vector<event> events_;
     std::int64_t revision_ = 100;
+    std::int64_t era_ = 1;
+    /// Watches from before this have no history.
+    std::int64_t history_from_ = 0;
+    std::map<std::string, item> copy_;
+    std::int64_t copy_revision_ = 0;
     bool cut_ = false;
     std::atomic<bool> stopping_{false};
     listener listener_;
