--- a/review/standins-2/engine.hpp
+++ b/review/standins-2/engine.hpp
@@ -151,6 +151,8 @@
         {
             log_.line("replica " + id_ + " is crashed by " + id);
             wants_crash_ = true;
+            // As the end of a process: nothing listens any more.
+            listener_.refuse();
             to.reset();
             return;
         }
--- a/review/standins-2/net.hpp
+++ b/review/standins-2/net.hpp
@@ -422,6 +422,12 @@
         }
     }
 
+    /// New connections are refused from now on.
+    void refuse() const
+    {
+        ::shutdown(fd_, SHUT_RDWR);
+    }
+
     [[nodiscard]] auto at() const -> address const&
     {
         return at_;
@@ -444,7 +450,7 @@
                 {
                     ::close(fd);
                 }
-                if (stopped_)
+                if (stopped_ || errno == EINVAL)
                 {
                     return;
                 }
