--- a/review/standins-2/world.hpp
+++ b/review/standins-2/world.hpp
@@ -190,6 +190,14 @@
         changed_.notify_all();
     }
 
+    /// Cuts the watches that wait, once. All other calls are answered.
+    void cut_watches()
+    {
+        auto const lock = std::lock_guard{mutex_};
+        ++watch_cuts_;
+        changed_.notify_all();
+    }
+
     void cut(bool on)
     {
         auto const lock = std::lock_guard{mutex_};
@@ -348,6 +356,7 @@
         auto const until =
             steady::now() +
             ms{std::atoll(argument(request.target, "waitMs").c_str())};
+        auto const cuts = watch_cuts_;
         auto const lost = [&]
         {
             return after > revision_ || after < history_from_;
@@ -356,10 +365,14 @@
         {
             return !events_.empty() && events_.back().revision > after;
         };
-        while (!lost() && !any() && !cut_ && !stopping_ && steady::now() < until)
+        while (cuts == watch_cuts_ && !lost() && !any() && !cut_ && !stopping_ && steady::now() < until)
         {
             changed_.wait_until(lock, std::min(until, steady::now() + 100ms));
         }
+        if (cuts != watch_cuts_)
+        {
+            return false;
+        }
         if (cut_)
         {
             changed_.wait(lock, [&] { return !cut_ || stopping_; });
@@ -422,6 +435,7 @@
     std::vector<event> events_;
     std::int64_t revision_ = 100;
     std::int64_t era_ = 1;
+    int watch_cuts_ = 0;
     /// Watches from before this have no history.
     std::int64_t history_from_ = 0;
     std::map<std::string, item> copy_;
@@ -464,6 +478,13 @@
         log_.line("replica " + id_ + " leaves");
     }
 
+    /// Leaves without a report: its entry goes, and it goes on serving.
+    void leave_unreported()
+    {
+        store_.remove("servers/" + id_);
+        log_.line("replica " + id_ + " leaves, its entry is removed");
+    }
+
     /// Ends, and its entry with it.
     void exit()
     {
