--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -1,64 +1,35 @@
-// Streams of a split route are taken up after a machine was killed. Since the
-// weights have moved, most are looked for at the other service of the route,
-// and refused.
+// The store cuts the watches that wait, once. A replica whose entry is removed
+// right after that gets new orders for longer than drainMs.
 
-#include "../standins-2/engine.hpp"
+#include "../standins-2/world.hpp"
 
 using namespace review;
 
 namespace
 {
 
-/// Times from the start of traffic.
-constexpr auto move_at = 2000ms;
-constexpr auto kill_at = 8000ms;
-constexpr auto down = 2500ms;
-constexpr auto streams = 16;
-/// "Clients retry a few times within their deadline".
-constexpr auto most_tries = 2;
+constexpr auto drain = 2000ms;
+/// The replica exits this long after its entry was removed.
+constexpr auto exit_after = 2400ms;
+/// For the way of a request through a machine.
+constexpr auto slack = 50ms;
+constexpr auto cut_at = 5000ms;
+constexpr auto removal_after = 20ms;
+constexpr auto length = 10000ms;
+constexpr auto gap = 15ms;
 
-auto configuration(int version, int first, int second) -> std::string
+auto configuration() -> std::string
 {
-    auto const service = [](std::string const& name)
-    {
-        return "{\"name\":\"" + name +
-               "\",\"healthPath\":\"/healthz\",\"maxConns\":370,\"protocol\":"
-               "\"h1\",\"tls\":false,\"engine\":{\"slots\":64,\"kvCapacity\":"
-               "5500000,\"kvBytes\":163840,\"linkMbps\":280000.0,\"moves\":"
-               "false,\"backups\":false,\"stride\":5,\"most\":12,\"pinMs\":"
-               "4000.0,\"holdMs\":2000.0,\"handleS\":4.0,\"models\":[{\"name\":"
-               "\"m\"}]}}";
-    };
-    return "{\"version\":" + std::to_string(version) +
-           R"(,"routes":[{"name":"briefs","host":"h.example",)"
-           R"("pathPrefix":"/briefs/","routeKind":"streaming",)"
-           R"("timeoutMs":25000,"sloMs":4500,"priority":1,"split":[)"
-           R"({"service":"llm-a","weight":)" +
-           std::to_string(first) + R"(},{"service":"llm-b","weight":)" +
-           std::to_string(second) +
-           R"(}],"maxAttempts":5,"public":false,"sticky":true,)"
-           R"("resumable":true,"gapSloMs":700}],"services":[)" +
-           service("llm-a") + ',' + service("llm-b") +
-           R"(],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,)"
-           R"("headerTimeoutMs":3000,"idleTimeoutMs":15000},)"
-           R"("tenants":[{"name":"t","apiKeys":["key"],"priority":1}]})";
-}
-
-auto request(std::string const& id, std::string const& began_as, int last,
-             ms left) -> std::string
-{
-    auto out = "POST /briefs/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " +
-               id + "\r\nX-Deadline-Ms: " + std::to_string(left.count()) +
-               "\r\nAuthorization: Bearer key\r\nX-Model: m\r\n"
-               "X-Token-Usage: 600,1200\r\nX-Prefix-Hash: aa:200,b" +
-               std::to_string(std::hash<std::string>{}(id) % 99999) +
-               ":400\r\n";
-    if (last > 0)
-    {
-        out += "Last-Event-Id: " + std::to_string(last) +
-               "\r\nResumes: " + began_as + "\r\n";
-    }
-    return out + "Content-Length: 6\r\n\r\nprompt";
+    return R"({"version":7,"routes":[{"name":"orders","host":"h.example",)"
+           R"("pathPrefix":"/orders/","routeKind":"non_idempotent",)"
+           R"("timeoutMs":4000,"sloMs":500,"priority":1,"service":"desk",)"
+           R"("maxAttempts":2,"public":false,"sticky":false,)"
+           R"("resumable":false}],"services":[{"name":"desk",)"
+           R"("healthPath":"/healthz","maxConns":110,"protocol":"h1",)"
+           R"("tls":false}],"limits":{"maxHeaderBytes":16384,)"
+           R"("maxBodyBytes":4194304,"headerTimeoutMs":3000,)"
+           R"("idleTimeoutMs":15000},"tenants":[{"name":"t",)"
+           R"("apiKeys":["key"],"priority":1}]})";
 }
 
 } // namespace
@@ -68,26 +39,22 @@
     auto log = record{"review/10/record.txt"};
     auto const folder = temporary_folder{};
     auto platform = store{"127.0.0.1"};
-    platform.put("op/config", configuration(7, 95, 5));
-    auto replicas = std::vector<std::unique_ptr<engine>>{};
-    for (auto i = 0; i < 8; ++i)
+    platform.put("op/config", configuration());
+    auto all = std::vector<std::unique_ptr<replica>>{};
+    for (auto i = 1; i <= 4; ++i)
     {
-        auto its = engine::traits{};
-        its.service = i < 4 ? "llm-a" : "llm-b";
-        its.zone = i % 2 == 0 ? "a" : "b";
-        its.version = i < 4 ? "v1" : "v2";
-        its.events = 240;
-        its.gap = 50ms;
-        replicas.push_back(std::make_unique<engine>(
-            log, platform, "i-" + std::to_string(i + 1), its));
-        replicas.back()->register_here();
+        all.push_back(std::make_unique<replica>(
+            log, platform, "i-" + std::to_string(i), "desk",
+            std::string(1, static_cast<char>('a' + i % 3)), "127.0.0.1",
+            200ms));
     }
+    auto& leaver = *all.front();
     auto machines = std::vector<std::unique_ptr<machine>>{};
-    for (auto i = 0; i < 6; ++i)
+    for (auto i = 0; i < 3; ++i)
     {
-        auto const zone = std::string(1, static_cast<char>('a' + i % 3));
+        auto const zone = std::string(1, static_cast<char>('a' + i));
         machines.push_back(std::make_unique<machine>(
-            "edge-" + std::to_string(i), zone, machine_ip(i), folder.path,
+            "edge-" + zone + "-1", zone, machine_ip(i), folder.path,
             platform.at()));
         machines.back()->start();
     }
@@ -103,129 +70,74 @@
     log.say("machines ready");
 
     auto const start = steady::now();
+    auto removed_at = std::atomic<steady::rep>{0};
     auto plan = std::thread{
         [&]
         {
-            std::this_thread::sleep_until(start + move_at);
-            log.say("the weights move from 95:5 to 5:95");
-            platform.put("op/config", configuration(8, 5, 95));
-            std::this_thread::sleep_until(start + kill_at);
+            std::this_thread::sleep_until(start + cut_at);
             if (trouble())
             {
-                log.say("a machine is killed");
-                machines.front()->stop();
-                std::this_thread::sleep_for(down);
-                machines.front()->start();
+                log.say("the watches that wait are cut");
+                platform.cut_watches();
             }
+            std::this_thread::sleep_until(start + cut_at + removal_after);
+            leaver.leave_unreported();
+            removed_at = steady::now().time_since_epoch().count();
+            std::this_thread::sleep_until(start + cut_at + removal_after +
+                                          exit_after);
+            leaver.exit();
         }};
     auto mutex = std::mutex{};
-    auto taken_up = 0;
-    auto went_on = 0;
-    auto begun = 0;
-    auto complete = 0;
+    auto status = std::map<std::string, int>{};
     auto threads = std::vector<std::thread>{};
-    for (auto i = 0; i < streams; ++i)
+    for (auto i = 0; steady::now() < start + length; ++i)
     {
         threads.emplace_back(
             [&, i]
             {
-                auto const name = 's' + std::to_string(i);
-                auto const deadline = start + 25s;
-                auto last = 0;
-                auto tries = 0;
-                auto done = false;
-                auto gone_on = false;
-                auto began_as = std::string{};
-                std::this_thread::sleep_for(ms{50 * i});
-                while (tries <= most_tries && !done && steady::now() < deadline)
-                {
-                    auto const id = name + '-' + std::to_string(tries);
-                    // The first try is at the machine that is killed.
-                    auto const& at =
-                        *machines[tries == 0
-                                      ? 0
-                                      : 1 + static_cast<std::size_t>(i + tries) %
-                                                (machines.size() - 1)];
-                    auto const left = std::chrono::duration_cast<ms>(
-                        deadline - steady::now());
-                    auto got = stream_attempt{};
-                    if (auto const to = connect_to(at.front()))
-                    {
-                        to->set_timeout(8s);
-                        got = read_stream(*to,
-                                          request(id, began_as, last, left));
-                    }
-                    log.line("client " + id + " got " +
-                             std::to_string(got.status) + ", last event " +
-                             std::to_string(got.last));
-                    if (got.last > 0)
-                    {
-                        began_as = began_as.empty() ? id : began_as;
-                        gone_on = gone_on || (tries > 0 && got.last > last);
-                        last = got.last;
-                    }
-                    done = got.complete;
-                    ++tries;
-                    if (!done && tries > 1)
-                    {
-                        std::this_thread::sleep_for(
-                            std::chrono::duration<double>(
-                                got.retry_after.value_or(0.4)));
-                    }
-                }
+                auto const id = 'q' + std::to_string(i);
+                auto const it =
+                    ask(machines[static_cast<std::size_t>(i) % machines.size()]
+                            ->front(),
+                        "POST /orders/x HTTP/1.1\r\nHost: h.example\r\n"
+                        "X-Attempt-Id: " +
+                            id +
+                            "\r\nX-Deadline-Ms: 4000\r\nAuthorization: "
+                            "Bearer key\r\nContent-Length: 5\r\n\r\norder",
+                        6s);
+                log.line("client " + id + " got " + std::to_string(it.status));
                 auto const lock = std::lock_guard{mutex};
-                taken_up += tries > 1 && last > 0 ? 1 : 0;
-                went_on += gone_on ? 1 : 0;
-                complete += done ? 1 : 0;
-            });
-    }
-    // New streams at the same machines, while the others are taken up.
-    for (auto i = 0; i < streams; ++i)
-    {
-        threads.emplace_back(
-            [&, i]
-            {
-                std::this_thread::sleep_until(start + kill_at + ms{50 * i});
-                auto const& at =
-                    *machines[1 + static_cast<std::size_t>(i) %
-                                      (machines.size() - 1)];
-                auto got = stream_attempt{};
-                auto const id = 'n' + std::to_string(i);
-                if (auto const to = connect_to(at.front()))
-                {
-                    to->set_timeout(8s);
-                    got = read_stream(*to, request(id, {}, 0, 25000ms));
-                }
-                log.line("client " + id + " got " + std::to_string(got.status) +
-                         ", last event " + std::to_string(got.last));
-                auto const lock = std::lock_guard{mutex};
-                begun += got.last > 0 ? 1 : 0;
+                status[id] = it.status;
             });
+        std::this_thread::sleep_until(start + gap * (i + 1));
     }
     for (auto& it : threads)
     {
         it.join();
     }
     plan.join();
-    log.say("streams taken up " + std::to_string(taken_up) + ", went on " +
-            std::to_string(went_on) + ", complete " + std::to_string(complete) +
-            " of " + std::to_string(streams) + "; new ones begun " +
-            std::to_string(begun) + " of " + std::to_string(streams));
-    if (!trouble())
+    auto const removed =
+        steady::time_point{steady::duration{removed_at.load()}};
+    auto late = 0;
+    auto lost = 0;
+    for (auto const& it : leaver.arrivals())
     {
-        auto const held = taken_up == 0 && complete == streams;
-        log.say(held ? "held" : "BROKEN: LOST");
-        return held ? 0 : 1;
+        if (it.at > removed + drain + slack)
+        {
+            ++late;
+        }
+        lost += it.at > removed && status[it.id] != 200 ? 1 : 0;
     }
-    constexpr auto least = 12;
-    if (taken_up < least)
+    auto served = 0;
+    for (auto const& [id, it] : status)
     {
-        log.say("too few streams were taken up");
-        return 2;
+        served += it == 200 ? 1 : 0;
     }
-    auto const share_on = static_cast<double>(went_on) / taken_up;
-    auto const share_new = static_cast<double>(begun) / streams;
-    auto const broken = share_on < share_new / 2;
-    log.say(broken ? "BROKEN: LOST" : "held");
-    return broken ? 1 : 0;
+    log.say("requests " + std::to_string(status.size()) + ", served " +
+            std::to_string(served) + "; reached the replica later than drainMs "
+            "after its entry was removed: " +
+            std::to_string(late) + "; orders there that got no success: " +
+            std::to_string(lost));
+    log.say(late > 0 ? "BROKEN: DRAIN" : "held");
+    return late > 0 ? 1 : 0;
 }
--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -1,70 +1,46 @@
-// All machines are killed while the store comes back from a copy that is a few
-// seconds old. Streams that clients take up then go on at replicas of another
-// software version than the one that began them.
+// A machine that the core is cut off from goes on to send orders to a replica
+// whose answers have said for seconds that it leaves.
 
-#include "../standins-2/engine.hpp"
+#include "../standins-2/world.hpp"
 
 using namespace review;
 
 namespace
 {
 
-/// Times from the start of traffic.
-constexpr auto second_version_at = 5000ms;
-constexpr auto trouble_at = 9000ms;
-constexpr auto away = 500ms;
-/// From the store's return until replicas write what it lacks again: one
-/// heartbeat.
-constexpr auto heartbeat = 1200ms;
-constexpr auto length = 13000ms;
-constexpr auto stream_gap = 120ms;
-/// "More than two streams hold events ... of two software versions".
-constexpr auto most_mixed = 2;
-/// "Clients retry a few times within their deadline".
-constexpr auto most_tries = 4;
+constexpr auto drain = 2000ms;
+/// How long the replica serves beyond `drain`, before it exits.
+constexpr auto beyond = 3000ms;
+/// Allowed on top of `drain` for the way of a request through the machine.
+constexpr auto slack = 250ms;
+constexpr auto cut_at = 3000ms;
+constexpr auto cut_length = 12000ms;
+constexpr auto leave_at = 4500ms;
+constexpr auto length = 20000ms;
+constexpr auto gap = 40ms;
 
 auto configuration() -> std::string
 {
-    return R"({"version":7,"routes":[{"name":"briefs","host":"h.example",)"
-           R"("pathPrefix":"/briefs/","routeKind":"streaming",)"
-           R"("timeoutMs":25000,"sloMs":4500,"priority":1,"service":"llm",)"
-           R"("maxAttempts":5,"public":false,"sticky":true,)"
-           R"("resumable":true,"gapSloMs":700}],"services":[{"name":"llm",)"
-           R"("healthPath":"/healthz","maxConns":370,"protocol":"h1",)"
-           R"("tls":false,"engine":{"slots":64,"kvCapacity":5500000,)"
-           R"("kvBytes":163840,"linkMbps":280000.0,"moves":false,)"
-           R"("backups":false,"stride":5,"most":12,"pinMs":4000.0,)"
-           R"("holdMs":2000.0,"handleS":4.0,"models":[{"name":"m"}]}}],)"
-           R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,)"
-           R"("headerTimeoutMs":3000,"idleTimeoutMs":15000},)"
-           R"("tenants":[{"name":"t","apiKeys":["key"],"priority":1}]})";
+    return R"({"version":7,"routes":[{"name":"orders","host":"h.example",)"
+           R"("pathPrefix":"/orders/","routeKind":"non_idempotent",)"
+           R"("timeoutMs":4000,"sloMs":500,"priority":1,"service":"desk",)"
+           R"("maxAttempts":2,"public":false,"sticky":false,)"
+           R"("resumable":false}],"services":[{"name":"desk",)"
+           R"("healthPath":"/healthz","maxConns":110,"protocol":"h1",)"
+           R"("tls":false}],"limits":{"maxHeaderBytes":16384,)"
+           R"("maxBodyBytes":4194304,"headerTimeoutMs":3000,)"
+           R"("idleTimeoutMs":15000},"tenants":[{"name":"t",)"
+           R"("apiKeys":["key"],"priority":1}]})";
 }
 
-struct stream
+struct asked
 {
     std::string id;
-    int tries = 0;
-    bool complete = false;
-    std::set<std::string> versions;
+    outcome it;
+    std::string replica;
+    bool says_leaving = false;
 };
 
-auto request(std::string const& id, std::string const& began_as, int last,
-             ms left) -> std::string
-{
-    auto out = "POST /briefs/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " +
-               id + "\r\nX-Deadline-Ms: " + std::to_string(left.count()) +
-               "\r\nAuthorization: Bearer key\r\nX-Model: m\r\n"
-               "X-Token-Usage: 600,500\r\nX-Prefix-Hash: aa:200,b" +
-               std::to_string(std::hash<std::string>{}(began_as) % 99999) +
-               ":400\r\n";
-    if (last > 0)
-    {
-        out += "Last-Event-Id: " + std::to_string(last) +
-               "\r\nResumes: " + began_as + "\r\n";
-    }
-    return out + "Content-Length: 6\r\n\r\nprompt";
-}
-
 } // namespace
 
 auto main() -> int
@@ -73,170 +49,129 @@
     auto const folder = temporary_folder{};
     auto platform = store{"127.0.0.1"};
     platform.put("op/config", configuration());
-    auto replicas = std::vector<std::unique_ptr<engine>>{};
-    for (auto i = 0; i < 4; ++i)
-    {
-        auto its = engine::traits{};
-        its.service = "llm";
-        its.zone = i % 2 == 0 ? "a" : "b";
-        its.version = i < 2 ? "v1" : "v2";
-        replicas.push_back(std::make_unique<engine>(
-            log, platform, "i-" + std::to_string(i + 1), its));
-        if (i < 2)
-        {
-            replicas.back()->register_here();
-        }
-    }
-    auto machines = std::vector<std::unique_ptr<machine>>{};
-    for (auto i = 0; i < 2; ++i)
-    {
-        auto const zone = std::string{i == 0 ? "a" : "b"};
-        machines.push_back(std::make_unique<machine>(
-            "edge-" + zone + "-1", zone, machine_ip(i), folder.path,
-            platform.at()));
-        machines.back()->start();
-    }
-    for (auto const& it : machines)
+    auto leaver = replica{log, platform, "i-1", "desk", "a", "127.0.0.1", 250ms};
+    auto other = replica{log, platform, "i-2", "desk", "a", "127.0.0.1", 250ms};
+    auto edge =
+        machine{"edge-a-1", "a", machine_ip(0), folder.path, platform.at()};
+    edge.start();
+    if (!edge.wait_ready(15s))
     {
-        if (!it->wait_ready(15s))
-        {
-            log.say("a machine is not ready");
-            return 2;
-        }
+        log.say("the machine is not ready");
+        return 2;
     }
-    std::this_thread::sleep_for(4s);
-    log.say("machines ready");
+    log.say(std::string{"machine ready; core "} +
+            (trouble() ? "is cut off later" : "stays"));
 
     auto const start = steady::now();
     auto plan = std::thread{
         [&]
         {
-            std::this_thread::sleep_until(start + second_version_at - 200ms);
-            platform.take_copy();
-            std::this_thread::sleep_until(start + second_version_at);
-            log.say("replicas of version v2 come");
-            replicas[2]->register_here();
-            replicas[3]->register_here();
-            std::this_thread::sleep_until(start + trouble_at);
-            if (!trouble())
-            {
-                return;
-            }
-            auto const kill = std::getenv("NO_KILL") == nullptr;
-            auto const restore = std::getenv("NO_RESTORE") == nullptr;
-            log.say("all machines are killed, and the store is away");
-            platform.cut(restore);
-            for (auto const& it : machines)
+            std::this_thread::sleep_until(start + cut_at);
+            if (trouble())
             {
-                if (kill)
-                {
-                    it->stop();
-                }
-            }
-            std::this_thread::sleep_for(away);
-            for (auto const& it : machines)
-            {
-                if (kill)
-                {
-                    it->start();
-                }
+                log.say("cut: the machine does not reach the core");
+                platform.cut(true);
             }
-            if (restore)
+            std::this_thread::sleep_until(start + leave_at);
+            leaver.leave();
+            std::this_thread::sleep_until(start + leave_at + drain + beyond);
+            leaver.exit();
+            std::this_thread::sleep_until(start + cut_at + cut_length);
+            if (trouble())
             {
-                platform.restore_copy();
                 platform.cut(false);
+                log.say("the cut has ended");
             }
-            log.say("the store is back from its copy");
-            std::this_thread::sleep_for(heartbeat);
-            if (restore)
-            {
-                platform.put("op/config", configuration());
-                for (auto const& it : replicas)
-                {
-                    it->register_here();
-                }
-            }
-            log.say("operator and replicas have written again");
         }};
     auto mutex = std::mutex{};
-    auto all = std::vector<stream>{};
+    auto all = std::vector<asked>{};
     auto threads = std::vector<std::thread>{};
     for (auto i = 0; steady::now() < start + length; ++i)
     {
         threads.emplace_back(
             [&, i]
             {
-                auto it = stream{"s" + std::to_string(i), 0, false, {}};
-                auto const deadline = steady::now() + 25s;
-                auto began_as = std::string{};
-                auto last = 0;
-                auto to = static_cast<std::size_t>(i);
-                while (it.tries < most_tries && !it.complete &&
-                       steady::now() < deadline)
+                auto it = asked{"q" + std::to_string(i), {}, {}, false};
+                it.it = ask(edge.front(),
+                            "POST /orders/x HTTP/1.1\r\nHost: h.example\r\n"
+                            "X-Attempt-Id: " +
+                                it.id +
+                                "\r\nX-Deadline-Ms: 4000\r\nAuthorization: "
+                                "Bearer key\r\nContent-Length: 5\r\n\r\norder",
+                            6s);
+                auto const at = it.it.body.rfind(" at ");
+                it.replica =
+                    at == std::string::npos ? "" : it.it.body.substr(at + 4);
+                for (auto const& each : it.it.headers)
                 {
-                    auto const id = it.id + '-' + std::to_string(++it.tries);
-                    auto const left = std::chrono::duration_cast<ms>(
-                        deadline - steady::now());
-                    auto const from =
-                        connect_to(machines[to++ % 2]->front());
-                    auto got = stream_attempt{};
-                    if (from)
-                    {
-                        from->set_timeout(5000ms);
-                        got = read_stream(*from,
-                                          request(id, began_as, last, left));
-                    }
-                    if (got.last > 0)
-                    {
-                        began_as = began_as.empty() ? id : began_as;
-                        last = got.last;
-                        it.versions.insert(got.versions.begin(),
-                                           got.versions.end());
-                    }
-                    it.complete = got.complete;
-                    auto text = std::string{};
-                    for (auto const& version : got.versions)
-                    {
-                        text += ' ' + version;
-                    }
-                    log.line("client " + id + " got " +
-                             std::to_string(got.status) + ", last event " +
-                             std::to_string(got.last) + ", versions" + text +
-                             (got.complete ? ", complete" : ""));
-                    if (!it.complete)
-                    {
-                        std::this_thread::sleep_for(
-                            std::chrono::duration<double>(
-                                got.retry_after.value_or(0.4)));
-                    }
+                    it.says_leaving |= same_name(each.name, "Server-Leaving");
                 }
+                log.line("client " + it.id + " got " +
+                         std::to_string(it.it.status) +
+                         (it.says_leaving ? " Server-Leaving from " : " from ") +
+                         (it.replica.empty() ? "none" : it.replica));
                 auto const lock = std::lock_guard{mutex};
                 all.push_back(std::move(it));
             });
-        std::this_thread::sleep_until(start + stream_gap * (i + 1));
+        std::this_thread::sleep_until(start + gap * (i + 1));
     }
     for (auto& it : threads)
     {
         it.join();
     }
     plan.join();
-    auto mixed = 0;
-    auto complete = 0;
-    auto taken_up = 0;
+
+    // The rule, by what clients and replicas have seen.
+    auto told_at = std::optional<steady::time_point>{};
+    for (auto const& it : all)
+    {
+        if (it.says_leaving && (!told_at || it.it.ended_at < *told_at))
+        {
+            told_at = it.it.ended_at;
+        }
+    }
+    auto sent = std::map<std::string, asked const*>{};
     for (auto const& it : all)
     {
-        complete += it.complete ? 1 : 0;
-        taken_up += it.tries > 1 ? 1 : 0;
-        if (it.versions.size() > 1)
+        sent[it.id] = &it;
+    }
+    auto late = 0;
+    auto last = 0.0;
+    auto cut_off = 0;
+    for (auto const& it : leaver.arrivals())
+    {
+        auto const found = sent.find(it.id);
+        if (!told_at || found == sent.end() ||
+            found->second->it.sent_at <= *told_at + drain + slack)
         {
-            ++mixed;
-            log.line("stream " + it.id + " holds events of two versions");
+            continue;
         }
+        ++late;
+        last = std::max(last, to_seconds(it.at - *told_at));
+        cut_off += found->second->it.status != 200 ? 1 : 0;
+    }
+    auto served = 0;
+    for (auto const& it : all)
+    {
+        served += it.it.status == 200 ? 1 : 0;
+    }
+    if (auto const how = edge.ended())
+    {
+        log.say("the machine ended by itself: " + *how);
+        return 2;
+    }
+    log.say("requests " + std::to_string(all.size()) + ", served " +
+            std::to_string(served));
+    log.say("requests sent more than drainMs after the machine had passed on "
+            "an answer with Server-Leaving, and run by that replica: " +
+            std::to_string(late) + ", the last " + std::to_string(last) +
+            " s after it; of these not answered with success: " +
+            std::to_string(cut_off));
+    if (!told_at && trouble())
+    {
+        log.say("no answer of the leaving replica was passed on");
+        return 2;
     }
-    log.say("streams " + std::to_string(all.size()) + ", complete " +
-            std::to_string(complete) + ", tried again " +
-            std::to_string(taken_up) + ", with events of two versions " +
-            std::to_string(mixed));
-    log.say(mixed > most_mixed ? "BROKEN: ORDER" : "held");
-    return mixed > most_mixed ? 1 : 0;
+    log.say(late > 0 ? "BROKEN: DRAIN" : "held");
+    return late > 0 ? 1 : 0;
 }
--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -1,5 +1,6 @@
-// All machines are killed once. They then have to learn anew which part of a
-// prompt crashes replicas, at the replicas' expense.
+// Streams of a split route are taken up after a machine was killed. Since the
+// weights have moved, most are looked for at the other service of the route,
+// and refused.
 
 #include "../standins-2/engine.hpp"
 
@@ -8,145 +9,56 @@
 namespace
 {
 
-constexpr auto contact = 3000ms;
-constexpr auto poison_part = "bad0";
 /// Times from the start of traffic.
-constexpr auto poison_from = 3000ms;
-constexpr auto poison_gap = 5000ms;
-constexpr auto kill_at = 24000ms;
-constexpr auto length = 46000ms;
-/// "the replica is back after some seconds".
-constexpr auto replica_down = 2000ms;
-constexpr auto sound_gap = 250ms;
-/// "More than three requests with a part that crashes replicas".
-constexpr auto most_arrivals = 3;
-constexpr auto fifth = std::size_t{5};
-
-auto configuration() -> std::string
+constexpr auto move_at = 2000ms;
+constexpr auto kill_at = 8000ms;
+constexpr auto down = 2500ms;
+constexpr auto streams = 16;
+/// "Clients retry a few times within their deadline".
+constexpr auto most_tries = 2;
+
+auto configuration(int version, int first, int second) -> std::string
 {
-    return R"({"version":7,"routes":[{"name":"briefs","host":"h.example",)"
+    auto const service = [](std::string const& name)
+    {
+        return "{\"name\":\"" + name +
+               "\",\"healthPath\":\"/healthz\",\"maxConns\":370,\"protocol\":"
+               "\"h1\",\"tls\":false,\"engine\":{\"slots\":64,\"kvCapacity\":"
+               "5500000,\"kvBytes\":163840,\"linkMbps\":280000.0,\"moves\":"
+               "false,\"backups\":false,\"stride\":5,\"most\":12,\"pinMs\":"
+               "4000.0,\"holdMs\":2000.0,\"handleS\":4.0,\"models\":[{\"name\":"
+               "\"m\"}]}}";
+    };
+    return "{\"version\":" + std::to_string(version) +
+           R"(,"routes":[{"name":"briefs","host":"h.example",)"
            R"("pathPrefix":"/briefs/","routeKind":"streaming",)"
-           R"("timeoutMs":25000,"sloMs":4500,"priority":1,"service":"llm",)"
-           R"("maxAttempts":5,"public":false,"sticky":true,)"
-           R"("resumable":true,"gapSloMs":700}],"services":[{"name":"llm",)"
-           R"("healthPath":"/healthz","maxConns":370,"protocol":"h1",)"
-           R"("tls":false,"engine":{"slots":64,"kvCapacity":5500000,)"
-           R"("kvBytes":163840,"linkMbps":280000.0,"moves":false,)"
-           R"("backups":false,"stride":5,"most":12,"pinMs":4000.0,)"
-           R"("holdMs":2000.0,"handleS":4.0,"models":[{"name":"m"}]}}],)"
-           R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,)"
+           R"("timeoutMs":25000,"sloMs":4500,"priority":1,"split":[)"
+           R"({"service":"llm-a","weight":)" +
+           std::to_string(first) + R"(},{"service":"llm-b","weight":)" +
+           std::to_string(second) +
+           R"(}],"maxAttempts":5,"public":false,"sticky":true,)"
+           R"("resumable":true,"gapSloMs":700}],"services":[)" +
+           service("llm-a") + ',' + service("llm-b") +
+           R"(],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,)"
            R"("headerTimeoutMs":3000,"idleTimeoutMs":15000},)"
            R"("tenants":[{"name":"t","apiKeys":["key"],"priority":1}]})";
 }
 
-/// The replicas, and the platform that starts a crashed one again, as another
-/// incarnation with another id.
-class pool
+auto request(std::string const& id, std::string const& began_as, int last,
+             ms left) -> std::string
 {
-public:
-    pool(record& log, store& platform) : log_(log), store_(platform)
-    {
-        for (auto i = 0; i < 12; ++i)
-        {
-            add(i % 2 == 0 ? "a" : "b");
-        }
-        watching_ = std::thread{[this] { watch(); }};
-    }
-
-    ~pool()
-    {
-        stop_ = true;
-        watching_.join();
-    }
-
-    [[nodiscard]] auto crashes() const -> std::vector<steady::time_point>
-    {
-        auto const lock = std::lock_guard{mutex_};
-        return crashes_;
-    }
-
-    [[nodiscard]] auto runs() const -> std::vector<stream_run>
-    {
-        auto out = std::vector<stream_run>{};
-        auto const lock = std::lock_guard{mutex_};
-        for (auto const& it : all_)
-        {
-            auto const runs = it.replica->runs();
-            out.insert(out.end(), runs.begin(), runs.end());
-        }
-        return out;
-    }
-
-private:
-    struct entry
+    auto out = "POST /briefs/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " +
+               id + "\r\nX-Deadline-Ms: " + std::to_string(left.count()) +
+               "\r\nAuthorization: Bearer key\r\nX-Model: m\r\n"
+               "X-Token-Usage: 600,1200\r\nX-Prefix-Hash: aa:200,b" +
+               std::to_string(std::hash<std::string>{}(id) % 99999) +
+               ":400\r\n";
+    if (last > 0)
     {
-        std::unique_ptr<engine> replica;
-        std::string zone;
-        std::optional<steady::time_point> back_at;
-        bool replaced = false;
-    };
-
-    void add(std::string const& zone)
-    {
-        auto its = engine::traits{};
-        its.service = "llm";
-        its.zone = zone;
-        its.events = 30;
-        its.gap = 50ms;
-        its.crash_part = poison_part;
-        auto it = std::make_unique<engine>(
-            log_, store_, "i-" + std::to_string(++last_), its);
-        it->register_here();
-        all_.push_back({std::move(it), zone, {}, false});
+        out += "Last-Event-Id: " + std::to_string(last) +
+               "\r\nResumes: " + began_as + "\r\n";
     }
-
-    void watch()
-    {
-        while (!stop_)
-        {
-            {
-                auto const lock = std::lock_guard{mutex_};
-                auto const n = all_.size();
-                for (auto i = std::size_t{0}; i < n; ++i)
-                {
-                    auto const now = steady::now();
-                    if (all_[i].replica->wants_crash())
-                    {
-                        crashes_.push_back(now);
-                        all_[i].replica->crash();
-                        all_[i].back_at = now + replica_down;
-                    }
-                    if (all_[i].back_at && now >= *all_[i].back_at &&
-                        !std::exchange(all_[i].replaced, true))
-                    {
-                        store_.remove("servers/" + all_[i].replica->id());
-                        add(all_[i].zone);
-                    }
-                }
-            }
-            std::this_thread::sleep_for(2ms);
-        }
-    }
-
-    record& log_;
-    store& store_;
-    mutable std::mutex mutex_;
-    std::vector<entry> all_;
-    std::vector<steady::time_point> crashes_;
-    int last_ = 0;
-    std::atomic<bool> stop_{false};
-    std::thread watching_;
-};
-
-auto request(std::string const& id, bool poisonous) -> std::string
-{
-    auto const own = std::to_string(std::hash<std::string>{}(id) % 999999);
-    return "POST /briefs/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + id +
-           "\r\nX-Deadline-Ms: 12000\r\nAuthorization: Bearer key\r\n"
-           "X-Model: m\r\nX-Token-Usage: 600,200\r\nX-Prefix-Hash: aa:100," +
-           (poisonous ? std::string{poison_part} : "5afe") + ":100,c" + own +
-           ":400\r\nContent-Length: " + std::to_string(own.size()) +
-           "\r\n\r\n" + own;
+    return out + "Content-Length: 6\r\n\r\nprompt";
 }
 
 } // namespace
@@ -156,12 +68,24 @@
     auto log = record{"review/9/record.txt"};
     auto const folder = temporary_folder{};
     auto platform = store{"127.0.0.1"};
-    platform.put("op/config", configuration());
-    auto replicas = pool{log, platform};
+    platform.put("op/config", configuration(7, 95, 5));
+    auto replicas = std::vector<std::unique_ptr<engine>>{};
+    for (auto i = 0; i < 8; ++i)
+    {
+        auto its = engine::traits{};
+        its.service = i < 4 ? "llm-a" : "llm-b";
+        its.zone = i % 2 == 0 ? "a" : "b";
+        its.version = i < 4 ? "v1" : "v2";
+        its.events = 240;
+        its.gap = 50ms;
+        replicas.push_back(std::make_unique<engine>(
+            log, platform, "i-" + std::to_string(i + 1), its));
+        replicas.back()->register_here();
+    }
     auto machines = std::vector<std::unique_ptr<machine>>{};
-    for (auto i = 0; i < 3; ++i)
+    for (auto i = 0; i < 6; ++i)
     {
-        auto const zone = std::string{i == 0 ? "a" : "b"};
+        auto const zone = std::string(1, static_cast<char>('a' + i % 3));
         machines.push_back(std::make_unique<machine>(
             "edge-" + std::to_string(i), zone, machine_ip(i), folder.path,
             platform.at()));
@@ -175,121 +99,133 @@
             return 2;
         }
     }
-    std::this_thread::sleep_for(3s);
+    std::this_thread::sleep_for(5s);
     log.say("machines ready");
 
     auto const start = steady::now();
-    auto restarted_at = std::atomic<steady::rep>{0};
     auto plan = std::thread{
         [&]
         {
+            std::this_thread::sleep_until(start + move_at);
+            log.say("the weights move from 95:5 to 5:95");
+            platform.put("op/config", configuration(8, 5, 95));
             std::this_thread::sleep_until(start + kill_at);
-            if (!trouble())
-            {
-                return;
-            }
-            log.say("all machines are killed");
-            for (auto const& it : machines)
-            {
-                it->stop();
-            }
-            std::this_thread::sleep_for(500ms);
-            for (auto const& it : machines)
+            if (trouble())
             {
-                it->start();
+                log.say("a machine is killed");
+                machines.front()->stop();
+                std::this_thread::sleep_for(down);
+                machines.front()->start();
             }
-            restarted_at = steady::now().time_since_epoch().count();
-            log.say("all machines start");
         }};
     auto mutex = std::mutex{};
-    auto sent_at = std::map<std::string, steady::time_point>{};
-    auto sound = std::map<int, int>{};
+    auto taken_up = 0;
+    auto went_on = 0;
+    auto begun = 0;
+    auto complete = 0;
     auto threads = std::vector<std::thread>{};
-    auto const send = [&](std::string const& id, bool poisonous, int n)
+    for (auto i = 0; i < streams; ++i)
     {
-        {
-            auto const lock = std::lock_guard{mutex};
-            sent_at[id] = steady::now();
-        }
         threads.emplace_back(
-            [&, id, poisonous, n]
+            [&, i]
             {
-                auto got = stream_attempt{};
-                if (auto const to =
-                        connect_to(machines[static_cast<std::size_t>(n) %
-                                            machines.size()]
-                                       ->front()))
+                auto const name = 's' + std::to_string(i);
+                auto const deadline = start + 25s;
+                auto last = 0;
+                auto tries = 0;
+                auto done = false;
+                auto gone_on = false;
+                auto began_as = std::string{};
+                std::this_thread::sleep_for(ms{50 * i});
+                while (tries <= most_tries && !done && steady::now() < deadline)
                 {
-                    to->set_timeout(12s);
-                    got = read_stream(*to, request(id, poisonous));
+                    auto const id = name + '-' + std::to_string(tries);
+                    // The first try is at the machine that is killed.
+                    auto const& at =
+                        *machines[tries == 0
+                                      ? 0
+                                      : 1 + static_cast<std::size_t>(i + tries) %
+                                                (machines.size() - 1)];
+                    auto const left = std::chrono::duration_cast<ms>(
+                        deadline - steady::now());
+                    auto got = stream_attempt{};
+                    if (auto const to = connect_to(at.front()))
+                    {
+                        to->set_timeout(8s);
+                        got = read_stream(*to,
+                                          request(id, began_as, last, left));
+                    }
+                    log.line("client " + id + " got " +
+                             std::to_string(got.status) + ", last event " +
+                             std::to_string(got.last));
+                    if (got.last > 0)
+                    {
+                        began_as = began_as.empty() ? id : began_as;
+                        gone_on = gone_on || (tries > 0 && got.last > last);
+                        last = got.last;
+                    }
+                    done = got.complete;
+                    ++tries;
+                    if (!done && tries > 1)
+                    {
+                        std::this_thread::sleep_for(
+                            std::chrono::duration<double>(
+                                got.retry_after.value_or(0.4)));
+                    }
                 }
-                log.line("client " + id + " got " + std::to_string(got.status) +
-                         ", last event " + std::to_string(got.last) +
-                         (got.complete ? ", complete" : ""));
                 auto const lock = std::lock_guard{mutex};
-                if (!poisonous)
+                taken_up += tries > 1 && last > 0 ? 1 : 0;
+                went_on += gone_on ? 1 : 0;
+                complete += done ? 1 : 0;
+            });
+    }
+    // New streams at the same machines, while the others are taken up.
+    for (auto i = 0; i < streams; ++i)
+    {
+        threads.emplace_back(
+            [&, i]
+            {
+                std::this_thread::sleep_until(start + kill_at + ms{50 * i});
+                auto const& at =
+                    *machines[1 + static_cast<std::size_t>(i) %
+                                      (machines.size() - 1)];
+                auto got = stream_attempt{};
+                auto const id = 'n' + std::to_string(i);
+                if (auto const to = connect_to(at.front()))
                 {
-                    ++sound[got.complete ? 200 : got.status];
+                    to->set_timeout(8s);
+                    got = read_stream(*to, request(id, {}, 0, 25000ms));
                 }
+                log.line("client " + id + " got " + std::to_string(got.status) +
+                         ", last event " + std::to_string(got.last));
+                auto const lock = std::lock_guard{mutex};
+                begun += got.last > 0 ? 1 : 0;
             });
-    };
-    auto n = 0;
-    auto poisons = 0;
-    auto next_poison = start + poison_from;
-    while (steady::now() < start + length)
-    {
-        send("s" + std::to_string(n), false, n);
-        ++n;
-        if (steady::now() >= next_poison)
-        {
-            send("p" + std::to_string(poisons), true, poisons);
-            ++poisons;
-            next_poison += poison_gap;
-        }
-        std::this_thread::sleep_until(start + sound_gap * n);
     }
     for (auto& it : threads)
     {
         it.join();
     }
     plan.join();
-
-    // Arrivals later than contactMs after the fifth crash, of requests that
-    // machines in touch have sent.
-    auto const crashes = replicas.crashes();
-    if (crashes.size() < fifth)
+    log.say("streams taken up " + std::to_string(taken_up) + ", went on " +
+            std::to_string(went_on) + ", complete " + std::to_string(complete) +
+            " of " + std::to_string(streams) + "; new ones begun " +
+            std::to_string(begun) + " of " + std::to_string(streams));
+    if (!trouble())
     {
-        log.say("replicas crashed " + std::to_string(crashes.size()) +
-                " times only");
-        return trouble() ? 2 : 0;
-    }
-    auto const from = crashes[fifth - 1] + contact;
-    auto const start_of_processes =
-        steady::time_point{steady::duration{restarted_at.load()}};
-    auto arrivals = 0;
-    for (auto const& it : replicas.runs())
-    {
-        auto const in_touch =
-            restarted_at == 0 || it.at < start + kill_at ||
-            it.at > start_of_processes + contact;
-        if (it.id.starts_with("p") && it.at > from && in_touch)
-        {
-            ++arrivals;
-            log.line("counts: " + it.id + " reached " + it.replica + ", " +
-                     std::to_string(to_seconds(it.at - crashes[fifth - 1])) +
-                     " s after the fifth crash");
-        }
+        auto const held = taken_up == 0 && complete == streams;
+        log.say(held ? "held" : "BROKEN: LOST");
+        return held ? 0 : 1;
     }
-    for (auto const& [status, count] : sound)
+    constexpr auto least = 12;
+    if (taken_up < least)
     {
-        log.say("sound streams with status " + std::to_string(status) +
-                " (200: whole): " + std::to_string(count));
+        log.say("too few streams were taken up");
+        return 2;
     }
-    log.say("poisonous requests " + std::to_string(poisons) + ", crashes " +
-            std::to_string(crashes.size()) +
-            "; arrivals later than contactMs after the fifth crash, by "
-            "machines in touch: " +
-            std::to_string(arrivals));
-    log.say(arrivals > most_arrivals ? "BROKEN: BUDGET" : "held");
-    return arrivals > most_arrivals ? 1 : 0;
+    auto const share_on = static_cast<double>(went_on) / taken_up;
+    auto const share_new = static_cast<double>(begun) / streams;
+    auto const broken = share_on < share_new / 2;
+    log.say(broken ? "BROKEN: LOST" : "held");
+    return broken ? 1 : 0;
 }
