Bind the records of versions to the era of the store in which they are complete

What callers saw: all hosts were killed while the store came back from a copy that was some seconds old.

Cause: hosts that start take the list and the record of versions that they read for proof that there is one version. A restored store may have lost the end of both, and a restoration was reported only to hosts that had held an older era.

Change: the store has the era in which the records are complete, written by a host after 2.5 s of contact in that era, in which live targets write again. Records count in that era only, those that are read for a request too; until then such streams are refused with a Retry-After by which it is expected. Hosts that lived through the restoration write again versions that were recorded before it. A grace after each start was ruled out: it would refuse streams after each loss of all hosts, also where nothing was restored.

Why it works: a version is recorded before streams begin at it, so a record that was complete once in an era is complete in that era.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -424,6 +424,7 @@
             }
         }
         remove_lost_records(before, now);
+        origins_.observe(make_store_position(now), now);
         return out;
     }
 
@@ -480,6 +481,7 @@
                 [&](host_entry const& e) { update_host(e); },
                 [&](origins_entry const& e) { origins_.merge(e.bytes, now); },
                 [&](versions_entry const& e) { origins_.adopt(e); },
+                [&](confirmation_entry const& e) { origins_.adopt(e); },
                 [&](auto const& e)
                 { rollouts_.apply(e, make_store_position(now), now); },
                 [](other_entry const&) {
@@ -814,7 +816,8 @@
     {
         auto out = store_position{};
         out.read = !entries_.empty();
-        out.watches = source_.store_contact(now).has_value();
+        out.era = source_.delivered_revision().era();
+        out.contact = source_.store_contact(now);
         out.written_at = [this](std::string const& key)
         {
             auto const held = entries_.find(key);
--- a/src/gateway/host_state.hpp
+++ b/src/gateway/host_state.hpp
@@ -29,6 +29,7 @@
 #include "rollout/rollout_table.hpp"
 #include "routes/route_table.hpp"
 #include "stream_origin/origin_table.hpp"
+#include "stream_origin/record_confirmation.hpp"
 #include "stream_origin/record_reads.hpp"
 #include "stream_origin/served_versions.hpp"
 
@@ -166,6 +167,7 @@
     /// fetched, or no other host knows them.
     bool origins_complete = false;
     stream_origin::served_versions served_versions;
+    stream_origin::record_confirmation record_confirmation;
     /// Reads the record of a service from the store (`version_reader`).
     std::function<void(service_id const&, stream_origin::record_handler)>
         read_versions =
--- a/src/gateway/origin_task.cpp
+++ b/src/gateway/origin_task.cpp
@@ -58,11 +58,13 @@
     {
         write(now);
     }
-    if (!store.watches)
+    if (!store.contact)
     {
         host_.served_versions.contact_lost();
     }
-    else if (now - *started_at_ >= time_to_hear_others)
+    observe(store, now);
+    confirm_records(store, now);
+    if (store.contact && now - *started_at_ >= time_to_hear_others)
     {
         write_versions(store, now);
     }
@@ -94,8 +96,44 @@
     host_.served_versions.apply(it.service, versions);
 }
 
+void origin_task::adopt(confirmation_entry const& it)
+{
+    host_.record_confirmation.apply(it.era);
+}
+
+void origin_task::observe(store_position const& store, time_point now)
+{
+    auto it = stream_origin::record_view{};
+    it.era = store.era;
+    it.contact = store.contact;
+    it.complete = store.read && store.contact &&
+                  host_.served_versions.complete(host_.targets.versions(), now);
+    it.hosts_ahead =
+        host_.other_hosts.hosts_in_contact_before(host_.settings.host);
+    host_.record_confirmation.observe(it, now);
+}
+
+void origin_task::confirm_records(store_position const& store, time_point now)
+{
+    auto const era = host_.record_confirmation.next_write(now);
+    if (!era)
+    {
+        return;
+    }
+    auto const key = host_.wire.confirmation_key();
+    auto it = external::transaction{};
+    it.conditions.emplace_back(
+        external::unchanged_since{key, store.written_at(key)});
+    it.then.emplace_back(external::put{key, host_.wire.write_confirmation(*era),
+                                       external::lease_id{0}});
+    log::write(log::level::info, "versions_confirmed",
+               {{"era", std::to_string(era->value())}});
+    commit(it, "confirmation");
+}
+
 void origin_task::on_store_restored(time_point now)
 {
+    host_.served_versions.store_restored();
     written_at_ = {};
     // All hosts learn of it at about the same time.
     next_write_at_ =
--- a/src/gateway/origin_task.hpp
+++ b/src/gateway/origin_task.hpp
@@ -21,8 +21,10 @@
 {
     /// The store's entries have been read.
     bool read = false;
-    /// This host watches the store, and the store answers it.
-    bool watches = false;
+    /// Of the entries.
+    external::store_era era;
+    /// How long the store has answered this host, if it watches the store.
+    std::optional<duration> contact;
     /// When an entry was last written; zero if there is none.
     std::function<external::store_revision(std::string const& key)> written_at;
 };
@@ -45,6 +47,12 @@
     /// The record of a service's versions was written or removed.
     void adopt(versions_entry const& it);
 
+    /// A host has confirmed the records of versions.
+    void adopt(confirmation_entry const& it);
+
+    /// The entries of the store were replaced.
+    void observe(store_position const& store, time_point now);
+
     /// What this host has written may be lost; it is written again.
     void on_store_restored(time_point now);
 
@@ -55,6 +63,7 @@
     void on_complete(std::string const& from);
     void write(time_point now);
     void write_versions(store_position const& store, time_point now);
+    void confirm_records(store_position const& store, time_point now);
     void commit(external::transaction const& it, std::string const& what);
 
     host_state& host_;
--- a/src/gateway/protocol.hpp
+++ b/src/gateway/protocol.hpp
@@ -4,6 +4,7 @@
 #include "core/units.hpp"
 #include "directory/target_directory.hpp"
 #include "dispatch/load_tracker.hpp"
+#include "external/key_value.hpp"
 #include "http1/message.hpp"
 #include "request_limit/limit_table.hpp"
 #include "rollout/order.hpp"
@@ -129,6 +130,13 @@
     std::optional<std::string> bytes;
 };
 
+/// The era of the store in which the records of versions are complete, as a
+/// host has written it.
+struct confirmation_entry
+{
+    external::store_era era;
+};
+
 /// An order to move the traffic of a service to one version. The revision that
 /// identifies it is that of the item.
 struct rollout_order_entry
@@ -164,8 +172,9 @@
 /// A decoded item of the store.
 using store_entry =
     std::variant<configuration_entry, directory::entry_written, host_entry,
-                 origins_entry, versions_entry, rollout_order_entry,
-                 rollout_status_entry, rollout_entry_removed, other_entry>;
+                 origins_entry, versions_entry, confirmation_entry,
+                 rollout_order_entry, rollout_status_entry,
+                 rollout_entry_removed, other_entry>;
 
 class protocol
 {
@@ -213,6 +222,9 @@
         -> std::string = 0;
     [[nodiscard]] virtual auto versions_key(service_id const& id) const
         -> std::string = 0;
+    [[nodiscard]] virtual auto confirmation_key() const -> std::string = 0;
+    [[nodiscard]] virtual auto write_confirmation(external::store_era era) const
+        -> std::string = 0;
     [[nodiscard]] virtual auto host_key(host_id const& id) const
         -> std::string = 0;
     [[nodiscard]] virtual auto rollout_order_key(service_id const& id) const
--- a/src/gateway/relay_versions.cpp
+++ b/src/gateway/relay_versions.cpp
@@ -38,7 +38,8 @@
         {begun(), origin_}, {host_.targets.usable(service), recorded,
                              host_.targets.has_one_version(
                                  service, now - stream_origin::origin_lifetime),
-                             host_.list_is_current, stored_versions_});
+                             host_.list_is_current, stored_versions_,
+                             host_.record_confirmation.complete()});
     auto const end =
         [&](refusal_reason reason, std::optional<duration> retry_after)
     {
@@ -54,6 +55,8 @@
              {"versions_stored", stored_versions_
                                      ? std::to_string(stored_versions_->size())
                                      : "not_read"},
+             {"record_confirmed",
+              host_.record_confirmation.complete() ? "true" : "false"},
              {"list_is_current", host_.list_is_current ? "true" : "false"}});
         if (std::exchange(attempt_counted_, false))
         {
@@ -90,8 +93,10 @@
                    {
                        // Versions stay recorded for a while after their last
                        // target, so others may list targets of this one.
-                       auto const unheard = !host_.list_is_current ||
-                                            !recorded.contains(it.version);
+                       auto const unheard =
+                           !host_.list_is_current ||
+                           !host_.record_confirmation.complete() ||
+                           !recorded.contains(it.version);
                        return end(refusal_reason::version_gone,
                                   unheard ? std::optional{retry_after_start}
                                           : std::nullopt);
@@ -105,6 +110,12 @@
                                   may_learn ? std::optional{retry_after_start}
                                             : std::nullopt);
                    },
+                   [&](stream_origin::record_unconfirmed)
+                   {
+                       return end(refusal_reason::version_unknown,
+                                  host_.record_confirmation.expected_wait(now) +
+                                      retry_after_start);
+                   },
                    [&](stream_origin::record_needed)
                    {
                        read_versions();
--- a/src/gateway/relay_versions_test.cpp
+++ b/src/gateway/relay_versions_test.cpp
@@ -312,6 +312,29 @@
     BOOST_TEST(sound.runs() == 0);
 }
 
+// All hosts were lost while the store came back from a copy without the other
+// version: streams that it had begun went on at this one.
+BOOST_FIXTURE_TEST_CASE(
+    of_unknown_origin_comes_again_once_the_restored_record_is_confirmed,
+    two_versions)
+{
+    list("new", "b", sound.port(), v2);
+    auto view = stream_origin::record_view{};
+    view.era = external::store_era{2};
+    view.contact = duration{};
+    host.record_confirmation.observe(view, net::event_loop::now());
+    BOOST_TEST(ask(taking_up(1)) == unavailable);
+    BOOST_TEST(client.body == R"({"error":"version_unknown"})");
+    auto const after = net::find_header(client.reply->headers, "Retry-After");
+    BOOST_REQUIRE(after.has_value());
+    BOOST_TEST(std::stod(std::string{*after}) > 2.0);
+    BOOST_TEST(sound.runs() == 0);
+    host.record_confirmation.apply(external::store_era{2});
+    client = {};
+    BOOST_TEST(ask(taking_up(1)) == 0);
+    BOOST_TEST(client.body == event(2) + event(3));
+}
+
 BOOST_FIXTURE_TEST_CASE(
     of_unknown_origin_is_refused_where_another_version_has_not_been_heard_of,
     two_versions)
--- a/src/gateway/rollout_task.cpp
+++ b/src/gateway/rollout_task.cpp
@@ -141,7 +141,7 @@
     out.heard = host_.other_hosts.host_ids();
     out.hosts_ahead =
         host_.other_hosts.hosts_in_contact_before(host_.settings.host);
-    out.may_write = store.watches;
+    out.may_write = store.contact.has_value();
     out.all_heard = true;
     for (auto const& [id, at] : peers_.known_peers())
     {
--- a/src/gateway/version_reader.cpp
+++ b/src/gateway/version_reader.cpp
@@ -79,7 +79,12 @@
         end(service, {}, why->text, now);
         return;
     }
-    auto const& values = std::get<external::range_result>(it).values;
+    auto const& [at, values] = std::get<external::range_result>(it);
+    if (!host_.record_confirmation.complete_in(at.era()))
+    {
+        end(service, {}, "not confirmed in this era of the store", now);
+        return;
+    }
     if (values.empty())
     {
         end(service, stream_origin::version_set{}, {}, now);
--- a/src/gateway/version_reader_test.cpp
+++ b/src/gateway/version_reader_test.cpp
@@ -114,6 +114,24 @@
     BOOST_TEST(results.size() == 3U);
 }
 
+// The store was restored after the host had read its confirmation.
+BOOST_AUTO_TEST_CASE(has_none_in_an_era_that_is_not_confirmed)
+{
+    auto const of_era = [&](std::int64_t era)
+    {
+        auto const n = results.size();
+        read();
+        run_until([&] { return store.answers.size() > n; });
+        auto it = found(record);
+        it.at = external::store_revision{1, external::store_era{era}};
+        store.answers.back()(it);
+        return results.back();
+    };
+    host.record_confirmation.apply(external::store_era{2});
+    BOOST_TEST((of_era(2) == versions));
+    BOOST_TEST(of_era(3).empty());
+}
+
 BOOST_AUTO_TEST_CASE(takes_no_answer_for_that_of_a_later_read)
 {
     read();
--- a/src/stream_origin/served_versions.cpp
+++ b/src/stream_origin/served_versions.cpp
@@ -86,7 +86,7 @@
     auto const delay =
         std::min(record_write_slot * static_cast<duration::rep>(hosts_ahead),
                  max_record_write_delay);
-    for (auto const& [service, versions] : listed)
+    for (auto const& [service, versions] : with_unlisted(listed))
     {
         auto& it = records_[service];
         auto out = wanted(it, versions, now);
@@ -108,7 +108,8 @@
 auto served_versions::wanted(record& it, version_set const& listed,
                              time_point now) -> version_set
 {
-    auto const recorded = it.versions.value_or(version_set{});
+    auto recorded = it.versions.value_or(version_set{});
+    recorded.insert(it.before_restoration.begin(), it.before_restoration.end());
     std::erase_if(it.unlisted_since,
                   [&](auto const& each) {
                       return listed.contains(each.first) ||
@@ -127,9 +128,55 @@
             out.insert(version);
         }
     }
+    std::erase_if(it.before_restoration,
+                  [&](auto const& version)
+                  {
+                      return !out.contains(version) ||
+                             (it.versions && it.versions->contains(version));
+                  });
     return out;
 }
 
+auto served_versions::with_unlisted(versions_by_service listed) const
+    -> versions_by_service
+{
+    for (auto const& [service, it] : records_)
+    {
+        if (!it.before_restoration.empty())
+        {
+            listed.try_emplace(service);
+        }
+    }
+    return listed;
+}
+
+auto served_versions::complete(versions_by_service const& listed,
+                               time_point now) -> bool
+{
+    auto const services = with_unlisted(listed);
+    return std::all_of(services.begin(), services.end(),
+                       [&](auto const& each)
+                       {
+                           auto& it = records_[each.first];
+                           auto const out = wanted(it, each.second, now);
+                           auto const has = it.versions.value_or(version_set{});
+                           return std::includes(has.begin(), has.end(),
+                                                out.begin(), out.end());
+                       });
+}
+
+void served_versions::store_restored()
+{
+    for (auto& [service, it] : records_)
+    {
+        if (it.versions)
+        {
+            it.before_restoration.insert(it.versions->begin(),
+                                         it.versions->end());
+        }
+    }
+}
+
 void served_versions::contact_lost()
 {
     for (auto& [service, it] : records_)
--- a/src/stream_origin/served_versions.hpp
+++ b/src/stream_origin/served_versions.hpp
@@ -66,14 +66,23 @@
     auto next_write(versions_by_service const& listed, std::size_t hosts_ahead,
                     time_point now) -> std::optional<record_write>;
 
+    /// Whether each record has all versions that it should have.
+    auto complete(versions_by_service const& listed, time_point now) -> bool;
+
     /// Changes may have been missed, so versions that are not listed may have
     /// been.
     void contact_lost();
 
+    /// The store was restored from a copy, so records may lack versions that
+    /// they had; those are written again.
+    void store_restored();
+
 private:
     struct record
     {
         std::optional<version_set> versions;
+        /// Versions that were recorded before the store was restored.
+        version_set before_restoration;
         /// Recorded versions without a listed target, and since when.
         std::map<software_version, time_point> unlisted_since;
         /// When the record was first found incomplete.
@@ -85,6 +94,10 @@
     static auto wanted(record& it, version_set const& listed, time_point now)
         -> version_set;
 
+    /// `listed`, and services with versions from before a restoration.
+    [[nodiscard]] auto with_unlisted(versions_by_service listed) const
+        -> versions_by_service;
+
     std::map<service_id, record> records_;
 };
 
--- a/src/stream_origin/served_versions_test.cpp
+++ b/src/stream_origin/served_versions_test.cpp
@@ -105,6 +105,33 @@
     BOOST_TEST(many.next({v1}, max_record_write_delay, 360).has_value());
 }
 
+// A host that was restarted beside this one read the shorter record.
+BOOST_FIXTURE_TEST_CASE(gets_what_it_had_before_the_store_was_restored,
+                        watching_host)
+{
+    store({v1, v2});
+    versions.store_restored();
+    store({v1});
+    BOOST_TEST(!versions.complete({{engines, {v1}}}, at(0s)));
+    BOOST_TEST((next({v1}, 0s) == version_set{v1, v2}));
+    // Its targets are not listed again.
+    BOOST_TEST((next({}, 1s) == version_set{v1, v2}));
+    store({v1, v2});
+    BOOST_TEST(versions.complete({{engines, {v1}}}, at(2s)));
+    auto const later = origin_lifetime + 3s;
+    BOOST_TEST((next({v1}, later) == version_set{v1}));
+}
+
+BOOST_FIXTURE_TEST_CASE(lacks_versions_that_are_listed_or_it_is_complete,
+                        watching_host)
+{
+    BOOST_TEST(versions.complete({}, at(0s)));
+    BOOST_TEST(!versions.complete({{engines, {v1}}}, at(0s)));
+    store({v1});
+    BOOST_TEST(versions.complete({{engines, {v1}}}, at(0s)));
+    BOOST_TEST(!versions.complete({{engines, {v1, v2}}}, at(0s)));
+}
+
 BOOST_FIXTURE_TEST_CASE(is_written_again_if_it_is_unreadable, watching_host)
 {
     store({v1});
--- a/src/stream_origin/stream_origin_test.cpp
+++ b/src/stream_origin/stream_origin_test.cpp
@@ -54,8 +54,9 @@
     choose(bool begun, std::optional<software_version> const& origin) const
         -> version_choice
     {
-        return choose_version({begun, origin}, {usable, recorded, one_listed,
-                                                list_is_current, stored});
+        return choose_version({begun, origin},
+                              {usable, recorded, one_listed, list_is_current,
+                               stored, record_is_complete});
     }
 
     std::vector<directory::listed_target> usable;
@@ -63,6 +64,7 @@
     std::optional<version_set> stored;
     bool one_listed = true;
     bool list_is_current = true;
+    bool record_is_complete = true;
 };
 
 auto chosen(version_choice const& it) -> std::optional<software_version>
@@ -155,6 +157,19 @@
     }
 }
 
+// Hosts that started beside a restored store took the record that it came back
+// with for proof, and went on with streams of a version that it lacked.
+BOOST_AUTO_TEST_CASE(is_not_the_only_one_of_a_record_that_is_not_confirmed)
+{
+    auto it = known_service{{v1}, {v1}};
+    it.record_is_complete = false;
+    BOOST_TEST(std::holds_alternative<record_unconfirmed>(it.choose(true, {})));
+    BOOST_TEST((chosen(it.choose(true, v1)) == v1));
+    // A confirmation tells nothing more where several versions serve.
+    it.one_listed = false;
+    BOOST_TEST(std::holds_alternative<version_unknown>(it.choose(true, {})));
+}
+
 BOOST_AUTO_TEST_CASE(is_not_the_only_one_of_a_list_that_may_be_old)
 {
     auto it = known_service{{v1}, {v1}};
--- a/src/stream_origin/version_choice.cpp
+++ b/src/stream_origin/version_choice.cpp
@@ -35,6 +35,10 @@
     {
         return version_unknown{};
     }
+    if (!it.record_is_complete)
+    {
+        return record_unconfirmed{};
+    }
     if (!it.stored)
     {
         return record_needed{};
--- a/src/stream_origin/version_choice.hpp
+++ b/src/stream_origin/version_choice.hpp
@@ -40,6 +40,12 @@
 {
 };
 
+/// The stream has events and this host knows of one version, but its record was
+/// not confirmed since the store was restored from a copy.
+struct record_unconfirmed
+{
+};
+
 /// The stream has events and this host knows of one version, but its knowledge
 /// may be older than the request: `service_versions::stored` decides.
 struct record_needed
@@ -48,7 +54,7 @@
 
 using version_choice =
     std::variant<any_version, recorded_versions, only_version, version_gone,
-                 version_unknown, record_needed>;
+                 version_unknown, record_unconfirmed, record_needed>;
 
 struct stream_view
 {
@@ -72,6 +78,9 @@
     /// The record by a read that began after the request had arrived: empty if
     /// there was none or no answer; no value if it was not read.
     std::optional<version_set> stored = {};
+    /// The record has every version that streams may have begun at
+    /// (`record_confirmation`).
+    bool record_is_complete = true;
 };
 
 auto choose_version(stream_view const& stream, service_versions const& service)
