Give no new work to a target that says in its answers that it leaves

Cause: nothing read the header Server-Leaving. A target's state came from its entry alone.

The target gets no new work from this host. It holds for the process that the request was sent to, so an older entry, a peer's copy or a restored store does not bring it back, and a new process under its id gets work at once.

--- a/src/directory/target_directory.cpp
+++ b/src/directory/target_directory.cpp
@@ -268,6 +268,20 @@
     }
 }
 
+void target_directory::on(target_leaving const& it, time_point /*now*/,
+                          changes& out)
+{
+    auto& latest = latest_leaving_[it.id];
+    latest = std::max(latest, it.process_start);
+    auto const found = entries_.find(it.id);
+    if (found != entries_.end() &&
+        found->second.it.process_start <= it.process_start &&
+        !std::exchange(found->second.it.leaving, true))
+    {
+        out.push_back({it.id, change_kind::leaving});
+    }
+}
+
 void target_directory::put(listed_target const& it, changes& out)
 {
     auto const found_leaving = latest_leaving_.find(it.id);
--- a/src/directory/target_directory.hpp
+++ b/src/directory/target_directory.hpp
@@ -15,11 +15,12 @@
 /// Tracks which targets exist and accept new requests, from their entries in
 /// the store.
 ///
-/// Leaving is final for an incarnation: neither an older entry nor one from a
-/// peer reverts it. Entries that expire while the store is unavailable are
-/// retained until their targets had time to register again. An entry that was
-/// removed and that a store restored from a copy lists again is used once it
-/// is written, or has not been removed a second time.
+/// Leaving is final for an incarnation, whether its entry or the target itself
+/// states it: neither an older entry nor one from a peer reverts it. Entries
+/// that expire while the store is unavailable are retained until their targets
+/// had time to register again. An entry that was removed and that a store
+/// restored from a copy lists again is used once it is written, or has not been
+/// removed a second time.
 namespace primrosedeal::directory
 {
 
@@ -91,9 +92,17 @@
     target_id id;
 };
 
-using event =
-    std::variant<entry_written, entry_removed, all_entries, restored_entries,
-                 peer_entries, store_lost, store_regained, target_replaced>;
+/// The target stated in a response that it leaves.
+struct target_leaving
+{
+    target_id id;
+    /// Of the process that the request was sent to.
+    incarnation process_start;
+};
+
+using event = std::variant<entry_written, entry_removed, all_entries,
+                           restored_entries, peer_entries, store_lost,
+                           store_regained, target_replaced, target_leaving>;
 
 enum class change_kind
 {
@@ -201,6 +210,7 @@
     void on(store_lost const& it, time_point now, changes& out);
     void on(store_regained const& it, time_point now, changes& out);
     void on(target_replaced const& it, time_point now, changes& out);
+    void on(target_leaving const& it, time_point now, changes& out);
     void put(listed_target const& it, changes& out);
     /// Puts `targets` and returns the ids of the known targets not among them.
     auto put_all(std::vector<listed_target> const& targets, changes& out)
--- a/src/directory/target_directory_test.cpp
+++ b/src/directory/target_directory_test.cpp
@@ -112,6 +112,37 @@
     BOOST_TEST(accepts("a"));
 }
 
+BOOST_FIXTURE_TEST_CASE(may_say_so_itself_before_its_entry_does, known_targets)
+{
+    write(target("a"));
+    auto const changes =
+        apply(target_leaving{target_id{"a"}, incarnation{1}}, 1);
+    BOOST_REQUIRE(changes.size() == 1U);
+    BOOST_TEST((changes.front().to == change_kind::leaving));
+    BOOST_TEST(!accepts("a"));
+    // Entries and copies of peers that are older.
+    write(target("a"), 2);
+    apply(peer_entries{{target("a")}}, 3);
+    BOOST_TEST(!accepts("a"));
+    BOOST_TEST(
+        apply(target_leaving{target_id{"a"}, incarnation{1}}, 4).empty());
+    write(target("a", 2), 5);
+    BOOST_TEST(accepts("a"));
+    // A late answer of the process before.
+    apply(target_leaving{target_id{"a"}, incarnation{1}}, 6);
+    BOOST_TEST(accepts("a"));
+}
+
+BOOST_FIXTURE_TEST_CASE(stays_out_of_use_if_it_is_listed_only_later,
+                        known_targets)
+{
+    apply(target_leaving{target_id{"a"}, incarnation{1}}, 1);
+    write(target("a"), 2);
+    BOOST_TEST(!accepts("a"));
+    write(target("a", 2), 3);
+    BOOST_TEST(accepts("a"));
+}
+
 BOOST_FIXTURE_TEST_CASE(is_not_replaced_by_a_late_heartbeat, known_targets)
 {
     write(target("a", 2));
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -438,8 +438,14 @@
         check_progress(now);
     }
 
-    void on_queried(query_result it, time_point now)
+    void on_queried(query_result it, http1::response_head const* answer,
+                    time_point now)
     {
+        if (answer != nullptr && wire.states_leaving(answer->headers) &&
+            events.on_leaving)
+        {
+            events.on_leaving();
+        }
         on_probed(it != query_result::unreachable, now);
         if (it == query_result::answered)
         {
@@ -458,12 +464,13 @@
     {
         prober.query(
             plan.target.address, *plan.status_query,
-            [self = weak_from_this()](query_result result)
+            [self = weak_from_this()](query_result result,
+                                      http1::response_head const* answer)
             {
                 auto const it = self.lock();
                 if (it && !it->ended)
                 {
-                    it->on_queried(result, net::event_loop::now());
+                    it->on_queried(result, answer, net::event_loop::now());
                 }
             },
             plan.path);
--- a/src/gateway/attempt.hpp
+++ b/src/gateway/attempt.hpp
@@ -46,6 +46,9 @@
     /// Called for the head of each response that the target itself made to
     /// this request.
     std::function<void(response_metadata const&)> on_response_head;
+    /// The target states in its answer to a query that it leaves. Must not
+    /// destroy the attempt.
+    std::function<void()> on_leaving;
     /// Called once for each silence after which the target may stand still.
     /// Must not destroy the attempt.
     std::function<void()> on_standstill;
--- a/src/gateway/connect_prober.cpp
+++ b/src/gateway/connect_prober.cpp
@@ -111,7 +111,7 @@
     std::unique_ptr<http1::client_call> call;
     net::timer deadline;
     bool connected = false;
-    std::vector<std::function<void(query_result)>> callbacks;
+    std::vector<query_handler> callbacks;
 
     pending_query(connect_prober& prober, probed to)
         : owner(prober), key(std::move(to))
@@ -139,9 +139,9 @@
             connected = why == http1::tunnel_refusal::no_capacity ||
                         why == http1::tunnel_refusal::not_listed;
         };
-        events.on_head = [this](http1::response_head const&)
+        events.on_head = [this](http1::response_head const& it)
         {
-            finish(query_result::answered);
+            finish(query_result::answered, &it);
         };
         events.on_error = [this](http1::call_error)
         {
@@ -164,9 +164,9 @@
     }
 
     /// Ends this query.
-    void finish(query_result it)
+    void finish(query_result it, http1::response_head const* answer = nullptr)
     {
-        owner.finish_query(key, it);
+        owner.finish_query(key, it, answer);
     }
 };
 
@@ -193,8 +193,7 @@
 }
 
 void connect_prober::query(net::endpoint const& at,
-                           http1::request const& message,
-                           std::function<void(query_result)> done,
+                           http1::request const& message, query_handler done,
                            http1::connection_path const& path)
 {
     auto const key = to_probed(at, path);
@@ -227,7 +226,8 @@
     }
 }
 
-void connect_prober::finish_query(probed const& it, query_result result)
+void connect_prober::finish_query(probed const& it, query_result result,
+                                  http1::response_head const* answer)
 {
     auto const node = queries_.extract(it);
     if (node.empty())
@@ -236,7 +236,7 @@
     }
     for (auto const& done : node.mapped()->callbacks)
     {
-        done(result);
+        done(result, answer);
     }
 }
 
--- a/src/gateway/connect_prober.hpp
+++ b/src/gateway/connect_prober.hpp
@@ -38,6 +38,10 @@
     answered,
 };
 
+/// `answer`: the head of the target's answer; null if there is none.
+using query_handler =
+    std::function<void(query_result, http1::response_head const* answer)>;
+
 class connect_prober
 {
 public:
@@ -58,7 +62,7 @@
     /// answer of any kind within `query_timeout` after it count, and so does
     /// the end of a direct connection by the target.
     void query(net::endpoint const& at, http1::request const& message,
-               std::function<void(query_result)> done,
+               query_handler done,
                http1::connection_path const& path = http1::direct_connection{});
 
     /// Called before the results of each direct probe whose connection was
@@ -84,7 +88,8 @@
     static auto to_probed(net::endpoint const& at,
                           http1::connection_path const& path) -> probed;
     void finish(probed const& it, bool alive);
-    void finish_query(probed const& it, query_result result);
+    void finish_query(probed const& it, query_result result,
+                      http1::response_head const* answer);
     void report_answered() const;
 
     net::event_loop& loop_;
--- a/src/gateway/connect_prober_test.cpp
+++ b/src/gateway/connect_prober_test.cpp
@@ -36,7 +36,12 @@
         auto out = std::optional<query_result>{};
         prober.query(
             {"127.0.0.1", port}, {"GET", "/q", {{"Host", "h"}}, {}, false},
-            [&](query_result it) { out = it; }, path);
+            [&](query_result it, http1::response_head const* answer)
+            {
+                out = it;
+                BOOST_TEST((answer == nullptr || it == query_result::answered));
+            },
+            path);
         BOOST_TEST(!out.has_value());
         auto const end = net::event_loop::now() + patience;
         while (!out && net::event_loop::now() < end)
--- a/src/gateway/protocol.hpp
+++ b/src/gateway/protocol.hpp
@@ -85,6 +85,8 @@
     bool is_signed = false;
     /// The target states that it has not run the request and will not.
     bool not_executed = false;
+    /// The target leaves: it wants no new requests.
+    bool target_leaves = false;
     /// The body has a content encoding: it was changed in transit.
     bool encoded = false;
     /// Requests that the target takes from all hosts together.
@@ -192,6 +194,10 @@
     [[nodiscard]] virtual auto read_response(http1::response_head const& it,
                                              request_id const& id) const
         -> response_metadata = 0;
+    /// Whether a target states in a response, to whatever request, that it
+    /// leaves.
+    [[nodiscard]] virtual auto
+    states_leaving(http1::header_list const& headers) const -> bool = 0;
     [[nodiscard]] virtual auto make_copy_request(copy_request const& it) const
         -> http1::request = 0;
     /// The name of the copy; empty if the copy was not completed.
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -5,6 +5,7 @@
 #include "gateway/own_link_events.hpp"
 #include "gateway/request_limit_events.hpp"
 #include "gateway/response_heads.hpp"
+#include "gateway/target_events.hpp"
 #include "log/log.hpp"
 
 #include <algorithm>
@@ -410,6 +411,11 @@
     {
         on_response_head(it, net::event_loop::now());
     };
+    events.on_leaving = [this]
+    {
+        on_target_leaving(host_, directory::listed_target{current_->target},
+                          net::event_loop::now());
+    };
     events.on_event =
         [this](http1::response_head const& head, http1::stream_event it)
     {
@@ -452,6 +458,10 @@
         on_rejection_limit_changed(host_, target.id, it.rejection_limit,
                                    "response");
     }
+    if (it.target_leaves)
+    {
+        on_target_leaving(host_, directory::listed_target{target}, now);
+    }
 }
 
 void relay::on_event(http1::response_head const& head, http1::stream_event it,
--- a/src/gateway/relay_copies.cpp
+++ b/src/gateway/relay_copies.cpp
@@ -2,6 +2,7 @@
 
 #include "core/part_of.hpp"
 #include "gateway/log_text.hpp"
+#include "gateway/target_events.hpp"
 #include "log/log.hpp"
 
 // Maintains the KV cache copies of running streams. The backup that grows with
@@ -151,6 +152,11 @@
 void relay::on_copy_result(std::optional<net::http_response> const& it,
                            time_point now)
 {
+    if (it && host_.wire.states_leaving(it->headers))
+    {
+        on_target_leaving(host_, directory::listed_target{current_->target},
+                          now);
+    }
     auto const name = it ? host_.wire.read_copy_name(*it) : std::nullopt;
     log::write(log::level::info, name ? "stream_copied" : "stream_not_copied",
                {{"request", metadata_.id.value()},
--- a/src/gateway/target_events.cpp
+++ b/src/gateway/target_events.cpp
@@ -69,4 +69,19 @@
     }
 }
 
+void on_target_leaving(host_state& host, directory::listed_target const& target,
+                       time_point now)
+{
+    auto const changes = host.targets.handle(
+        directory::target_leaving{target.id, target.process_start}, now);
+    if (!changes.empty())
+    {
+        log::write(
+            log::level::info, "target_states_leaving",
+            {{"target", target.id.value()},
+             {"list_is_current", host.list_is_current ? "true" : "false"}});
+    }
+    on_targets_changed(host, changes, host.list_is_current, now);
+}
+
 } // namespace primrosedeal::gateway
--- a/src/gateway/target_events.hpp
+++ b/src/gateway/target_events.hpp
@@ -16,4 +16,8 @@
                         std::span<directory::change const> changes,
                         bool store_in_contact, time_point now);
 
+/// `target` has stated in a response that it leaves.
+void on_target_leaving(host_state& host, directory::listed_target const& target,
+                       time_point now);
+
 } // namespace primrosedeal::gateway
