Count a watch that is cut as no outage of the store

What callers saw: the store closed the connections of all waiting watches once and answered every call.

Cause: each end of a watch was reported as a loss of the store. Removals in the 2.2 s after its return are taken for entries that lapsed, which is longer than a target that leaves goes on serving.

Change: a watch whose connection ends before its time, after the store had answered it, is opened again within 200 ms, and the host stays in contact. The loss is reported if that one is not answered. A shorter grace was ruled out: live targets take about two seconds to write again.

Why it works: until the next call is answered no removal can arrive; if it is not answered, removals are uncertain as before.

A real outage that begins as a cut goes on protecting a live target.

--- a/src/external/key_value.hpp
+++ b/src/external/key_value.hpp
@@ -33,6 +33,9 @@
     lost,
     /// The service answered that it won't do it; nothing took effect.
     refused,
+    /// The connection of a waiting watch was closed after the service had
+    /// answered it. Only the next call tells whether the service is there.
+    interrupted,
 };
 
 struct call_failure
--- a/src/gateway/store_watcher.cpp
+++ b/src/gateway/store_watcher.cpp
@@ -1,5 +1,6 @@
 #include "gateway/store_watcher.hpp"
 
+#include "core/part_of.hpp"
 #include "external/backoff.hpp"
 #include "log/log.hpp"
 
@@ -21,6 +22,8 @@
 /// `max_retry_rank` hosts: one host in contact is enough to feed the others.
 constexpr auto retry_delay_per_rank = duration{300ms};
 constexpr auto max_retry_rank = std::size_t{8};
+/// Watches that were cut together are opened again spread over this time.
+constexpr auto reopen_spread = duration{200ms};
 
 /// Every key of the store.
 auto all_keys() -> external::range_request
@@ -223,6 +226,15 @@
         read_all(external::call_purpose::history_read);
         return;
     }
+    if (why.fault == external::call_fault::interrupted && in_contact_)
+    {
+        log::write(log::level::info, "watch_cut",
+                   {{"revision", to_string(delivered_revision_)}});
+        // The store answers the first call of a watch at once.
+        retry_ = loop_.after(part_of(reopen_spread, random_.unit()),
+                             [this] { reconnect(); });
+        return;
+    }
     on_call_failed(why.text);
     schedule_retry();
 }
--- a/src/gateway/store_watcher.hpp
+++ b/src/gateway/store_watcher.hpp
@@ -14,6 +14,12 @@
 /// a watch from that revision, and another full read only after the store has
 /// lost the history that the watch needs: it has compacted it, or has been
 /// restored from a copy.
+///
+/// Load pattern: the store closes the connections of all waiting watches at
+/// once, while it answers every call. A loss of the store makes removals of
+/// targets uncertain for longer than a target that leaves goes on serving, so a
+/// watch that ends this way is no loss; the next watch is, if the store does
+/// not answer it.
 namespace primrosedeal::gateway
 {
 
--- a/src/gateway/store_watcher_test.cpp
+++ b/src/gateway/store_watcher_test.cpp
@@ -293,4 +293,106 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_watcher_whose_watch_was_cut)
+
+namespace
+{
+
+struct watcher_in_contact
+{
+    watcher_in_contact()
+    {
+        auto events = store_watcher_events{};
+        events.on_snapshot = [](std::vector<external::stored_value> const&) {
+        };
+        events.on_entry = [this](external::watch_event const& e)
+        {
+            taken.push_back(e.at.value());
+        };
+        events.on_lost = [this](std::string const&)
+        {
+            ++losses;
+        };
+        events.on_regained = [this](time_point)
+        {
+            ++returns;
+        };
+        it = std::make_unique<store_watcher>(loop, store, random,
+                                             std::move(events));
+        it->start();
+        loop.run();
+        open();
+    }
+
+    void open()
+    {
+        auto const last = store.watches.back();
+        last.on_open();
+    }
+
+    void end(external::call_fault how)
+    {
+        auto const last = store.watches.back();
+        last.on_end({how, "ended"});
+    }
+
+    net::event_loop loop;
+    empty_store store{loop};
+    random_source random{1};
+    std::vector<std::int64_t> taken;
+    int losses = 0;
+    int returns = 0;
+    std::unique_ptr<store_watcher> it;
+};
+
+} // namespace
+
+// Each cut counted as an outage of the store, after which removals of targets
+// were taken for lapsed entries.
+BOOST_FIXTURE_TEST_CASE(has_not_lost_the_store_that_answers_the_next_one,
+                        watcher_in_contact)
+{
+    constexpr auto cuts = std::size_t{3};
+    for (auto i = std::size_t{0}; i < cuts; ++i)
+    {
+        end(external::call_fault::interrupted);
+        BOOST_TEST(it->in_contact());
+        loop.run();
+        BOOST_TEST(store.watches.size() == i + 2);
+        open();
+    }
+    BOOST_TEST(losses == 0);
+    BOOST_TEST(returns == 1);
+    auto const last = store.watches.back();
+    last.on_event(event_at(4));
+    BOOST_TEST((taken == std::vector<std::int64_t>{4}));
+}
+
+BOOST_FIXTURE_TEST_CASE(has_lost_the_store_that_does_not_answer_the_next_one,
+                        watcher_in_contact)
+{
+    end(external::call_fault::interrupted);
+    loop.run();
+    end(external::call_fault::lost);
+    BOOST_TEST(losses == 1);
+    BOOST_TEST(!it->in_contact());
+    loop.run();
+    open();
+    BOOST_TEST(returns == 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(opens_no_watch_while_it_is_paused, watcher_in_contact)
+{
+    end(external::call_fault::interrupted);
+    it->pause();
+    auto const stop = loop.after(500ms, [this] { loop.stop(); });
+    loop.run();
+    BOOST_TEST(store.watches.size() == 1U);
+    it->resume();
+    BOOST_TEST(store.watches.size() == 2U);
+    BOOST_TEST(losses == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace primrosedeal::gateway
