Resume a stream at the service that began it

Cause: the service was drawn anew for a request that takes up a stream, and the record of its origin had the version only.

Change: origins have the service, in the table, digests, fetches and the store; hosts of earlier versions read and send them without it. A stream goes on at its service whatever the weights; if the route no longer allows it, it is refused at once (service_gone). Without a record it goes on only if no other service with streams has recorded versions, by a read of all records in one call. While several services have streams, hosts write origins into the store.

Two tests changed with the interface: the reader of versions now reads the records of all services by their prefix, which is checked in place of the one key, and the fixture answers with all records.

--- a/src/fleet/digest.cpp
+++ b/src/fleet/digest.cpp
@@ -47,12 +47,13 @@
     std::tuple<std::vector<limit_row>, std::vector<rejection_row>>;
 /// Version of the configuration; zero if there is none.
 using configuration_fields = std::tuple<std::uint64_t>;
+using origin_service_fields = std::tuple<origin_services>;
 using all_fields = decltype(std::tuple_cat(
     std::declval<fields>(), std::declval<evidence_fields>(),
     std::declval<sender_fields>(), std::declval<limit_fields>(),
     std::declval<origin_fields>(), std::declval<reachability_fields>(),
     std::declval<rejection_fields>(), std::declval<configuration_fields>(),
-    std::declval<rollout_fields>()));
+    std::declval<rollout_fields>(), std::declval<origin_service_fields>()));
 constexpr auto old_size = std::tuple_size_v<fields>;
 constexpr auto accusations_index = old_size;
 constexpr auto clearances_index = old_size + 1;
@@ -67,6 +68,7 @@
 constexpr auto configuration_index = old_size + 10;
 constexpr auto rollouts_index = old_size + 11;
 constexpr auto rollout_counts_index = old_size + 12;
+constexpr auto origin_services_index = old_size + 13;
 
 /// Encodes the end of a limit.
 constexpr auto no_limit = -1.0;
@@ -107,10 +109,16 @@
 /// without news.
 auto pack_all(all_fields const& it, bool partial) -> std::string
 {
-    if (!std::get<rollouts_index>(it).empty())
+    if (!std::get<origin_services_index>(it).empty())
     {
         return pack(it, partial);
     }
+    if (!std::get<rollouts_index>(it).empty())
+    {
+        return pack(first_elements(
+                        it, std::make_index_sequence<origin_services_index>{}),
+                    partial);
+    }
     if (std::get<configuration_index>(it) != 0)
     {
         return pack(
@@ -270,6 +278,7 @@
     }
     std::tie(std::get<versions_index>(out), std::get<origins_index>(out)) =
         to_fields(it.origins, now);
+    std::get<origin_services_index>(out) = to_origin_services(it.origins);
     for (auto const& id : it.unreachable_services)
     {
         std::get<unreachable_index>(out).push_back(id.value());
@@ -374,7 +383,10 @@
             out.origins = to_origins(
                 {all.ptr[versions_index].as<std::vector<std::string>>(),
                  all.ptr[origins_index].as<std::vector<origin_row>>()},
-                now);
+                now,
+                all.size > origin_services_index
+                    ? all.ptr[origin_services_index].as<origin_services>()
+                    : origin_services{});
         }
         if (all.size > unreachable_index)
         {
--- a/src/fleet/origin_message.hpp
+++ b/src/fleet/origin_message.hpp
@@ -9,23 +9,30 @@
 #include <tuple>
 #include <vector>
 
-/// Versions of streams on the wire: as the last fields of a digest, and as the
-/// body that a host fetches when it has started.
+/// Services and versions of streams on the wire: as fields of a digest, and as
+/// the body that a host fetches when it has started. Hosts of earlier versions
+/// neither send nor read the services.
 namespace primrosedeal::fleet
 {
 
 /// Stream, index of its version in the list of versions, and age in
 /// milliseconds.
 using origin_row = std::tuple<std::uint64_t, std::uint32_t, std::uint32_t>;
-/// Names of versions, and the streams.
+/// Names of versions, one for each service and version, and the streams.
 using origin_fields =
     std::tuple<std::vector<std::string>, std::vector<origin_row>>;
+/// The service of each name of a version, empty if it is not known; no elements
+/// if none is.
+using origin_services = std::vector<std::string>;
 
 /// Hosts share no clock, so records travel with their ages at `now`.
 auto to_fields(std::vector<stream_origin::reported_origin> const& it,
                time_point now) -> origin_fields;
+auto to_origin_services(std::vector<stream_origin::reported_origin> const& it)
+    -> origin_services;
 /// Leaves out rows that name no version.
-auto to_origins(origin_fields const& it, time_point now)
+auto to_origins(origin_fields const& it, time_point now,
+                origin_services const& services = {})
     -> std::vector<stream_origin::reported_origin>;
 
 /// What a host knows of streams.
--- a/src/fleet/origin_message_test.cpp
+++ b/src/fleet/origin_message_test.cpp
@@ -2,8 +2,10 @@
 #include "fleet/origin_message.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <msgpack.hpp>
 
 #include <string>
+#include <tuple>
 #include <vector>
 
 // Versions of streams in digests, and for hosts that have started.
@@ -70,6 +72,50 @@
     BOOST_TEST(same(own, got->origins, 4s));
 }
 
+BOOST_AUTO_TEST_CASE(name_their_services)
+{
+    auto own = some_origins(5);
+    own[0].service = service_id{"a"};
+    own[1].service = service_id{"b"};
+    // The same version at another service.
+    own[3].service = service_id{"b"};
+    auto const bytes = encode(digest_with(own), at(1000));
+    auto const got = decode_digest(bytes, at(1000));
+    BOOST_REQUIRE(got);
+    BOOST_TEST(same(own, got->origins, 0s));
+    auto const body = encode(known_origins{true, own}, at(1000));
+    auto const all = decode_known_origins(body, at(1000));
+    BOOST_REQUIRE(all);
+    BOOST_TEST(same(own, all->origins, 0s));
+    for (auto i = std::size_t{0}; i < own.size(); ++i)
+    {
+        BOOST_TEST((got->origins[i].service == own[i].service));
+        BOOST_TEST((all->origins[i].service == own[i].service));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(of_hosts_of_earlier_versions_name_none)
+{
+    using old_body =
+        std::tuple<bool, std::vector<std::string>, std::vector<origin_row>>;
+    auto buf = msgpack::sbuffer{};
+    msgpack::pack(buf, old_body{true, {"v1"}, {{7, 0, 100}}});
+    auto const got = decode_known_origins({buf.data(), buf.size()}, at(1000));
+    BOOST_REQUIRE(got);
+    BOOST_TEST(got->complete);
+    BOOST_REQUIRE(got->origins.size() == 1U);
+    BOOST_TEST((got->origins.front().version == software_version{"v1"}));
+    BOOST_TEST(!got->origins.front().service);
+    // Those hosts read the body of today.
+    auto own = some_origins(3);
+    own[0].service = service_id{"a"};
+    auto const bytes = encode(known_origins{true, own}, at(1000));
+    auto const handle = msgpack::unpack(bytes.data(), bytes.size());
+    auto const [complete, versions, rows] = handle.get().as<old_body>();
+    BOOST_TEST(complete);
+    BOOST_TEST(same(own, to_origins({versions, rows}, at(1000)), 0s));
+}
+
 BOOST_AUTO_TEST_CASE(take_few_bytes_each)
 {
     auto const without = encode(digest_with({}), at(1000)).size();
--- a/src/gateway/admit.cpp
+++ b/src/gateway/admit.cpp
@@ -33,6 +33,10 @@
         return "leaving";
     case refusal_reason::no_target:
         return "no_target";
+    case refusal_reason::service_gone:
+        return "service_gone";
+    case refusal_reason::service_unknown:
+        return "service_unknown";
     case refusal_reason::version_gone:
         return "version_gone";
     case refusal_reason::version_unknown:
--- a/src/gateway/admit.hpp
+++ b/src/gateway/admit.hpp
@@ -26,6 +26,10 @@
     unknown_key,
     leaving,
     no_target,
+    /// The route no longer allows the service that began the stream.
+    service_gone,
+    /// It is not known which of several services began the stream.
+    service_unknown,
     /// No target of the version that began the stream takes requests.
     version_gone,
     /// It is not known which of several versions began the stream.
--- a/src/gateway/origin_task.cpp
+++ b/src/gateway/origin_task.cpp
@@ -2,6 +2,7 @@
 
 #include "fleet/origin_message.hpp"
 #include "log/log.hpp"
+#include "stream_origin/service_choice.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -53,8 +54,7 @@
     {
         fetch(now);
     }
-    if (store.read && now >= next_write_at_ &&
-        host_.served_versions.several_recorded())
+    if (store.read && now >= next_write_at_ && may_differ_in_origin())
     {
         write(now);
     }
@@ -70,6 +70,15 @@
     }
 }
 
+auto origin_task::may_differ_in_origin() const -> bool
+{
+    return host_.served_versions.several_recorded() ||
+           (host_.table &&
+            stream_origin::stream_services(host_.served_versions.all_recorded(),
+                                           *host_.table)
+                    .size() > 1);
+}
+
 auto origin_task::merge(std::string const& bytes, time_point now) -> bool
 {
     auto const known = fleet::decode_known_origins(bytes, now);
--- a/src/gateway/origin_task.hpp
+++ b/src/gateway/origin_task.hpp
@@ -11,8 +11,8 @@
 /// Obtains and preserves the origins of streams (`stream_origin`) beyond what
 /// digests carry: a host that has started fetches those that another one knows.
 /// For the case that all hosts are lost, one host records the versions of each
-/// service in the store, and while several are recorded each host writes its
-/// own origins there.
+/// service in the store, and while several versions, or services with streams,
+/// are recorded each host writes its own origins there.
 namespace primrosedeal::gateway
 {
 
@@ -61,6 +61,8 @@
     void on_fetched(host_id const& from,
                     std::optional<std::string> const& bytes, time_point now);
     void on_complete(std::string const& from);
+    /// Whether streams may have begun at several services or versions.
+    [[nodiscard]] auto may_differ_in_origin() const -> bool;
     void write(time_point now);
     void write_versions(store_position const& store, time_point now);
     void confirm_records(store_position const& store, time_point now);
--- a/src/gateway/protocol.hpp
+++ b/src/gateway/protocol.hpp
@@ -228,6 +228,8 @@
         -> std::string = 0;
     [[nodiscard]] virtual auto versions_key(service_id const& id) const
         -> std::string = 0;
+    /// Of `versions_key` for all services.
+    [[nodiscard]] virtual auto versions_prefix() const -> std::string = 0;
     [[nodiscard]] virtual auto confirmation_key() const -> std::string = 0;
     [[nodiscard]] virtual auto write_confirmation(external::store_era era) const
         -> std::string = 0;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -83,9 +83,9 @@
     state_.resumable = route.resumable;
     state_.max_runs = route.max_attempts;
     last_event_ = metadata_.resume_after;
-    if (last_event_)
+    if (begun() && !find_origin(now))
     {
-        origin_ = host_.origins.find(stream_);
+        return;
     }
     identify_suspects();
     on_prompt(host_, *admitted_.service, metadata_.size, now);
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -7,6 +7,7 @@
 #include "gateway/host_state.hpp"
 #include "gateway/path_events.hpp"
 #include "http1/server.hpp"
+#include "stream_origin/service_choice.hpp"
 #include "stream_origin/version_choice.hpp"
 
 #include <memory>
@@ -203,10 +204,19 @@
     [[nodiscard]] auto refuse_if_quarantined(time_point now) -> bool;
     /// Whether the client has events of the stream, which may be resumed.
     [[nodiscard]] auto begun() const -> bool;
+    /// Sets the service and, if it is known, the version that began the stream
+    /// which the client takes up. Returns false if it cannot go on there; the
+    /// request has ended then.
+    [[nodiscard]] auto find_origin(time_point now) -> bool;
+    /// Whether another host reports a newer configuration than this request's.
+    [[nodiscard]] auto configuration_is_behind() const -> bool;
     /// Sets the versions at which the next attempt may run, and returns whether
     /// it may begin. If not, the request has ended, or goes on after a read.
     [[nodiscard]] auto set_versions(time_point now) -> bool;
     void read_versions();
+    /// The store's records of all services, as read for this request.
+    void on_records_read(stream_origin::versions_by_service const& stored,
+                         time_point now);
     /// Narrows the versions of the next attempt to those that a rollout permits
     /// (`relay_rollout.cpp`); false if the request has ended.
     [[nodiscard]] auto follow_rollout(time_point now) -> bool;
--- a/src/gateway/relay_fixture.hpp
+++ b/src/gateway/relay_fixture.hpp
@@ -22,6 +22,7 @@
 constexpr auto patience = duration{20s};
 
 inline auto const service = service_id{"s"};
+inline auto const other_service = service_id{"other"};
 
 inline auto event(int id) -> std::string
 {
@@ -115,8 +116,12 @@
         auto lookups = calls;
         lookups.path_prefix = "/look/";
         lookups.kind = routes::request_kind::idempotent;
-        it.routes = {streams, calls, fixed, lookups};
-        it.services = {{service, "/health/", 100, {}}};
+        auto split = streams;
+        split.path_prefix = "/split/";
+        split.split = {{service, 1}, {other_service, 1000}};
+        it.routes = {streams, calls, fixed, lookups, split};
+        it.services = {{service, "/health/", 100, {}},
+                       {other_service, "/health/", 100, {}}};
         host.table = std::make_shared<routes::route_table>(std::move(it));
         host.list_is_current = true;
         host.read_versions =
@@ -124,25 +129,30 @@
         {
             loop.post(
                 [this, of, done = std::move(done)]
-                { done(stored.value_or(host.served_versions.recorded(of))); });
+                {
+                    auto records = host.served_versions.all_recorded();
+                    records[of] = stored.value_or(records[of]);
+                    done(records);
+                });
         };
     }
 
     void list(std::string const& id, std::string const& domain,
-              std::uint16_t port, software_version const& version = {})
+              std::uint16_t port, software_version const& version = {},
+              service_id const& of = service)
     {
         auto it = directory::listed_target{};
         it.id = target_id{id};
-        it.service = service;
+        it.service = of;
         it.address = {"127.0.0.1", port};
         it.domain = domain_id{domain};
         it.version = version;
         it.slots = 64;
         host.targets.handle(directory::entry_written{it.id, it},
                             net::event_loop::now());
-        auto recorded = host.served_versions.recorded(service);
+        auto recorded = host.served_versions.recorded(of);
         recorded.insert(version);
-        host.served_versions.apply(service, recorded);
+        host.served_versions.apply(of, recorded);
     }
 
     void send(std::string const& path, client_view& client,
--- a/src/gateway/relay_rollout_test.cpp
+++ b/src/gateway/relay_rollout_test.cpp
@@ -154,7 +154,7 @@
         }
     }
     // A stream that has begun there ends.
-    host.origins.record(stream_origin::to_stream_id(began), v2,
+    host.origins.record(stream_origin::to_stream_id(began), {service, v2},
                         net::event_loop::now());
     BOOST_TEST(ask("/stream/", resumption()) == 503);
     BOOST_TEST(new_requests == 0);
@@ -172,7 +172,7 @@
             ask(path);
         }
     }
-    host.origins.record(stream_origin::to_stream_id(began), v1,
+    host.origins.record(stream_origin::to_stream_id(began), {service, v1},
                         net::event_loop::now());
     BOOST_TEST(ask("/stream/", resumption()) == 503);
     BOOST_TEST(old_requests == 0);
@@ -185,8 +185,8 @@
     for (auto const& version : {v1, v2})
     {
         auto const old_before = old_requests;
-        host.origins.record(stream_origin::to_stream_id(began), version,
-                            net::event_loop::now());
+        host.origins.record(stream_origin::to_stream_id(began),
+                            {service, version}, net::event_loop::now());
         BOOST_TEST(ask("/stream/", resumption()) == 0);
         BOOST_TEST((old_requests > old_before) == (version == v1));
     }
--- a/src/gateway/relay_versions.cpp
+++ b/src/gateway/relay_versions.cpp
@@ -26,6 +26,66 @@
            (state_.answer_started || last_event_.has_value());
 }
 
+auto relay::configuration_is_behind() const -> bool
+{
+    auto const others = host_.other_hosts.configured_hosts();
+    return std::any_of(others.begin(), others.end(),
+                       [this](auto const& it)
+                       { return it.version > table_->version(); });
+}
+
+auto relay::find_origin(time_point now) -> bool
+{
+    auto const known = host_.origins.find(stream_);
+    auto const recorded = stream_origin::stream_services(
+        host_.served_versions.all_recorded(), *table_);
+    auto const end = [&](refusal_reason reason, service_id const& service,
+                         std::optional<duration> retry_after)
+    {
+        log::write(
+            log::level::info, "stream_without_service",
+            {{"request", metadata_.id.value()},
+             {"resumes", metadata_.resumes.value_or(request_id{}).value()},
+             {"reason", std::string{to_string(reason)}},
+             {"service", service.value()},
+             {"services_recorded", std::to_string(recorded.size())},
+             {"origins_known", std::to_string(host_.origins.size())},
+             {"origins_complete", host_.origins_complete ? "true" : "false"},
+             {"configuration", std::to_string(table_->version().value())}});
+        refuse({unavailable, reason, retry_after}, now);
+        return false;
+    };
+    auto const gone = [&](service_id const& service)
+    {
+        return end(refusal_reason::service_gone, service,
+                   configuration_is_behind() ? std::optional{retry_after_start}
+                                             : std::nullopt);
+    };
+    return std::visit(
+        overloaded{[&](stream_origin::only_service const& it)
+                   {
+                       auto const* const service = table_->find(it.service);
+                       if (service == nullptr)
+                       {
+                           return gone(it.service);
+                       }
+                       admitted_.service = service;
+                       origin_ =
+                           known ? std::optional{known->version} : std::nullopt;
+                       return true;
+                   },
+                   [&](stream_origin::service_gone const& it)
+                   { return gone(it.service); },
+                   [&](stream_origin::service_unknown)
+                   {
+                       return end(refusal_reason::service_unknown, {},
+                                  host_.origins_complete
+                                      ? std::nullopt
+                                      : std::optional{retry_after_start});
+                   }},
+        stream_origin::choose_service(known, *admitted_.route, recorded));
+}
+
 auto relay::set_versions(time_point now) -> bool
 {
     auto const& service = admitted_.service->id;
@@ -126,20 +186,34 @@
 
 void relay::read_versions()
 {
-    host_.read_versions(
-        admitted_.service->id,
-        [self = weak_from_this()](stream_origin::version_set const& versions)
-        {
-            auto const it = self.lock();
-            if (!it || !it->host_.relays.contains(it.get()))
-            {
-                return;
-            }
-            it->stored_versions_ = versions;
-            // Others may have reported it in the meantime.
-            it->origin_ = it->host_.origins.find(it->stream_);
-            it->start_next_attempt(net::event_loop::now());
-        });
+    host_.read_versions(admitted_.service->id,
+                        [self = weak_from_this()](
+                            stream_origin::versions_by_service const& stored)
+                        {
+                            auto const it = self.lock();
+                            if (!it || !it->host_.relays.contains(it.get()))
+                            {
+                                return;
+                            }
+                            it->on_records_read(stored, net::event_loop::now());
+                        });
+}
+
+void relay::on_records_read(stream_origin::versions_by_service const& stored,
+                            time_point now)
+{
+    auto const known = stream_origin::stream_services(
+        host_.served_versions.all_recorded(), *table_);
+    // A service that this host has not heard of may have begun the stream.
+    auto const same = stream_origin::stream_services(stored, *table_) == known;
+    auto const& service = admitted_.service->id;
+    stored_versions_ = same ? host_.served_versions.recorded(service)
+                            : stream_origin::version_set{};
+    // Others may have reported it in the meantime.
+    if (find_origin(now))
+    {
+        start_next_attempt(now);
+    }
 }
 
 auto relay::fixed_version() const -> std::optional<software_version>
@@ -198,7 +272,8 @@
     if (streaming() && state_.resumable)
     {
         sent_version_ = current_->target.version;
-        host_.origins.record(stream_, *sent_version_, now);
+        host_.origins.record(stream_, {admitted_.service->id, *sent_version_},
+                             now);
     }
 }
 
--- a/src/gateway/relay_versions_test.cpp
+++ b/src/gateway/relay_versions_test.cpp
@@ -56,14 +56,15 @@
 
     void record(software_version const& version)
     {
-        host.origins.record(stream_origin::to_stream_id(began), version,
-                            net::event_loop::now());
+        host.origins.record(stream_origin::to_stream_id(began),
+                            {service, version}, net::event_loop::now());
     }
 
     /// Status of the answer; zero if it was streamed.
-    auto ask(http1::header_list const& headers) -> int
+    auto ask(http1::header_list const& headers,
+             std::string const& path = "/stream/") -> int
     {
-        send("/stream/", client, headers);
+        send(path, client, headers);
         run_until([&] { return client.over(); });
         return client.reply ? client.reply->status : 0;
     }
@@ -377,4 +378,100 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_stream_of_a_split_route_that_its_client_takes_up)
+
+namespace
+{
+
+/// Targets of both services of the route. Nearly all new streams begin at the
+/// other service, whose target counts its runs.
+struct two_services : two_versions
+{
+    two_services()
+    {
+        list("own", "a", sound.port(), v1);
+        list("other", "b", breaking.port(), v1, other_service);
+    }
+
+    void begin_at(service_id const& at)
+    {
+        host.origins.record(stream_origin::to_stream_id(began), {at, v1},
+                            net::event_loop::now());
+    }
+};
+
+} // namespace
+
+// Its service was drawn anew by the weights, and had no target of its version.
+BOOST_FIXTURE_TEST_CASE(goes_on_at_the_service_that_began_it, two_services)
+{
+    begin_at(service);
+    constexpr auto requests = 8;
+    for (auto i = 0; i < requests; ++i)
+    {
+        client = {};
+        BOOST_TEST(ask(taking_up(1), "/split/") == 0);
+        BOOST_TEST(client.body == event(2) + event(3));
+    }
+    BOOST_TEST(breaking.runs() == 0);
+}
+
+// After the loss of all hosts such streams went on at either service.
+BOOST_FIXTURE_TEST_CASE(is_refused_if_no_record_tells_its_service, two_services)
+{
+    constexpr auto requests = 8;
+    for (auto i = 0; i < requests; ++i)
+    {
+        client = {};
+        BOOST_TEST(ask(taking_up(1), "/split/") == unavailable);
+        BOOST_TEST(client.body == R"({"error":"service_unknown"})");
+        BOOST_TEST(!net::find_header(client.reply->headers, "Retry-After"));
+    }
+    // The route may have moved to its only service just before.
+    client = {};
+    BOOST_TEST(ask(taking_up(1)) == unavailable);
+    BOOST_TEST(breaking.runs() + sound.runs() == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(may_come_again_while_its_host_learns_of_services,
+                        two_services)
+{
+    host.origins_complete = false;
+    BOOST_TEST(ask(taking_up(1), "/split/") == unavailable);
+    BOOST_TEST(
+        net::find_header(client.reply->headers, "Retry-After").has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(is_refused_if_its_route_has_left_the_service,
+                        two_services)
+{
+    begin_at(other_service);
+    BOOST_TEST(ask(taking_up(1)) == unavailable);
+    // It is to begin anew, not to come again.
+    BOOST_TEST(client.body == R"({"error":"service_gone"})");
+    BOOST_TEST(!net::find_header(client.reply->headers, "Retry-After"));
+    BOOST_TEST(breaking.runs() + sound.runs() == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    is_refused_if_the_store_has_a_service_that_is_unknown_here, two_versions)
+{
+    list("own", "a", sound.port(), v1);
+    host.read_versions =
+        [this](service_id const&, stream_origin::record_handler done)
+    {
+        loop.post(
+            [done = std::move(done)] {
+                done({{service, {v1}}, {other_service, {v1}}});
+            });
+    };
+    BOOST_TEST(ask(taking_up(1)) == unavailable);
+    BOOST_TEST(client.body == R"({"error":"version_unknown"})");
+    BOOST_TEST(
+        net::find_header(client.reply->headers, "Retry-After").has_value());
+    BOOST_TEST(sound.runs() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace primrosedeal::gateway
--- a/src/gateway/version_reader.cpp
+++ b/src/gateway/version_reader.cpp
@@ -52,7 +52,8 @@
         stream_origin::record_read_timeout, [this, service]
         { end(service, {}, "no answer", net::event_loop::now()); });
     store_.range(external::call_purpose::version_read,
-                 {host_.wire.versions_key(service), {}},
+                 {host_.wire.versions_prefix(),
+                  external::prefix_end(host_.wire.versions_prefix())},
                  [this, service, number, alive = std::weak_ptr{alive_}](
                      external::answer<external::range_result> const& answer)
                  {
@@ -85,24 +86,29 @@
         end(service, {}, "not confirmed in this era of the store", now);
         return;
     }
-    if (values.empty())
+    auto records = stream_origin::versions_by_service{};
+    for (auto const& value : values)
     {
-        end(service, stream_origin::version_set{}, {}, now);
-        return;
+        auto const entry = host_.wire.read_entry(value.key, value.value);
+        if (auto const* const record = std::get_if<versions_entry>(&entry))
+        {
+            records[record->service] =
+                stream_origin::decode_versions(value.value)
+                    .value_or(stream_origin::version_set{});
+        }
     }
-    end(service, stream_origin::decode_versions(values.front().value),
-        "unreadable", now);
+    end(service, records, {}, now);
 }
 
 void version_reader::end(
     service_id const& service,
-    std::optional<stream_origin::version_set> const& versions,
+    std::optional<stream_origin::versions_by_service> const& records,
     std::string const& why, time_point now)
 {
     // `service` may belong to the timer.
     auto const node = running_.extract(service);
-    auto const ended = reads_.end(service, versions.has_value(), now);
-    if (!versions)
+    auto const ended = reads_.end(service, records.has_value(), now);
+    if (!records)
     {
         log::write(log::level::warning, "record_not_read",
                    {{"service", service.value()},
@@ -115,7 +121,7 @@
     }
     for (auto const& done : ended.waiting)
     {
-        done(versions.value_or(stream_origin::version_set{}));
+        done(records.value_or(stream_origin::versions_by_service{}));
     }
 }
 
--- a/src/gateway/version_reader.hpp
+++ b/src/gateway/version_reader.hpp
@@ -21,8 +21,9 @@
     version_reader(version_reader const&) = delete;
     auto operator=(version_reader const&) -> version_reader& = delete;
 
-    /// Runs `done` with the versions of `service` by a read that begins after
-    /// this call, or with none if the store does not answer.
+    /// Runs `done` with the records of all services by a read that begins after
+    /// this call, or with none if the store does not answer. Requests for one
+    /// `service` share reads.
     void read(service_id const& service, stream_origin::record_handler done,
               time_point now);
 
@@ -39,7 +40,7 @@
                    external::answer<external::range_result> const& it,
                    time_point now);
     void end(service_id const& service,
-             std::optional<stream_origin::version_set> const& versions,
+             std::optional<stream_origin::versions_by_service> const& records,
              std::string const& why, time_point now);
 
     host_state& host_;
--- a/src/gateway/version_reader_test.cpp
+++ b/src/gateway/version_reader_test.cpp
@@ -67,33 +67,42 @@
     {
         reader.read(
             service,
-            [this](stream_origin::version_set const& it)
+            [this](stream_origin::versions_by_service const& it)
             { results.push_back(it); },
             net::event_loop::now());
     }
 
-    static auto found(std::string const& bytes) -> external::range_result
+    auto found(std::string const& bytes) const -> external::range_result
     {
         auto const at = external::store_revision{1};
-        return {at, {{"key", bytes, at, at, external::lease_id{0}}}};
+        return {at,
+                {{wire.versions_key(service), bytes, at, at,
+                  external::lease_id{0}}}};
     }
 
-    stream_origin::version_set versions{software_version{"v1"}};
-    std::string record = stream_origin::encode(versions);
+    stream_origin::versions_by_service versions{
+        {service, {software_version{"v1"}}}};
+    std::string record = stream_origin::encode(versions.at(service));
     read_store store;
     version_reader reader{host, store};
-    std::vector<stream_origin::version_set> results;
+    std::vector<stream_origin::versions_by_service> results;
 };
 
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(a_reader_of_recorded_versions, one_reader)
 
-BOOST_AUTO_TEST_CASE(reads_the_latest_record)
+BOOST_AUTO_TEST_CASE(reads_the_latest_records_of_all_services)
 {
     read();
-    store.answers.at(0)(found(record));
-    BOOST_TEST(store.keys.at(0) == wire.versions_key(service));
+    auto it = found(record);
+    auto const other = service_id{"other"};
+    it.values.push_back(it.values.front());
+    it.values.back().key = wire.versions_key(other);
+    versions[other] = versions.at(service);
+    store.answers.at(0)(it);
+    BOOST_TEST(store.keys.at(0) == wire.versions_prefix());
+    BOOST_TEST(wire.versions_key(service).starts_with(store.keys.at(0)));
     BOOST_TEST(store.linearizable);
     BOOST_TEST((results.at(0) == versions));
 }
@@ -109,7 +118,7 @@
         read();
         run_until([&] { return store.answers.size() > n; });
         store.answers.back()(it);
-        BOOST_TEST(results.back().empty());
+        BOOST_TEST(results.back()[service].empty());
     }
     BOOST_TEST(results.size() == 3U);
 }
--- a/src/routes/route_table.cpp
+++ b/src/routes/route_table.cpp
@@ -117,12 +117,33 @@
     return it == by_service_.end() ? nullptr : it->second;
 }
 
+namespace
+{
+
+auto total_weight(route const& it) -> std::uint64_t
+{
+    return std::accumulate(it.split.begin(), it.split.end(), std::uint64_t{0},
+                           [](std::uint64_t sum, service_share const& s)
+                           { return sum + s.weight; });
+}
+
+} // namespace
+
+auto allows(route const& it, service_id const& service) -> bool
+{
+    if (total_weight(it) == 0)
+    {
+        return !it.split.empty() && it.split.front().service == service;
+    }
+    return std::any_of(it.split.begin(), it.split.end(),
+                       [&](auto const& share) {
+                           return share.weight > 0 && share.service == service;
+                       });
+}
+
 auto choose_service(route const& it, random_source& random) -> service_id const*
 {
-    auto const total =
-        std::accumulate(it.split.begin(), it.split.end(), std::uint64_t{0},
-                        [](std::uint64_t sum, service_share const& s)
-                        { return sum + s.weight; });
+    auto const total = total_weight(it);
     if (total == 0)
     {
         return it.split.empty() ? nullptr : &it.split.front().service;
--- a/src/routes/route_table.hpp
+++ b/src/routes/route_table.hpp
@@ -62,6 +62,9 @@
     std::unordered_map<std::string, service const*> by_service_;
 };
 
+/// Whether requests on `it` may run at `service`.
+auto allows(route const& it, service_id const& service) -> bool;
+
 /// Chooses a service of `it` at random, in proportion to the weights; null if
 /// the route has none.
 auto choose_service(route const& it, random_source& random)
--- a/src/routes/route_table_test.cpp
+++ b/src/routes/route_table_test.cpp
@@ -156,4 +156,23 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_split_route)
+
+BOOST_AUTO_TEST_CASE(allows_the_services_that_requests_may_be_sent_to)
+{
+    auto const a = service_id{"a"};
+    auto const b = service_id{"b"};
+    auto it = route{};
+    BOOST_TEST(!allows(it, a));
+    it.split = {{a, 5}, {b, 95}};
+    BOOST_TEST((allows(it, a) && allows(it, b)));
+    BOOST_TEST(!allows(it, service_id{"c"}));
+    it.split = {{a, 0}, {b, 100}};
+    BOOST_TEST((!allows(it, a) && allows(it, b)));
+    it.split = {{a, 0}, {b, 0}};
+    BOOST_TEST((allows(it, a) && !allows(it, b)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace primrosedeal::routes
--- a/src/stream_origin/origin_table.hpp
+++ b/src/stream_origin/origin_table.hpp
@@ -11,8 +11,8 @@
 #include <unordered_map>
 #include <vector>
 
-/// Tracks which software version each recent stream runs at, for clients that
-/// resume their stream at any host.
+/// Tracks at which service and software version each recent stream runs, for
+/// clients that resume their stream at any host.
 ///
 /// Load pattern: a failure domain is lost with hosts and targets, and the
 /// clients of its streams resume them at other hosts within seconds, while two
@@ -33,6 +33,16 @@
 
 auto to_stream_id(request_id const& it) -> stream_id;
 
+/// Where a stream began.
+struct origin
+{
+    /// Empty in records of hosts of earlier versions.
+    std::optional<service_id> service;
+    software_version version;
+
+    friend auto operator==(origin const&, origin const&) -> bool = default;
+};
+
 struct reported_origin
 {
     stream_id stream;
@@ -41,6 +51,8 @@
     time_point at{};
     /// When the reporting host recorded it, by its own clock.
     time_point recorded_at{};
+    /// `origin::service`
+    std::optional<service_id> service = {};
 };
 
 /// Clients have given up all streams that were sent to a target longer ago.
@@ -62,14 +74,13 @@
 class origin_table
 {
 public:
-    /// This host sends the stream to a target of `version`.
-    void record(stream_id id, software_version const& version, time_point now);
+    /// This host sends the stream to a target of `to`.
+    void record(stream_id id, origin const& to, time_point now);
 
     /// Applies another host's record.
     void merge(reported_origin const& it, time_point now);
 
-    [[nodiscard]] auto find(stream_id id) const
-        -> std::optional<software_version>;
+    [[nodiscard]] auto find(stream_id id) const -> std::optional<origin>;
 
     /// Whether a record of the stream has been reported, by this host or by
     /// another one, or may have been.
@@ -94,17 +105,17 @@
     }
 
 private:
-    struct origin
+    struct known_origin
     {
-        software_version version;
+        origin it;
         time_point at{};
         time_point recorded_at{};
         bool reported = false;
     };
 
-    void put(stream_id id, origin it);
+    void put(stream_id id, known_origin it);
 
-    std::unordered_map<stream_id, origin> origins_;
+    std::unordered_map<stream_id, known_origin> origins_;
     /// Streams in the order in which they were recorded, several times if that
     /// happened again; the oldest are dropped first.
     std::deque<std::pair<time_point, stream_id>> order_;
--- a/src/stream_origin/record_reads.hpp
+++ b/src/stream_origin/record_reads.hpp
@@ -24,8 +24,8 @@
 namespace primrosedeal::stream_origin
 {
 
-/// Gets the recorded versions; none if there is no record or no answer.
-using record_handler = std::function<void(version_set const&)>;
+/// Gets the records of all services; none if there is none or no answer.
+using record_handler = std::function<void(versions_by_service const&)>;
 
 /// Least time between the beginnings of two reads of a service.
 constexpr auto record_read_gap = duration{100ms};
--- a/src/stream_origin/record_reads_test.cpp
+++ b/src/stream_origin/record_reads_test.cpp
@@ -24,7 +24,7 @@
     {
         plan(service,
              reads.add(
-                 service, [this](version_set const&) { ++told; }, now));
+                 service, [this](versions_by_service const&) { ++told; }, now));
     }
 
     void plan(service_id const& service, std::optional<time_point> const& at)
--- a/src/stream_origin/served_versions.cpp
+++ b/src/stream_origin/served_versions.cpp
@@ -69,6 +69,19 @@
                : *found->second.versions;
 }
 
+auto served_versions::all_recorded() const -> versions_by_service
+{
+    auto out = versions_by_service{};
+    for (auto const& [service, it] : records_)
+    {
+        if (it.versions && !it.versions->empty())
+        {
+            out[service] = *it.versions;
+        }
+    }
+    return out;
+}
+
 auto served_versions::several_recorded() const -> bool
 {
     return std::any_of(records_.begin(), records_.end(),
--- a/src/stream_origin/served_versions.hpp
+++ b/src/stream_origin/served_versions.hpp
@@ -57,6 +57,9 @@
     [[nodiscard]] auto recorded(service_id const& service) const
         -> version_set const&;
 
+    /// Records of all services that have one.
+    [[nodiscard]] auto all_recorded() const -> versions_by_service;
+
     /// Whether some service has several recorded versions.
     [[nodiscard]] auto several_recorded() const -> bool;
 
--- a/src/stream_origin/stream_origin_test.cpp
+++ b/src/stream_origin/stream_origin_test.cpp
@@ -15,6 +15,7 @@
 namespace
 {
 
+auto const engines = service_id{"engines"};
 auto const v1 = software_version{"v1"};
 auto const v2 = software_version{"v2"};
 
@@ -67,6 +68,13 @@
     bool record_is_complete = true;
 };
 
+auto version_of(origin_table const& it, stream_id stream)
+    -> std::optional<software_version>
+{
+    auto const found = it.find(stream);
+    return found ? std::optional{found->version} : std::nullopt;
+}
+
 auto chosen(version_choice const& it) -> std::optional<software_version>
 {
     auto const* const only = std::get_if<only_version>(&it);
@@ -187,23 +195,47 @@
 {
     auto it = origin_table{};
     BOOST_TEST(!it.find(id(1)));
-    it.record(id(1), v1, at(100));
-    BOOST_TEST((it.find(id(1)) == v1));
+    it.record(id(1), {engines, v1}, at(100));
+    BOOST_TEST((version_of(it, id(1)) == v1));
     // A second attempt, before the first event.
-    it.record(id(1), v2, at(200));
-    BOOST_TEST((it.find(id(1)) == v2));
+    it.record(id(1), {engines, v2}, at(200));
+    BOOST_TEST((version_of(it, id(1)) == v2));
     it.merge({id(1), v1, at(150), {}}, at(300));
-    BOOST_TEST((it.find(id(1)) == v2));
+    BOOST_TEST((version_of(it, id(1)) == v2));
     it.merge({id(1), v1, at(250), {}}, at(300));
-    BOOST_TEST((it.find(id(1)) == v1));
+    BOOST_TEST((version_of(it, id(1)) == v1));
+}
+
+// The service of a stream that was taken up was drawn anew.
+BOOST_AUTO_TEST_CASE(names_the_service_too)
+{
+    auto it = origin_table{};
+    it.record(id(1), {engines, v1}, at(100));
+    BOOST_TEST((it.find(id(1)) == origin{engines, v1}));
+    BOOST_TEST((it.report(at(100)).front().service == engines));
+    BOOST_TEST((it.all().front().service == engines));
+    auto other = origin_table{};
+    other.merge(it.all().front(), at(200));
+    BOOST_TEST((other.find(id(1)) == origin{engines, v1}));
+}
+
+BOOST_AUTO_TEST_CASE(keeps_its_service_beside_hosts_that_do_not_report_it)
+{
+    auto it = origin_table{};
+    it.merge({id(1), v1, at(100), {}}, at(150));
+    BOOST_TEST((it.find(id(1)) == origin{{}, v1}));
+    it.merge({id(1), v1, at(100), {}, engines}, at(150));
+    BOOST_TEST((it.find(id(1)) == origin{engines, v1}));
+    it.merge({id(1), v1, at(200), {}}, at(250));
+    BOOST_TEST((it.find(id(1)) == origin{engines, v1}));
 }
 
 BOOST_AUTO_TEST_CASE(is_reported_for_some_digests_by_the_host_that_made_it)
 {
     auto it = origin_table{};
     it.merge({id(1), v1, at(0), {}}, at(0));
-    it.record(id(2), v1, at(100));
-    it.record(id(3), v2, at(200));
+    it.record(id(2), {engines, v1}, at(100));
+    it.record(id(3), {engines, v2}, at(200));
     auto const report = it.report(at(200));
     BOOST_REQUIRE(report.size() == 2U);
     BOOST_TEST((report[0].stream == id(3)));
@@ -217,7 +249,7 @@
     auto it = origin_table{};
     for (auto ms = 0; ms < 10; ++ms)
     {
-        it.record(id(1), v1, at(ms));
+        it.record(id(1), {engines, v1}, at(ms));
     }
     BOOST_TEST(it.report(at(10)).size() == 1U);
     BOOST_TEST(it.all().size() == 1U);
@@ -227,7 +259,7 @@
 {
     auto it = origin_table{};
     it.merge({id(1), v1, at(0), {}}, at(50));
-    it.record(id(2), v2, at(100));
+    it.record(id(2), {engines, v2}, at(100));
     auto const all = it.all();
     BOOST_REQUIRE(all.size() == 2U);
     BOOST_TEST((all[0].stream == id(2)));
@@ -238,17 +270,17 @@
 BOOST_AUTO_TEST_CASE(may_be_known_elsewhere_once_it_has_been_reported)
 {
     auto it = origin_table{};
-    it.record(id(1), v1, at(0));
-    it.record(id(2), v1, at(0));
+    it.record(id(1), {engines, v1}, at(0));
+    it.record(id(2), {engines, v1}, at(0));
     BOOST_TEST(!it.may_be_known_elsewhere(id(1)));
     // Not in a report of another time.
     BOOST_TEST(it.report(at(1) + report_lifetime).empty());
     BOOST_TEST(!it.may_be_known_elsewhere(id(1)));
     BOOST_TEST(it.report(at(1)).size() == 2U);
     BOOST_TEST(it.may_be_known_elsewhere(id(1)));
-    it.record(id(1), v1, at(2));
+    it.record(id(1), {engines, v1}, at(2));
     BOOST_TEST(it.may_be_known_elsewhere(id(1)));
-    it.record(id(3), v1, at(3));
+    it.record(id(3), {engines, v1}, at(3));
     BOOST_TEST(!it.may_be_known_elsewhere(id(3)));
     BOOST_TEST(it.all().size() == 3U);
     BOOST_TEST(it.may_be_known_elsewhere(id(3)));
@@ -259,9 +291,9 @@
     auto it = origin_table{};
     it.merge({id(1), v1, at(0), {}}, at(0));
     BOOST_TEST(it.may_be_known_elsewhere(id(1)));
-    it.record(id(1), v1, at(1));
+    it.record(id(1), {engines, v1}, at(1));
     BOOST_TEST(it.may_be_known_elsewhere(id(1)));
-    it.record(id(2), v1, at(2));
+    it.record(id(2), {engines, v1}, at(2));
     it.merge({id(2), v1, at(1), {}}, at(3));
     BOOST_TEST(it.may_be_known_elsewhere(id(2)));
     // It may have been dropped here.
@@ -271,10 +303,10 @@
 BOOST_AUTO_TEST_CASE(is_forgotten_once_no_client_wants_its_stream)
 {
     auto it = origin_table{};
-    it.record(id(1), v1, at(0));
+    it.record(id(1), {engines, v1}, at(0));
     it.expire(at(0) + origin_lifetime);
     BOOST_TEST(it.size() == 1U);
-    it.record(id(1), v1, at(100));
+    it.record(id(1), {engines, v1}, at(100));
     it.expire(at(1) + origin_lifetime);
     BOOST_TEST(it.size() == 1U);
     it.expire(at(101) + origin_lifetime);
@@ -289,7 +321,7 @@
     constexpr auto n = max_origins + 100;
     for (auto i = std::size_t{0}; i < n; ++i)
     {
-        it.record(id(i), v1, at(0));
+        it.record(id(i), {engines, v1}, at(0));
     }
     BOOST_TEST(it.size() == max_origins);
     BOOST_TEST(!it.find(id(0)));
