Leave targets alone for as long as they ask to be

Change: a target that says so gets nothing new from this host until that time is over, or until a new process is listed under its id. If all targets of a service do, requests are refused at once with the time until the first takes some again.

Result: gateway_test a_target_that_wants_no_requests_for_a_while: of 12 requests beside a free target 10 reached the paused one with the header unread, now 1.

--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -56,6 +56,13 @@
     return std::find(it.tried.begin(), it.tried.end(), id) != it.tried.end();
 }
 
+auto wants_requests(placement_view const& view,
+                    directory::listed_target const& target, time_point now)
+    -> bool
+{
+    return view.pauses == nullptr || view.pauses->permits(target, now);
+}
+
 auto rank_of(placement_view const& view, placement_request const& it,
              directory::listed_target const& target, time_point now) -> rank
 {
@@ -186,6 +193,7 @@
     auto const allowed = [&](directory::listed_target const& target)
     {
         return (it.versions.empty() || it.versions.contains(target.version)) &&
+               wants_requests(view, target, now) &&
                view.limiter.permits(target.id, now) &&
                view.gate.permits(target.id, it.arrival) &&
                has_room(view, it, target, draw);
@@ -204,6 +212,7 @@
     {
         return target.id != primary.id && !tried(it, target.id) &&
                target.version == primary.version &&
+               wants_requests(view, target, now) &&
                !view.limiter.limited(target.id) &&
                view.gate.has_ample_room(target.id) &&
                view.detector.health_of(target.id, target.domain, now) ==
--- a/src/dispatch/placement.hpp
+++ b/src/dispatch/placement.hpp
@@ -6,6 +6,7 @@
 #include "dispatch/call_capacity.hpp"
 #include "dispatch/failure_detector.hpp"
 #include "dispatch/load_tracker.hpp"
+#include "dispatch/target_pauses.hpp"
 #include "expected_cost/service_estimates.hpp"
 #include "fleet/fleet_view.hpp"
 #include "rejection_limit/gate.hpp"
@@ -61,12 +62,14 @@
     rejection_limit::gate const& gate;
     /// Null: prompts are placed by outstanding prefill alone.
     expected_cost::service_estimates const* costs = nullptr;
+    /// Null: every target wants requests.
+    target_pauses const* pauses = nullptr;
 };
 
-/// Target for a new attempt, or nothing if no target has capacity. Targets
-/// that were already tried or are excluded are used only as a last resort, and
-/// limited ones only within this host's share, and those that survive few
-/// rejections as far as `gate` permits.
+/// Target for a new attempt, or nothing if no target has capacity. One that
+/// wants no requests gets none. Targets that were already tried or are excluded
+/// are used only as a last resort, and limited ones only within this host's
+/// share, and those that survive few rejections as far as `gate` permits.
 auto place(placement_view const& view, placement_request const& it,
            time_point now, random_source& random)
     -> std::optional<directory::listed_target>;
--- a/src/gateway/admit.cpp
+++ b/src/gateway/admit.cpp
@@ -41,6 +41,8 @@
         return "version_gone";
     case refusal_reason::version_unknown:
         return "version_unknown";
+    case refusal_reason::targets_paused:
+        return "targets_paused";
     case refusal_reason::target_limits:
         return "target_limits";
     case refusal_reason::rejection_limits:
--- a/src/gateway/admit.hpp
+++ b/src/gateway/admit.hpp
@@ -34,6 +34,8 @@
     version_gone,
     /// It is not known which of several versions began the stream.
     version_unknown,
+    /// All targets want no requests from this host for a while.
+    targets_paused,
     /// The targets with room take no more requests from this host now.
     target_limits,
     /// Targets that survive few rejections may have no room.
--- a/src/gateway/host_state.hpp
+++ b/src/gateway/host_state.hpp
@@ -8,6 +8,7 @@
 #include "dispatch/own_link.hpp"
 #include "dispatch/shutdown.hpp"
 #include "dispatch/shutdown_admission.hpp"
+#include "dispatch/target_pauses.hpp"
 #include "dispatch/time_estimates.hpp"
 #include "expected_cost/service_estimates.hpp"
 #include "fleet/fleet_view.hpp"
@@ -136,6 +137,7 @@
     void remove_target(target_id const& id)
     {
         detector.remove_target(id);
+        pauses.remove_target(id);
         limits.remove_target(id);
         limiter.remove_target(id);
         rejection_limits.remove_target(id);
@@ -157,6 +159,7 @@
     dispatch::failure_detector detector;
     dispatch::own_link own_link;
     dispatch::load_tracker loads;
+    dispatch::target_pauses pauses;
     request_limit::limit_table limits;
     request_limit::limiter limiter;
     request_limit::limit_table rejection_limits{rejection_limit_report_period};
--- a/src/gateway/leaving_target_test.cpp
+++ b/src/gateway/leaving_target_test.cpp
@@ -57,6 +57,13 @@
         return client.reply ? client.reply->status : 0;
     }
 
+    void rest(duration time)
+    {
+        auto rested = false;
+        auto const timer = loop.after(time, [&] { rested = true; });
+        run_until([&] { return rested; });
+    }
+
     /// Requests that reach the leaving target after it has answered one.
     auto runs_after(std::string const& path) -> int
     {
@@ -124,9 +131,7 @@
     {
         BOOST_TEST(ask("/call/") == 200);
         // Longer than a target without room is left alone.
-        auto rested = false;
-        auto const rest = loop.after(40ms, [&] { rested = true; });
-        run_until([&] { return rested; });
+        rest(40ms);
     }
     BOOST_TEST(leaver.runs() - before <= 1);
 }
@@ -165,4 +170,48 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// A host went on asking a target that had said for how long it wants nothing.
+BOOST_FIXTURE_TEST_SUITE(a_target_that_wants_no_requests_for_a_while,
+                         two_targets)
+
+BOOST_AUTO_TEST_CASE(gets_none_from_the_host_that_it_said_so_to)
+{
+    answer = reply_with("503 Service Unavailable",
+                        std::string{platform::names::not_executed} +
+                            ": 1\r\nRetry-After: 20\r\n");
+    list("full", "a", leaver.port());
+    ask("/call/");
+    BOOST_TEST(leaver.runs() == 1);
+    list("free", "b", sound.port());
+    constexpr auto requests = 12;
+    for (auto i = 0; i < requests; ++i)
+    {
+        BOOST_TEST(ask("/call/") == 200);
+        // Longer than a target without room is left alone.
+        rest(40ms);
+    }
+    BOOST_TEST(leaver.runs() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(tells_callers_when_to_return_if_it_is_the_only_one)
+{
+    answer = reply_with("503 Service Unavailable",
+                        std::string{platform::names::not_executed} +
+                            ": 1\r\nRetry-After: 20\r\n");
+    list("full", "a", leaver.port());
+    ask("/call/");
+    auto client = client_view{};
+    send("/call/", client);
+    run_until([&] { return client.over(); });
+    BOOST_REQUIRE(client.reply.has_value());
+    BOOST_TEST(client.reply->status == 503);
+    BOOST_TEST(client.body == R"({"error":"targets_paused"})");
+    auto const after = net::find_header(client.reply->headers, "Retry-After");
+    BOOST_REQUIRE(after.has_value());
+    BOOST_TEST(std::stod(std::string{*after}) > 15);
+    BOOST_TEST(leaver.runs() == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace primrosedeal::gateway
--- a/src/gateway/protocol.hpp
+++ b/src/gateway/protocol.hpp
@@ -87,6 +87,9 @@
     bool not_executed = false;
     /// The target leaves: it wants no new requests.
     bool target_leaves = false;
+    /// The target has turned the request away, and wants none from this host
+    /// for so long.
+    std::optional<duration> pause;
     /// The body has a content encoding: it was changed in transit.
     bool encoded = false;
     /// Requests that the target takes from all hosts together.
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -132,7 +132,8 @@
             host_.other_hosts,
             host_.limiter,
             host_.rejection_gate,
-            costs()};
+            costs(),
+            &host_.pauses};
 }
 
 auto relay::placement(time_point now) const -> dispatch::placement_request
@@ -216,6 +217,7 @@
         point && host_.targets.takes_new_work(point->target.id) &&
         host_.limiter.permits(point->target.id, now) &&
         host_.rejection_gate.permits(point->target.id, arrival()) &&
+        host_.pauses.permits(point->target, now) &&
         host_.detector.health_of(point->target.id, point->target.domain, now) !=
             dispatch::health::excluded;
     if (usable)
@@ -247,7 +249,8 @@
     {
         host_.request_counts.refund_attempt(admitted_.service->id, now);
     }
-    on_denial(limit_retry_after(now)    ? refusal_reason::target_limits
+    on_denial(pause_retry_after(now)    ? refusal_reason::targets_paused
+              : limit_retry_after(now)  ? refusal_reason::target_limits
               : rejection_retry_after() ? refusal_reason::rejection_limits
                                         : refusal_reason::no_target,
               now);
@@ -458,6 +461,13 @@
         on_rejection_limit_changed(host_, target.id, it.rejection_limit,
                                    "response");
     }
+    if (it.pause &&
+        host_.pauses.pause(target.id, target.process_start, now + *it.pause))
+    {
+        log::write(log::level::info, "target_paused",
+                   {{"target", target.id.value()},
+                    {"for_ms", milliseconds(*it.pause)}});
+    }
     if (it.target_leaves)
     {
         on_target_leaving(host_, directory::listed_target{target}, now);
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -125,6 +125,9 @@
     /// its way.
     [[nodiscard]] auto limit_retry_after(time_point now)
         -> std::optional<duration>;
+    /// The same if all targets want no requests from this host.
+    [[nodiscard]] auto pause_retry_after(time_point now)
+        -> std::optional<duration>;
     /// The same if targets that survive few rejections stand in its way.
     auto rejection_retry_after() -> std::optional<duration>;
     [[nodiscard]] auto arrival() const -> rejection_limit::arrival;
--- a/src/gateway/relay_end.cpp
+++ b/src/gateway/relay_end.cpp
@@ -46,6 +46,12 @@
         host_.random, now);
 }
 
+auto relay::pause_retry_after(time_point now) -> std::optional<duration>
+{
+    return host_.pauses.retry_after(host_.targets.usable(admitted_.service->id),
+                                    host_.random, now);
+}
+
 auto relay::rejection_retry_after() -> std::optional<duration>
 {
     return rejection_limit::retry_after(
@@ -85,6 +91,8 @@
     auto const delay = elsewhere ? retry_after_elsewhere
                        : reason == refusal_reason::target_limits
                            ? limit_retry_after(now).value_or(retry_after_busy)
+                       : reason == refusal_reason::targets_paused
+                           ? pause_retry_after(now).value_or(retry_after_busy)
                        : reason == refusal_reason::rejection_limits
                            ? rejection_retry_after().value_or(retry_after_busy)
                            : retry_after_busy;
