Back off where watches are cut in a row

A store that cuts each watch soon after it was opened would be asked ten times a second by each host that watches it. A host still counts as in contact.

--- a/src/gateway/store_watcher.cpp
+++ b/src/gateway/store_watcher.cpp
@@ -1,6 +1,5 @@
 #include "gateway/store_watcher.hpp"
 
-#include "core/part_of.hpp"
 #include "external/backoff.hpp"
 #include "log/log.hpp"
 
@@ -22,8 +21,9 @@
 /// `max_retry_rank` hosts: one host in contact is enough to feed the others.
 constexpr auto retry_delay_per_rank = duration{300ms};
 constexpr auto max_retry_rank = std::size_t{8};
-/// Watches that were cut together are opened again spread over this time.
-constexpr auto reopen_spread = duration{200ms};
+/// Watches that are cut within this time of each other are opened again ever
+/// later, as after failed calls.
+constexpr auto cuts_in_row = duration{5s};
 
 /// Every key of the store.
 auto all_keys() -> external::range_request
@@ -228,11 +228,15 @@
     }
     if (why.fault == external::call_fault::interrupted && in_contact_)
     {
+        auto const now = net::event_loop::now();
+        cuts_ =
+            now - std::exchange(last_cut_, now) < cuts_in_row ? cuts_ + 1 : 0;
         log::write(log::level::info, "watch_cut",
                    {{"revision", to_string(delivered_revision_)}});
         // The store answers the first call of a watch at once.
-        retry_ = loop_.after(part_of(reopen_spread, random_.unit()),
-                             [this] { reconnect(); });
+        retry_ =
+            loop_.after(external::full_jitter(retry_backoff, cuts_, random_),
+                        [this] { reconnect(); });
         return;
     }
     on_call_failed(why.text);
--- a/src/gateway/store_watcher.hpp
+++ b/src/gateway/store_watcher.hpp
@@ -120,6 +120,9 @@
     std::uint64_t generation_ = 0;
     net::timer retry_;
     unsigned failures_ = 0;
+    /// Cuts of watches in a row, after the first one.
+    unsigned cuts_ = 0;
+    time_point last_cut_{};
     std::size_t hosts_ahead_ = 0;
     duration pause_between_{};
     bool paused_ = false;
