End the record of versions of a service that has no targets

Cause: records were written for services with listed targets only, so that of a retired service stayed. Since streams of unknown origin go on only beside one service with recorded versions, it would have refused them for ever, and hosts would have written origins without end.

Result: served_versions_test ends_empty_if_its_service_has_no_targets_any_more, which needs the write that was left out before.

--- a/src/stream_origin/served_versions.cpp
+++ b/src/stream_origin/served_versions.cpp
@@ -103,7 +103,7 @@
     {
         auto& it = records_[service];
         auto out = wanted(it, versions, now);
-        if (out.empty() || out == it.versions)
+        if (out == it.versions.value_or(version_set{}))
         {
             it.incomplete_since.reset();
             continue;
@@ -155,10 +155,7 @@
 {
     for (auto const& [service, it] : records_)
     {
-        if (!it.before_restoration.empty())
-        {
-            listed.try_emplace(service);
-        }
+        listed.try_emplace(service);
     }
     return listed;
 }
--- a/src/stream_origin/served_versions.hpp
+++ b/src/stream_origin/served_versions.hpp
@@ -19,7 +19,8 @@
 /// does not tell it that there was another version.
 ///
 /// A version is recorded before streams begin at it, unless no recorded one has
-/// targets; it is removed `origin_lifetime` after its last target is listed. If
+/// targets; it is removed `origin_lifetime` after its last target is listed, so
+/// the record of a service that is gone for good ends empty. If
 /// the first host does not write, the next one does. Two writers at once cost
 /// calls, nothing else: each write names the revision that it replaces.
 namespace primrosedeal::stream_origin
@@ -97,7 +98,7 @@
     static auto wanted(record& it, version_set const& listed, time_point now)
         -> version_set;
 
-    /// `listed`, and services with versions from before a restoration.
+    /// `listed`, and services with a record that have no targets.
     [[nodiscard]] auto with_unlisted(versions_by_service listed) const
         -> versions_by_service;
 
--- a/src/stream_origin/served_versions_test.cpp
+++ b/src/stream_origin/served_versions_test.cpp
@@ -122,6 +122,26 @@
     BOOST_TEST((next({v1}, later) == version_set{v1}));
 }
 
+// Streams of unknown origin were refused for ever beside the record of a
+// service that had been retired.
+BOOST_FIXTURE_TEST_CASE(ends_empty_if_its_service_has_no_targets_any_more,
+                        watching_host)
+{
+    store({v1});
+    BOOST_TEST(!versions.next_write({}, 0, at(0s)));
+    BOOST_TEST(!versions.next_write({}, 0, at(origin_lifetime)));
+    auto const it = versions.next_write({}, 0, at(origin_lifetime + 1s));
+    BOOST_REQUIRE(it.has_value());
+    BOOST_TEST((it->service == engines));
+    BOOST_TEST(it->versions.empty());
+    BOOST_TEST(versions.all_recorded().size() == 1U);
+    store({});
+    BOOST_TEST(versions.all_recorded().empty());
+    BOOST_TEST(!versions.next_write({}, 0, at(origin_lifetime + 9s)));
+    // Its targets are back.
+    BOOST_TEST((next({v2}, origin_lifetime + 9s) == version_set{v2}));
+}
+
 BOOST_FIXTURE_TEST_CASE(lacks_versions_that_are_listed_or_it_is_complete,
                         watching_host)
 {
