--- a/src/fleet/digest.cpp
+++ b/src/fleet/digest.cpp
@@ -47,6 +47,7 @@
     std::tuple<std::vector<limit_row>, std::vector<rejection_row>>;
 /// Version of the configuration; zero if there is none.
 using configuration_fields = std::tuple<std::uint64_t>;
+/// Services of the streams in `origin_fields`.
 using origin_service_fields = std::tuple<origin_services>;
 using all_fields = decltype(std::tuple_cat(
     std::declval<fields>(), std::declval<evidence_fields>(),
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -416,8 +416,7 @@
     };
     events.on_leaving = [this]
     {
-        on_target_leaving(host_, directory::listed_target{current_->target},
-                          net::event_loop::now());
+        on_target_leaving(host_, current_->target, net::event_loop::now());
     };
     events.on_event =
         [this](http1::response_head const& head, http1::stream_event it)
@@ -470,7 +469,7 @@
     }
     if (it.target_leaves)
     {
-        on_target_leaving(host_, directory::listed_target{target}, now);
+        on_target_leaving(host_, target, now);
     }
 }
 
--- a/src/gateway/relay_copies.cpp
+++ b/src/gateway/relay_copies.cpp
@@ -154,8 +154,7 @@
 {
     if (it && host_.wire.states_leaving(it->headers))
     {
-        on_target_leaving(host_, directory::listed_target{current_->target},
-                          now);
+        on_target_leaving(host_, current_->target, now);
     }
     auto const name = it ? host_.wire.read_copy_name(*it) : std::nullopt;
     log::write(log::level::info, name ? "stream_copied" : "stream_not_copied",
